--- /dev/null
+++ b/internal/findings/decode.go
@@ -0,0 +1,113 @@
+package findings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"sort"
+	"strings"
+)
+
+// Decode fills the struct that dst points to from data and collects every
+// mistake: syntax errors, unknown fields, and values of a wrong type. Fields
+// without a finding are filled in all the same, so that the caller can go on
+// checking them and report everything together.
+func Decode(file string, data []byte, dst any) *List {
+	list := &List{File: file, Lines: LineIndex(data)}
+	if !json.Valid(data) {
+		var discard any
+		err := json.Unmarshal(data, &discard)
+		list.Add("", "%s", SyntaxError(data, err))
+		return list
+	}
+	decodeValue(list, "", data, reflect.ValueOf(dst).Elem())
+	return list
+}
+
+var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+
+func decodeValue(list *List, path string, data json.RawMessage, dst reflect.Value) {
+	custom := dst.Addr().Type().Implements(unmarshalerType)
+	switch {
+	case !custom && dst.Kind() == reflect.Struct:
+		decodeStruct(list, path, data, dst)
+	case !custom && dst.Kind() == reflect.Slice && dst.Type().Elem().Kind() != reflect.Uint8:
+		decodeSlice(list, path, data, dst)
+	default:
+		if err := json.Unmarshal(data, dst.Addr().Interface()); err != nil {
+			list.Add(path, "%s", describe(err, data))
+		}
+	}
+}
+
+func decodeStruct(list *List, path string, data json.RawMessage, dst reflect.Value) {
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(data, &object); err != nil || object == nil {
+		list.Add(path, "expected an object, found %s", summary(data))
+		return
+	}
+	fields := fieldsByName(dst.Type())
+	for _, name := range sortedKeys(object) {
+		index, ok := fields[name]
+		if !ok {
+			list.Add(Join(path, name), "unknown field %q", name)
+			continue
+		}
+		decodeValue(list, Join(path, name), object[name], dst.Field(index))
+	}
+}
+
+func decodeSlice(list *List, path string, data json.RawMessage, dst reflect.Value) {
+	var items []json.RawMessage
+	if err := json.Unmarshal(data, &items); err != nil {
+		list.Add(path, "expected a list, found %s", summary(data))
+		return
+	}
+	out := reflect.MakeSlice(dst.Type(), len(items), len(items))
+	for i, item := range items {
+		decodeValue(list, fmt.Sprintf("%s[%d]", path, i), item, out.Index(i))
+	}
+	dst.Set(out)
+}
+
+func fieldsByName(t reflect.Type) map[string]int {
+	fields := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			fields[name] = i
+		}
+	}
+	return fields
+}
+
+func sortedKeys(object map[string]json.RawMessage) []string {
+	keys := make([]string, 0, len(object))
+	for k := range object {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func describe(err error, data json.RawMessage) string {
+	if e, ok := err.(*json.UnmarshalTypeError); ok {
+		return fmt.Sprintf("expected %s, found %s", e.Type, summary(data))
+	}
+	return err.Error()
+}
+
+// summary shortens a JSON value for a message.
+func summary(data json.RawMessage) string {
+	const maxBytes = 40
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, data); err != nil {
+		return "invalid JSON"
+	}
+	s := compact.String()
+	if len(s) > maxBytes {
+		s = s[:maxBytes] + "..."
+	}
+	return s
+}
--- /dev/null
+++ b/internal/findings/findings.go
@@ -0,0 +1,155 @@
+// Package findings collects mistakes in an input together with their place, so
+// that one error can report all of them.
+package findings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/gravitational/trace"
+)
+
+// Finding is one mistake.
+type Finding struct {
+	// File is the name of the input; empty when it is not a file.
+	File string `json:"file,omitempty"`
+	// Line counts from 1; 0 when unknown.
+	Line int `json:"line,omitempty"`
+	// Path is the JSON path of the value, such as "listen.caller".
+	Path    string `json:"path,omitempty"`
+	Message string `json:"message"`
+}
+
+// String renders the finding as file:line: path: message.
+func (f Finding) String() string {
+	var b strings.Builder
+	if f.File != "" {
+		b.WriteString(f.File)
+		if f.Line > 0 {
+			fmt.Fprintf(&b, ":%d", f.Line)
+		}
+		b.WriteString(": ")
+	}
+	if f.Path != "" {
+		b.WriteString(f.Path + ": ")
+	}
+	b.WriteString(f.Message)
+	return b.String()
+}
+
+// List collects the findings of one input. The zero value is ready to use.
+type List struct {
+	// File is the name given to every finding.
+	File string
+	// Lines maps JSON paths to line numbers; see LineIndex.
+	Lines map[string]int
+
+	items []Finding
+}
+
+// Add records a mistake at a JSON path.
+func (l *List) Add(path, format string, args ...any) {
+	l.items = append(l.items, Finding{
+		File:    l.File,
+		Line:    l.line(path),
+		Path:    path,
+		Message: fmt.Sprintf(format, args...),
+	})
+}
+
+// line returns the line of path, or of its nearest ancestor in the input.
+func (l *List) line(path string) int {
+	for path != "" {
+		if n, ok := l.Lines[path]; ok {
+			return n
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			break
+		}
+		path = path[:cut]
+	}
+	return 0
+}
+
+// Items returns the findings in the order in which they were added.
+func (l *List) Items() []Finding { return l.items }
+
+// Err returns nil when there are no findings, else one trace.BadParameter that
+// lists all of them.
+func (l *List) Err() error {
+	if len(l.items) == 0 {
+		return nil
+	}
+	lines := make([]string, len(l.items))
+	for i, f := range l.items {
+		lines[i] = f.String()
+	}
+	return trace.BadParameter("%d findings:\n%s", len(lines), strings.Join(lines, "\n"))
+}
+
+// LineIndex maps each JSON path of data to the line of its value. It stops at the
+// first syntax error and returns what it has.
+func LineIndex(data []byte) map[string]int {
+	index := map[string]int{}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	walk(dec, data, "", index)
+	return index
+}
+
+func walk(dec *json.Decoder, data []byte, path string, index map[string]int) bool {
+	tok, err := dec.Token()
+	if err != nil {
+		return false
+	}
+	index[path] = LineAt(data, dec.InputOffset())
+	delim, ok := tok.(json.Delim)
+	if !ok {
+		return true
+	}
+	for i := 0; dec.More(); i++ {
+		child := fmt.Sprintf("%s[%d]", path, i)
+		if delim == '{' {
+			key, err := dec.Token()
+			if err != nil {
+				return false
+			}
+			child = Join(path, fmt.Sprint(key))
+		}
+		if !walk(dec, data, child, index) {
+			return false
+		}
+	}
+	_, err = dec.Token()
+	return err == nil
+}
+
+// Join appends a field name to a JSON path.
+func Join(path, field string) string {
+	if path == "" {
+		return field
+	}
+	return path + "." + field
+}
+
+// LineAt returns the line, counted from 1, of a byte offset.
+func LineAt(data []byte, offset int64) int {
+	offset = min(offset, int64(len(data)))
+	return bytes.Count(data[:offset], []byte("\n")) + 1
+}
+
+// SyntaxError describes an error of encoding/json with its line.
+func SyntaxError(data []byte, err error) string {
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return fmt.Sprintf("line %d: %v", LineAt(data, syntax.Offset), err)
+	}
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return fmt.Sprintf("line %d: unexpected end of input", LineAt(data, int64(len(data))))
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/profile/document.go
@@ -0,0 +1,275 @@
+// Package profile defines the configuration that operators publish and decides
+// which published revisions are in force.
+package profile
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"bergamotsill.example/bergamotsill/internal/findings"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// Rank orders work by urgency.
+type Rank string
+
+// Ranks, most urgent first.
+const (
+	Urgent     Rank = "urgent"
+	Standard   Rank = "standard"
+	Background Rank = "background"
+)
+
+// Ranks lists all ranks, most urgent first.
+var Ranks = []Rank{Urgent, Standard, Background}
+
+// Priority returns the rank's place in Ranks; lower is more urgent.
+func (r Rank) Priority() int { return slices.Index(Ranks, r) }
+
+// RankPolicy configures one rank.
+type RankPolicy struct {
+	Name Rank `json:"name"`
+	// MinShare is the share of a data centre's capacity, 0 to 1, that the rank
+	// keeps while it has work.
+	MinShare float64 `json:"min_share"`
+}
+
+// Pool describes the engines, or the services, of one pool.
+type Pool struct {
+	Name string `json:"name"`
+	// Models are the models that the pool's engines may load.
+	Models []string `json:"models,omitempty"`
+	// ChecksFencing tells whether the pool's engines refuse orders with an old
+	// fencing number.
+	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	// MinServing is the number of engines per data centre that must stay in
+	// service during a change.
+	MinServing int `json:"min_serving,omitempty"`
+	// Roles are the roles that the engines may take; empty means mixed only.
+	Roles []port.Role `json:"roles,omitempty"`
+}
+
+// Profile describes one kind of work and how it is treated.
+type Profile struct {
+	Name  string `json:"name"`
+	Rank  Rank   `json:"rank"`
+	Pool  string `json:"pool"`
+	Model string `json:"model"`
+	// FirstTokenMS, TokenMS and TotalMS are targets in milliseconds: until the
+	// first token, between tokens, and for the whole answer.
+	FirstTokenMS int64 `json:"first_token_ms"`
+	TokenMS      int64 `json:"token_ms"`
+	TotalMS      int64 `json:"total_ms"`
+	// Worth weighs an answer within its target.
+	Worth           float64 `json:"worth"`
+	MaxOutputTokens int     `json:"max_output_tokens"`
+	MaxPromptTokens int     `json:"max_prompt_tokens"`
+	// RetryShare bounds retries as a share, 0 to 1, of first attempts.
+	RetryShare float64 `json:"retry_share"`
+}
+
+// CallPattern matches calls by method and path.
+type CallPattern struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+}
+
+// ServiceRoute maps a path prefix to a pool of plain services.
+type ServiceRoute struct {
+	Name       string `json:"name"`
+	PathPrefix string `json:"path_prefix"`
+	Pool       string `json:"pool"`
+	// ClaimWindowS is how long, in seconds, an idempotency key is remembered.
+	ClaimWindowS int64 `json:"claim_window_s"`
+	// NonRepeatable lists the calls that run at most once per key.
+	NonRepeatable []CallPattern `json:"non_repeatable,omitempty"`
+}
+
+// Repeatable tells whether the call may run more than once.
+func (s *ServiceRoute) Repeatable(method, path string) bool {
+	return !slices.Contains(s.NonRepeatable, CallPattern{Method: method, Path: path})
+}
+
+// Organisation sets an organisation's weight within a rank.
+type Organisation struct {
+	Name   string  `json:"name"`
+	Weight float64 `json:"weight"`
+}
+
+// Document is one whole configuration.
+type Document struct {
+	Ranks         []RankPolicy   `json:"ranks"`
+	Pools         []Pool         `json:"pools"`
+	Profiles      []Profile      `json:"profiles"`
+	Services      []ServiceRoute `json:"services,omitempty"`
+	Organisations []Organisation `json:"organisations,omitempty"`
+}
+
+// SchemaVersion is the newest version of Document that this program knows.
+const SchemaVersion = 1
+
+// ParseDocument decodes and checks a document. The list holds every finding.
+func ParseDocument(file string, data []byte) (*Document, *findings.List) {
+	doc := &Document{}
+	list := findings.Decode(file, data, doc)
+	doc.check(list)
+	return doc, list
+}
+
+func (d *Document) check(list *findings.List) {
+	d.checkRanks(list)
+	pools := d.checkPools(list)
+	d.checkProfiles(list, pools)
+	d.checkServices(list, pools)
+	d.checkOrganisations(list)
+}
+
+// names reports empty and duplicate names of one section.
+type names struct {
+	list    *findings.List
+	section string
+	seen    map[string]int
+}
+
+func newNames(list *findings.List, section string) *names {
+	return &names{list: list, section: section, seen: map[string]int{}}
+}
+
+func (n *names) add(i int, name string) string {
+	place := fmt.Sprintf("%s[%d]", n.section, i)
+	if name == "" {
+		n.list.Add(place+".name", "is required")
+		return place
+	}
+	if first, ok := n.seen[name]; ok {
+		n.list.Add(place+".name", "duplicate name %q, first used at %s[%d]", name, n.section, first)
+		return place
+	}
+	n.seen[name] = i
+	return place
+}
+
+func (d *Document) checkRanks(list *findings.List) {
+	seen := newNames(list, "ranks")
+	total := 0.0
+	for i, r := range d.Ranks {
+		place := seen.add(i, string(r.Name))
+		checkRank(list, place+".name", r.Name)
+		checkShare(list, place+".min_share", r.MinShare)
+		total += r.MinShare
+	}
+	if total > 1 {
+		list.Add("ranks", "minimum shares add up to %g, more than 1", total)
+	}
+}
+
+func (d *Document) checkPools(list *findings.List) map[string]*Pool {
+	if len(d.Pools) == 0 {
+		list.Add("pools", "at least one pool is required")
+	}
+	seen := newNames(list, "pools")
+	pools := map[string]*Pool{}
+	for i := range d.Pools {
+		p := &d.Pools[i]
+		place := seen.add(i, p.Name)
+		pools[p.Name] = p
+		if p.MinServing < 0 {
+			list.Add(place+".min_serving", "must not be negative")
+		}
+		for j, r := range p.Roles {
+			switch r {
+			case port.RoleMixed, port.RolePrefill, port.RoleDecode:
+			default:
+				list.Add(fmt.Sprintf("%s.roles[%d]", place, j), "unknown role %q", r)
+			}
+		}
+	}
+	return pools
+}
+
+func (d *Document) checkProfiles(list *findings.List, pools map[string]*Pool) {
+	if len(d.Profiles) == 0 {
+		list.Add("profiles", "at least one profile is required")
+	}
+	seen := newNames(list, "profiles")
+	for i, p := range d.Profiles {
+		place := seen.add(i, p.Name)
+		checkRank(list, place+".rank", p.Rank)
+		pool, ok := pools[p.Pool]
+		if !ok {
+			list.Add(place+".pool", "unknown pool %q", p.Pool)
+		} else if !slices.Contains(pool.Models, p.Model) {
+			list.Add(place+".model", "model %q is not in pool %q", p.Model, p.Pool)
+		}
+		checkPositive(list, place+".first_token_ms", p.FirstTokenMS)
+		checkPositive(list, place+".token_ms", p.TokenMS)
+		checkPositive(list, place+".total_ms", p.TotalMS)
+		checkPositive(list, place+".max_output_tokens", int64(p.MaxOutputTokens))
+		checkPositive(list, place+".max_prompt_tokens", int64(p.MaxPromptTokens))
+		checkShare(list, place+".retry_share", p.RetryShare)
+		if p.Worth <= 0 {
+			list.Add(place+".worth", "must be greater than 0")
+		}
+	}
+}
+
+func (d *Document) checkServices(list *findings.List, pools map[string]*Pool) {
+	seen := newNames(list, "services")
+	for i := range d.Services {
+		s := &d.Services[i]
+		place := seen.add(i, s.Name)
+		if _, ok := pools[s.Pool]; !ok {
+			list.Add(place+".pool", "unknown pool %q", s.Pool)
+		}
+		if !strings.HasPrefix(s.PathPrefix, "/") || strings.HasPrefix(s.PathPrefix, "/v1/") {
+			list.Add(place+".path_prefix", "must start with / and not with /v1/, found %q", s.PathPrefix)
+		}
+		if len(s.NonRepeatable) > 0 {
+			checkPositive(list, place+".claim_window_s", s.ClaimWindowS)
+		}
+		for j, c := range s.NonRepeatable {
+			checkCall(list, fmt.Sprintf("%s.non_repeatable[%d]", place, j), c, s.PathPrefix)
+		}
+	}
+}
+
+func checkCall(list *findings.List, place string, c CallPattern, prefix string) {
+	switch c.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete:
+	default:
+		list.Add(place+".method", "expected POST, PUT, PATCH or DELETE, found %q", c.Method)
+	}
+	if !strings.HasPrefix(c.Path, prefix) {
+		list.Add(place+".path", "does not start with the route's prefix %q", prefix)
+	}
+}
+
+func (d *Document) checkOrganisations(list *findings.List) {
+	seen := newNames(list, "organisations")
+	for i, o := range d.Organisations {
+		place := seen.add(i, o.Name)
+		if o.Weight <= 0 {
+			list.Add(place+".weight", "must be greater than 0")
+		}
+	}
+}
+
+func checkRank(list *findings.List, path string, r Rank) {
+	if r.Priority() < 0 {
+		list.Add(path, "expected urgent, standard or background, found %q", r)
+	}
+}
+
+func checkShare(list *findings.List, path string, v float64) {
+	if v < 0 || v > 1 {
+		list.Add(path, "must be between 0 and 1, found %g", v)
+	}
+}
+
+func checkPositive(list *findings.List, path string, v int64) {
+	if v <= 0 {
+		list.Add(path, "must be greater than 0")
+	}
+}
