--- a/internal/standin/memnet.go
+++ b/internal/standin/memnet.go
@@ -212,3 +212,24 @@
 // pastDeadline makes pending and later reads and writes of a closed silent end
 // fail at once.
 var pastDeadline = time.Unix(1, 0)
+
+// CloseAll closes every connection and listener.
+func (n *MemNet) CloseAll() {
+	n.mu.Lock()
+	listeners := make([]*memListener, 0, len(n.listeners))
+	for _, l := range n.listeners {
+		listeners = append(listeners, l)
+	}
+	conns := make([]*memConn, 0, len(n.conns))
+	for c := range n.conns {
+		conns = append(conns, c)
+	}
+	n.mu.Unlock()
+	for _, l := range listeners {
+		// Closing a listener of the memory network never fails.
+		_ = l.Close()
+	}
+	for _, c := range conns {
+		c.closeBoth()
+	}
+}
