--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -124,6 +124,17 @@
 	return e.runs[requestID]
 }
 
+// Started returns the number of attempts that the engine started.
+func (e *Engine) Started() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	total := 0
+	for _, n := range e.runs {
+		total += n
+	}
+	return total
+}
+
 // Interrupted returns how many running requests an order interrupted.
 func (e *Engine) Interrupted() int {
 	e.mu.Lock()
