Finish running requests at a planned stop

Cause: Stop waited on a WaitGroup that new requests could still raise, and then closed connections although a handler returns before its last bytes are sent. A gate now refuses new requests and Shutdown waits until connections are idle; responses ask callers to leave kept-alive connections while stopping. Ruled out: SetKeepAlivesEnabled(false), which closes idle connections that a caller may be about to use.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"encoding/hex"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,9 +58,7 @@
 	roles     *decision.Ring
 
 	stopping atomic.Bool
-	refusing atomic.Bool
-	// requests counts requests that are being served.
-	requests sync.WaitGroup
+	requests *gate
 
 	callerServer   *http.Server
 	peerServer     *peer.Server
@@ -80,6 +77,7 @@
 		burn:        burn.NewTracker(),
 		decisions:   decision.NewRing(s.Limits.DecisionRecords),
 		roles:       decision.NewRing(s.Limits.DecisionRecords),
+		requests:    newGate(),
 	}
 	d.log = deps.Logger.With(
 		zap.String("daemon", s.Name),
@@ -152,26 +150,18 @@
 // finish. It has no time limit; cancelling ctx ends running requests.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.stopping.Store(true)
-	d.log.Info("daemon stopping")
+	d.log.Info("daemon stopping", zap.Int("active-requests", d.requests.Active()))
 	sleep(ctx, d.settings.Timing.BalancerDelay.Std())
-	d.refusing.Store(true)
-	d.waitForRequests(ctx)
+	d.requests.Close()
+	d.requests.Wait(ctx)
+	// A handler returns before its last bytes are sent; Shutdown waits for those.
+	if err := d.callerServer.Shutdown(ctx); err != nil {
+		d.log.Warn("caller connections closed before they were idle", zap.Error(err))
+	}
 	d.log.Info("all requests finished")
 	return d.kill()
 }
 
-func (d *Daemon) waitForRequests(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		d.requests.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 // Kill ends the daemon at once, cutting running requests, as a crash would.
 func (d *Daemon) Kill() error { return d.kill() }
 
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -61,9 +61,16 @@
 func (d *Daemon) serve(handle callHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := d.newCall(r)
-		d.requests.Add(1)
-		defer d.requests.Done()
 		w.Header().Set(refusal.HeaderRequestID, c.id)
+		if d.stopping.Load() {
+			// Makes a caller with a kept-alive connection go to another daemon.
+			w.Header().Set("Connection", "close")
+		}
+		if !d.requests.Enter() {
+			d.finish(w, c, refusal.New(refusal.Stopping, "the daemon is stopping").ForAttempt().After(time.Second))
+			return
+		}
+		defer d.requests.Leave()
 		err := d.accept(w, c)
 		if err == nil {
 			err = handle(r.Context(), w, c)
@@ -88,9 +95,6 @@
 
 // accept checks that the daemon takes new work and reads the body.
 func (d *Daemon) accept(w http.ResponseWriter, c *call) error {
-	if d.refusing.Load() {
-		return refusal.New(refusal.Stopping, "the daemon is stopping").ForAttempt().After(time.Second)
-	}
 	if d.config.Snapshot() == nil || !d.fleet.known() {
 		return refusal.New(refusal.NotReady, "the daemon has no configuration yet").ForAttempt().After(time.Second)
 	}
