Spread membership and engine state on random probes

Each daemon probes one random member per interval over jsonrpc2; members, engine states and packed engine loads ride on the probes, so the cost per daemon does not grow with the fleet. Three daemons of a data centre, chosen by rendezvous hashing, poll an engine and read the VM list; the others learn.

--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -114,7 +114,7 @@
 }
 
 func newConn(raw net.Conn, handle handlerFunc) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(raw, jsonrpc2.VSCodeObjectCodec{})
+	stream := jsonrpc2.NewPlainObjectStream(raw)
 	handler := jsonrpc2.HandlerWithError(handle).SuppressErrClosed()
 	return jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(handler))
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"bergamotsill.example/bergamotsill/internal/admin"
+	"bergamotsill.example/bergamotsill/internal/membership"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -19,6 +20,11 @@
 		admin.MethodExplain: d.adminExplain,
 		admin.MethodBurn:    d.adminBurn,
 		admin.MethodRoles:   d.adminRoles,
+
+		membership.MethodProbe: d.gossip.handleProbe,
+		membership.MethodRelay: d.gossip.handleRelay,
+		membership.MethodView:  d.gossip.handleView,
+		membership.MethodVMs:   d.fleet.handleVMs,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,6 +52,7 @@
 	tomb      tomb.Tomb
 	config    *configFollower
 	fleet     *fleet
+	gossip    *gossip
 	claims    *claims
 	burn      *burn.Tracker
 	decisions *decision.Ring
@@ -85,6 +86,7 @@
 	)
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
+	d.gossip = newGossip(d)
 	d.claims = newClaims(d)
 	return d
 }
@@ -114,6 +116,7 @@
 	d.tomb.Go(d.config.run)
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
+	d.tomb.Go(d.gossip.run)
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
 		zap.String("caller-address", d.settings.Listen.Caller),
@@ -159,6 +162,7 @@
 		d.log.Warn("caller connections closed before they were idle", zap.Error(err))
 	}
 	d.log.Info("all requests finished")
+	d.gossip.leave(ctx)
 	return d.kill()
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -2,53 +2,148 @@
 
 import (
 	"context"
+	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/engineview"
+	"bergamotsill.example/bergamotsill/internal/membership"
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/rendezvous"
 	"bergamotsill.example/bergamotsill/internal/routing"
 )
 
+const (
+	// watchers is the number of daemons of a data centre that poll an engine, and
+	// that read the VM list. One may be dead and one slow to notice.
+	watchers = 3
+	// vmListStale, in intervals of reading the VM list, is the age at which every
+	// daemon reads the list itself.
+	vmListStale = 3
+	// vmListKey is the rendezvous key of the readers of the VM list.
+	vmListKey = "vm-list"
+)
+
 // fleet keeps the routing table up to date from the VM list and from the reports
-// of engines.
+// of engines. A few daemons read each; the others learn it from probes.
 type fleet struct {
 	daemon *Daemon
 	table  atomic.Pointer[routing.Table]
 
 	mu        sync.Mutex
 	upstreams map[string]*routing.Upstream
+	vms       []port.VM
+	// hash identifies the content of the VM list, at says as of when on the
+	// platform's clock, and confirmed when this daemon learned it.
+	hash      uint64
+	at        time.Time
+	confirmed time.Time
+	fetching  atomic.Bool
+	watched   watchList
+}
+
+// watchList holds the engines that this daemon polls. It is computed anew when
+// the VM list or the membership changes.
+type watchList struct {
+	hash       uint64
+	generation uint64
+	engines    []*routing.Upstream
 }
 
 func newFleet(d *Daemon) *fleet {
 	return &fleet{daemon: d, upstreams: map[string]*routing.Upstream{}}
 }
 
-// known tells whether the VM list was read at least once.
+// known tells whether a VM list was read at least once.
 func (f *fleet) known() bool { return f.table.Load() != nil }
 
 // Table returns the current routing table.
 func (f *fleet) Table() *routing.Table { return f.table.Load() }
 
+// version returns the hash of the VM list and as of when it is.
+func (f *fleet) version() (uint64, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hash, f.at
+}
+
 func (f *fleet) runVMList() error {
-	every(f.daemon.context(), f.daemon.settings.Timing.VMListInterval.Std(), f.readVMList)
+	f.readVMList(f.daemon.context())
+	f.daemon.gossip.join(f.daemon.context())
+	every(f.daemon.context(), f.daemon.settings.Timing.VMListInterval.Std(), func(ctx context.Context) {
+		if f.readsVMList() {
+			f.readVMList(ctx)
+		}
+	})
 	return nil
 }
 
-// readVMList replaces the table. On a failure the last list stays in use.
+// readsVMList tells whether this daemon is a reader of the VM list, or has not
+// heard of it from a reader for too long.
+func (f *fleet) readsVMList() bool {
+	f.mu.Lock()
+	stale := time.Since(f.confirmed) > vmListStale*f.daemon.settings.Timing.VMListInterval.Std()
+	f.mu.Unlock()
+	return stale || f.chosen(vmListKey, f.daemon.settings.DataCentre)
+}
+
+// chosen tells whether this daemon is one of the watchers for a key.
+func (f *fleet) chosen(key, dataCentre string) bool {
+	live := f.daemon.gossip.liveIn(dataCentre)
+	if len(live) == 0 {
+		// No daemon is left in that data centre, so that the others take over.
+		live = f.daemon.gossip.liveIn("")
+	}
+	top := rendezvous.Top(key, live, watchers)
+	return slices.Contains(top, f.daemon.settings.Listen.Peer)
+}
+
+// readVMList reads the list from the platform. On a failure the last list stays
+// in use.
 func (f *fleet) readVMList(ctx context.Context) {
 	snapshot, err := f.daemon.deps.VMs.List(ctx)
 	if err != nil {
 		f.daemon.log.Debug("VM list is unavailable", zap.Error(err))
 		return
 	}
+	f.install(snapshot)
+}
+
+// install takes a list into use unless it is older than the present one.
+func (f *fleet) install(snapshot port.VMSnapshot) {
+	hash := hashVMs(snapshot.VMs)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	upstreams := make(map[string]*routing.Upstream, len(snapshot.VMs))
-	list := make([]*routing.Upstream, 0, len(snapshot.VMs))
-	for _, vm := range snapshot.VMs {
+	if snapshot.Time.Before(f.at) {
+		return
+	}
+	f.at = snapshot.Time
+	f.confirmed = time.Now()
+	if hash == f.hash && f.known() {
+		return
+	}
+	f.hash = hash
+	f.vms = snapshot.VMs
+	f.rebuild()
+	f.daemon.gossip.addVMs(snapshot.VMs)
+}
+
+func hashVMs(vms []port.VM) uint64 {
+	// A VM holds only strings, so that it can always be encoded.
+	data, _ := json.Marshal(vms)
+	return xxhash.Sum64(data)
+}
+
+// rebuild replaces the table. The caller holds the lock.
+func (f *fleet) rebuild() {
+	upstreams := make(map[string]*routing.Upstream, len(f.vms))
+	list := make([]*routing.Upstream, 0, len(f.vms))
+	for _, vm := range f.vms {
 		if vm.Kind == port.KindDaemon {
 			continue
 		}
@@ -79,18 +174,75 @@
 	return next
 }
 
+// heard takes in what a peer says of the VM list, and the engine reports that came
+// with the same message.
+func (f *fleet) heard(m membership.Message) {
+	f.mu.Lock()
+	theirs := time.UnixMilli(m.VMsTime)
+	newer := m.VMsHash != 0 && theirs.After(f.at)
+	same := m.VMsHash == f.hash
+	if newer && same {
+		f.at = theirs
+		f.confirmed = time.Now()
+	}
+	f.mu.Unlock()
+	if newer && !same && f.fetching.CompareAndSwap(false, true) {
+		go func() {
+			defer f.fetching.Store(false)
+			f.fetchVMs(f.daemon.context(), m.From.Address)
+		}()
+	}
+	f.publishReports()
+}
+
+// fetchVMs takes the VM list from a peer.
+func (f *fleet) fetchVMs(ctx context.Context, address string) {
+	var snapshot port.VMSnapshot
+	err := f.daemon.deps.Peers(address).Call(ctx, membership.MethodVMs, struct{}{}, &snapshot)
+	if err != nil {
+		f.daemon.log.Debug("peer gave no VM list", zap.String("peer-address", address), zap.Error(err))
+		return
+	}
+	f.install(snapshot)
+}
+
+func (f *fleet) handleVMs(context.Context, json.RawMessage) (any, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return port.VMSnapshot{Time: f.at, VMs: f.vms}, nil
+}
+
 func (f *fleet) runStatus() error {
 	every(f.daemon.context(), f.daemon.settings.Timing.StatusInterval.Std(), f.readStatus)
 	return nil
 }
 
-// readStatus asks all engines for their status at once.
+// readStatus asks all engines that this daemon watches for their status at once.
 func (f *fleet) readStatus(ctx context.Context) {
 	var group sync.WaitGroup
-	for _, u := range f.engines() {
+	for _, u := range f.watchedEngines() {
 		group.Go(func() { f.readEngine(ctx, u) })
 	}
 	group.Wait()
+	f.publishReports()
+}
+
+// watchedEngines returns the engines that this daemon polls. Only runStatus calls
+// it.
+func (f *fleet) watchedEngines() []*routing.Upstream {
+	hash, _ := f.version()
+	generation := f.daemon.gossip.generation()
+	w := &f.watched
+	if w.engines != nil && w.hash == hash && w.generation == generation {
+		return w.engines
+	}
+	*w = watchList{hash: hash, generation: generation, engines: []*routing.Upstream{}}
+	for _, u := range f.engines() {
+		if f.chosen(u.VM.ID, u.VM.DataCentre) {
+			w.engines = append(w.engines, u)
+		}
+	}
+	return w.engines
 }
 
 func (f *fleet) engines() []*routing.Upstream {
@@ -110,7 +262,28 @@
 	if ctx.Err() != nil {
 		return
 	}
-	u.SetReport(&routing.Report{Status: status, Received: time.Now(), Failed: err != nil})
+	f.daemon.gossip.locked(func() {
+		o := engineview.Observation{Status: status, Failed: err != nil, At: time.Now()}
+		if last, ok := f.daemon.gossip.engines.Get(u.VM.ID); ok && err != nil {
+			o.Status = last.Status
+		}
+		f.daemon.gossip.engines.Observe(u.VM.ID, o)
+	})
+}
+
+// publishReports hands the newest observations to the request path.
+func (f *fleet) publishReports() {
+	for _, u := range f.engines() {
+		var o engineview.Observation
+		var ok bool
+		f.daemon.gossip.locked(func() { o, ok = f.daemon.gossip.engines.Get(u.VM.ID) })
+		if !ok {
+			continue
+		}
+		if last := u.Report(); last == nil || o.At.After(last.Received) {
+			u.SetReport(&routing.Report{Status: o.Status, Received: o.At, Failed: o.Failed})
+		}
+	}
 }
 
 // all returns every upstream, for the status report.
--- /dev/null
+++ b/internal/daemon/gossip.go
@@ -0,0 +1,279 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/engineview"
+	"bergamotsill.example/bergamotsill/internal/membership"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+const (
+	// probeTimeout bounds one probe.
+	probeTimeout = time.Second
+	// relayCount is the number of daemons that probe a member in turn when it does
+	// not answer directly.
+	relayCount = 2
+	// suspectFor is how long a suspect may refute.
+	suspectFor = 4 * time.Second
+	// forgetAfter is how long a dead daemon is remembered.
+	forgetAfter = 10 * time.Minute
+	// maxMemberUpdates, maxEngineChanges and maxLoads bound one message.
+	maxMemberUpdates = 4
+	maxEngineChanges = 2
+	maxLoads         = 24
+	// changeSends is how often a change of an engine is passed on: three times
+	// log2 of 380 daemons.
+	changeSends = 26
+)
+
+// gossip probes other daemons and exchanges news with them.
+type gossip struct {
+	daemon *Daemon
+
+	mu      sync.Mutex
+	members *membership.State
+	engines *engineview.View
+}
+
+func newGossip(d *Daemon) *gossip {
+	self := membership.Member{
+		Address:     d.settings.Listen.Peer,
+		Name:        d.settings.Name,
+		DataCentre:  d.settings.DataCentre,
+		Run:         d.incarnation,
+		Incarnation: d.started.UnixMilli(),
+	}
+	opts := membership.Options{SuspectFor: suspectFor, ForgetAfter: forgetAfter, MaxUpdates: maxMemberUpdates}
+	g := &gossip{
+		daemon:  d,
+		members: membership.New(self, opts, rand.New(rand.NewPCG(d.deps.Seed, 1))),
+		engines: engineview.New(changeSends),
+	}
+	for _, address := range d.settings.Peers {
+		g.members.Add(membership.Member{Address: address}, d.started)
+	}
+	return g
+}
+
+// locked runs f while no other call changes the state.
+func (g *gossip) locked(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f()
+}
+
+// addVMs makes the daemons of the VM list known and forgets engines that are not
+// on it.
+func (g *gossip) addVMs(vms []port.VM) {
+	now := time.Now()
+	keep := make([]string, 0, len(vms))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, vm := range vms {
+		if vm.Kind != port.KindService {
+			keep = append(keep, vm.ID)
+		}
+		if vm.Kind == port.KindDaemon && vm.PeerAddress != "" {
+			g.members.Add(membership.Member{Address: vm.PeerAddress, Name: vm.ID, DataCentre: vm.DataCentre}, now)
+		}
+	}
+	g.engines.Retain(keep)
+}
+
+// Members returns all other daemons.
+func (g *gossip) Members() []membership.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Members()
+}
+
+// generation grows whenever a daemon joins, leaves or changes its status.
+func (g *gossip) generation() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members.Generation()
+}
+
+// liveIn returns the peer addresses of the daemons of a data centre that count as
+// alive, this one included. An empty name selects every data centre.
+func (g *gossip) liveIn(dataCentre string) []string {
+	var out []string
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range append(g.members.Members(), g.members.Self()) {
+		live := m.Status == membership.Alive || m.Status == membership.Suspect
+		if live && (dataCentre == "" || m.DataCentre == dataCentre) {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
+func (g *gossip) run() error {
+	ctx := g.daemon.context()
+	every(ctx, g.daemon.settings.Timing.ProbeInterval.Std(), func(ctx context.Context) {
+		g.daemon.tomb.Go(func() error {
+			g.probeNext(ctx)
+			return nil
+		})
+	})
+	return nil
+}
+
+// probeNext probes one member, first directly, then through relays.
+func (g *gossip) probeNext(ctx context.Context) {
+	var target membership.Member
+	var relays []membership.Member
+	var ok bool
+	g.locked(func() {
+		g.members.Tick(time.Now())
+		if target, ok = g.members.NextTarget(); ok {
+			relays = g.members.Relays(target.Address, relayCount)
+		}
+	})
+	if !ok || g.probe(ctx, target.Address) == nil || g.relayed(ctx, target.Address, relays) {
+		return
+	}
+	if ctx.Err() == nil {
+		g.locked(func() { g.members.Failed(target.Address, time.Now()) })
+		g.daemon.metrics.ProbesFailed.Add(1)
+	}
+}
+
+// probe exchanges news with one member.
+func (g *gossip) probe(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var answer membership.Message
+	if err := g.daemon.deps.Peers(address).Call(ctx, membership.MethodProbe, g.message(), &answer); err != nil {
+		return err
+	}
+	g.receive(answer)
+	return nil
+}
+
+// relayed asks other daemons to probe a member and tells whether one succeeded.
+func (g *gossip) relayed(ctx context.Context, address string, relays []membership.Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
+	defer cancel()
+	results := make(chan bool, len(relays))
+	for _, r := range relays {
+		go func() {
+			params := membership.RelayParams{Address: address}
+			results <- g.daemon.deps.Peers(r.Address).Call(ctx, membership.MethodRelay, params, nil) == nil
+		}()
+	}
+	for range relays {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
+// message returns the news for the next probe or answer.
+func (g *gossip) message() membership.Message {
+	hash, at := g.daemon.fleet.version()
+	m := membership.Message{VMsHash: hash, VMsTime: at.UnixMilli()}
+	if s := g.daemon.config.Snapshot(); s != nil {
+		m.Revision = s.Revision
+	}
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.From = g.members.Self()
+	m.Members = g.members.Outgoing()
+	m.Engines = g.engines.Changes(maxEngineChanges, now)
+	m.Loads = g.engines.Loads(maxLoads, now)
+	return m
+}
+
+// receive takes in the news of a probe or an answer.
+func (g *gossip) receive(m membership.Message) {
+	now := time.Now()
+	g.locked(func() {
+		g.members.Heard(m.From, now)
+		for _, member := range m.Members {
+			g.members.Apply(member, now)
+		}
+		g.engines.Apply(m.Engines, now)
+		g.engines.ApplyLoads(m.Loads, now)
+	})
+	g.daemon.fleet.heard(m)
+}
+
+func (g *gossip) handleProbe(_ context.Context, params json.RawMessage) (any, error) {
+	var in membership.Message
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, trace.BadParameter("params: %v", err)
+	}
+	g.receive(in)
+	return g.message(), nil
+}
+
+func (g *gossip) handleRelay(ctx context.Context, params json.RawMessage) (any, error) {
+	var in membership.RelayParams
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, trace.BadParameter("params: %v", err)
+	}
+	return struct{}{}, g.probe(ctx, in.Address)
+}
+
+func (g *gossip) handleView(context.Context, json.RawMessage) (any, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return membership.View{
+		Members: append(g.members.Members(), g.members.Self()),
+		Engines: g.engines.All(time.Now()),
+	}, nil
+}
+
+// join asks known daemons, until one answers, for everything that they know.
+func (g *gossip) join(ctx context.Context) {
+	for _, m := range g.Members() {
+		if g.joinFrom(ctx, m.Address) {
+			return
+		}
+	}
+}
+
+func (g *gossip) joinFrom(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var view membership.View
+	err := g.daemon.deps.Peers(address).Call(ctx, membership.MethodView, struct{}{}, &view)
+	if err != nil {
+		g.daemon.log.Debug("peer gave no view", zap.String("peer-address", address), zap.Error(err))
+		return false
+	}
+	now := time.Now()
+	g.locked(func() {
+		for _, member := range view.Members {
+			g.members.Apply(member, now)
+		}
+		g.engines.Apply(view.Engines, now)
+	})
+	return true
+}
+
+// leave tells a few daemons that this one stops; they pass it on.
+func (g *gossip) leave(ctx context.Context) {
+	var targets []membership.Member
+	g.locked(func() {
+		g.members.Leave()
+		targets = g.members.Relays("", relayCount)
+	})
+	for _, m := range targets {
+		if err := g.probe(ctx, m.Address); err != nil {
+			g.daemon.log.Debug("leave not announced", zap.String("peer-address", m.Address), zap.Error(err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/gossip_test.go
@@ -0,0 +1,188 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/membership"
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/settings"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+// statusAt returns what daemon at thinks of the daemon of.
+func (c *cluster) statusAt(at, of string) membership.Status {
+	address := c.daemons[of].settings.Listen.Peer
+	for _, m := range c.daemons[at].gossip.Members() {
+		if m.Address == address {
+			return m.Status
+		}
+	}
+	return -1
+}
+
+// addDaemons starts per daemons in each data centre, named DATA CENTRE-N.
+func (c *cluster) addDaemons(per int, dataCentres ...string) []string {
+	var names []string
+	for _, dc := range dataCentres {
+		for i := range per {
+			name := fmt.Sprintf("%s-%d", dc, i+1)
+			c.addDaemon(name, dc)
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Guards against a dead daemon that stays alive for others, against a false death
+// of a live one, and against a data centre that counts as dead when only the
+// connections to it are gone.
+func TestMembershipTellsDeadFromCutOff(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		names := c.addDaemons(3, "anand", "kheda")
+		c.publish("r1", 0, document())
+		c.awaitReady()
+		victim := names[c.rng.IntN(3)]
+		watcher := "kheda-1"
+		time.Sleep(10 * time.Second)
+		for _, a := range names {
+			for _, b := range names {
+				if a != b && c.statusAt(a, b) != membership.Alive {
+					c.t.Fatalf("%s sees %s as %s before any failure", a, b, c.statusAt(a, b))
+				}
+			}
+		}
+		_ = c.daemons[victim].Kill()
+		c.await("the killed daemon is dead for a daemon elsewhere", 30*time.Second, func() bool {
+			return c.statusAt(watcher, victim) == membership.Dead
+		})
+		for _, a := range names[:3] {
+			for _, b := range names[3:] {
+				c.net.Block(a, b)
+			}
+		}
+		survivor := names[0]
+		if survivor == victim {
+			survivor = names[1]
+		}
+		c.await("the other data centre is cut off", time.Minute, func() bool {
+			return c.statusAt(watcher, survivor) == membership.CutOff
+		})
+		if got := c.statusAt(watcher, "kheda-2"); got != membership.Alive {
+			c.t.Errorf("a daemon of the same data centre counts as %s during the cut", got)
+		}
+		for _, a := range names[:3] {
+			for _, b := range names[3:] {
+				c.net.Unblock(a, b)
+			}
+		}
+		c.await("the cut is over", time.Minute, func() bool {
+			return c.statusAt(watcher, survivor) == membership.Alive
+		})
+	})
+}
+
+// Guards against a false death when only one link fails: others reach the daemon.
+func TestOneLostLinkKillsNobody(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		names := c.addDaemons(4, "anand")
+		c.publish("r1", 0, document())
+		c.awaitReady()
+		time.Sleep(5 * time.Second)
+		failed := &c.daemons[names[0]].metrics.ProbesFailed
+		before := failed.Value()
+		c.net.Block(names[0], names[1])
+		for range 60 {
+			time.Sleep(time.Second)
+			if got := c.statusAt(names[0], names[1]); got == membership.Dead {
+				c.t.Fatalf("%s counts as %s although others reach it", names[1], got)
+			}
+		}
+		if n := failed.Value() - before; n != 0 {
+			c.t.Errorf("%d probes failed although others reach the daemon", n)
+		}
+	})
+}
+
+// Guards against a replaced VM on the same address that inherits the death of the
+// one before.
+func TestReplacedDaemonOnSameAddressIsAlive(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		names := c.addDaemons(3, "anand")
+		c.publish("r1", 0, document())
+		c.awaitReady()
+		time.Sleep(time.Duration(1+c.rng.IntN(8)) * time.Second)
+		old := c.daemons["anand-2"]
+		_ = old.Kill()
+		time.Sleep(time.Duration(c.rng.IntN(20)) * time.Second)
+		replacement := c.startDaemon(c.vm("anand-2"))
+		c.await("the replacement is alive for all", 30*time.Second, func() bool {
+			for _, n := range []string{names[0], names[2]} {
+				m, ok := memberOf(c.daemons[n], replacement.settings.Listen.Peer)
+				if !ok || m.Status != membership.Alive || m.Run != replacement.incarnation {
+					return false
+				}
+			}
+			return true
+		})
+	})
+}
+
+func memberOf(d *Daemon, address string) (membership.Member, bool) {
+	for _, m := range d.gossip.Members() {
+		if m.Address == address {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+// vm returns the VM-list entry with the given id.
+func (c *cluster) vm(id string) port.VM {
+	for _, vm := range c.vms {
+		if vm.ID == id {
+			return vm
+		}
+	}
+	c.t.Fatalf("VM %s is not listed", id)
+	return port.VM{}
+}
+
+// Guards against every daemon polling every engine, and against daemons that are
+// not watchers and learn of an engine's change of state too late.
+func TestFewDaemonsWatchAnEngineAndAllLearn(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		c.adjust = func(s *settings.Settings) { s.Timing.VMListInterval = settings.Duration(time.Second) }
+		engine := c.addEngine("engine-1", "anand", standin.EngineOptions{})
+		names := c.addDaemons(8, "anand")
+		c.publish("r1", 0, document())
+		c.awaitReady()
+		time.Sleep(10 * time.Second)
+		polling := 0
+		for _, n := range names {
+			if len(c.daemons[n].fleet.watched.engines) > 0 {
+				polling++
+			}
+		}
+		if polling != watchers {
+			c.t.Errorf("%d daemons poll the engine, want %d", polling, watchers)
+		}
+		for _, n := range names {
+			if got := c.complete(n, "slot tokens=3"); got.status != 200 {
+				c.t.Fatalf("%s answered %d although the engine is up: %s", n, got.status, got.body)
+			}
+		}
+		engine.SetFaults(standin.EngineFaults{Leaving: true})
+		time.Sleep(leavingBound)
+		before := engine.Started()
+		for _, n := range names {
+			if got := c.complete(n, "slot tokens=3"); got.refusal == nil {
+				c.t.Errorf("%s still sends to the leaving engine", n)
+			}
+		}
+		if engine.Started() != before {
+			c.t.Errorf("the leaving engine got %d requests", engine.Started()-before)
+		}
+	})
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -23,6 +23,9 @@
 	ChunksDropped expvar.Int
 	// LogErrors counts failed operations on the log service.
 	LogErrors expvar.Int
+	// ProbesFailed counts probes that neither the daemon itself nor a relay got an
+	// answer to.
+	ProbesFailed expvar.Int
 	// Revision is the configuration revision in force.
 	Revision expvar.Int
 }
@@ -37,6 +40,7 @@
 	m.vars.Set("resumed", &m.Resumed)
 	m.vars.Set("chunks_dropped", &m.ChunksDropped)
 	m.vars.Set("log_errors", &m.LogErrors)
+	m.vars.Set("probes_failed", &m.ProbesFailed)
 	m.vars.Set("revision", &m.Revision)
 	return m
 }
--- /dev/null
+++ b/internal/engineview/load.go
@@ -0,0 +1,79 @@
+package engineview
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// A load entry is packed to keep the cost of a probe small: 4 bytes hash of the
+// VM's id, 1 byte age, and 2 bytes each for running and queued requests, queued
+// prefill tokens and running tokens.
+const (
+	loadBytes = 13
+	// ageUnit is the unit of a packed age; older entries than maxAge are not sent.
+	ageUnit = 100 * time.Millisecond
+	maxAge  = math.MaxUint8 * ageUnit
+	// tokenUnit is the unit of packed token counts.
+	tokenUnit = 64
+)
+
+// Loads packs the load of up to limit engines, the newest first.
+func (v *View) Loads(limit int, now time.Time) []byte {
+	fresh := make([]*record, 0, len(v.records))
+	for _, r := range v.records {
+		if !r.load.IsZero() && now.Sub(r.load) < maxAge {
+			fresh = append(fresh, r)
+		}
+	}
+	slices.SortFunc(fresh, func(a, b *record) int {
+		return cmp.Or(b.load.Compare(a.load), cmp.Compare(a.key, b.key))
+	})
+	fresh = fresh[:min(limit, len(fresh))]
+	out := make([]byte, 0, len(fresh)*loadBytes)
+	for _, r := range fresh {
+		out = appendLoad(out, r, now)
+	}
+	return out
+}
+
+func appendLoad(out []byte, r *record, now time.Time) []byte {
+	s := r.state.Status
+	out = binary.BigEndian.AppendUint32(out, r.key)
+	out = append(out, byte(now.Sub(r.load)/ageUnit))
+	out = binary.BigEndian.AppendUint16(out, saturate(int64(s.Running)))
+	out = binary.BigEndian.AppendUint16(out, saturate(int64(s.Queued)))
+	out = binary.BigEndian.AppendUint16(out, saturate(s.QueuedPrefillTokens/tokenUnit))
+	return binary.BigEndian.AppendUint16(out, saturate(s.RunningTokens/tokenUnit))
+}
+
+func saturate(v int64) uint16 { return uint16(max(0, min(v, math.MaxUint16))) }
+
+// ApplyLoads takes in packed loads from a peer. Entries of unknown engines and a
+// malformed tail are ignored.
+func (v *View) ApplyLoads(packed []byte, now time.Time) {
+	for ; len(packed) >= loadBytes; packed = packed[loadBytes:] {
+		r, ok := v.byKey[binary.BigEndian.Uint32(packed)]
+		if !ok {
+			continue
+		}
+		// Rounding up keeps an entry from growing younger as it is passed on.
+		at := now.Add(-(time.Duration(packed[4]) + 1) * ageUnit)
+		if at.After(r.load) {
+			r.load = at
+			r.state.Status = unpackLoad(r.state.Status, packed[5:])
+		}
+	}
+}
+
+func unpackLoad(s port.EngineStatus, p []byte) port.EngineStatus {
+	s.Running = int(binary.BigEndian.Uint16(p))
+	s.Queued = int(binary.BigEndian.Uint16(p[2:]))
+	s.QueuedPrefillTokens = int64(binary.BigEndian.Uint16(p[4:])) * tokenUnit
+	s.RunningTokens = int64(binary.BigEndian.Uint16(p[6:])) * tokenUnit
+	return s
+}
--- /dev/null
+++ b/internal/engineview/view.go
@@ -0,0 +1,191 @@
+// Package engineview merges what several daemons observe of engines, so that each
+// engine needs only a few watchers. Observations are ordered by their age, which
+// needs no common clock.
+package engineview
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// Observation is what some daemon saw of one engine.
+type Observation struct {
+	Status port.EngineStatus
+	// Failed is set when the engine did not answer.
+	Failed bool
+	// At is when it was seen, on the local clock.
+	At time.Time
+}
+
+// slow returns the part of the status that changes rarely.
+func (o Observation) slow() port.EngineStatus {
+	s := o.Status
+	s.Running, s.Queued, s.QueuedPrefillTokens, s.RunningTokens, s.KVUsed = 0, 0, 0, 0, 0
+	s.Time = time.Time{}
+	return s
+}
+
+// Change passes on a new state of one engine.
+type Change struct {
+	VM     string            `json:"v"`
+	Status port.EngineStatus `json:"s"`
+	Failed bool              `json:"f,omitempty"`
+	// AgeMS is the age of the observation in milliseconds when it was sent.
+	AgeMS int64 `json:"a"`
+}
+
+// record is what the view holds of one engine.
+type record struct {
+	vm  string
+	key uint32
+	// state is the newest observation, load the newest observation of the load.
+	state Observation
+	load  time.Time
+	sends int
+}
+
+// View holds the newest observations of all engines. It is not safe for
+// concurrent use.
+type View struct {
+	records map[string]*record
+	byKey   map[uint32]*record
+	// maxSends is how often a change is passed on.
+	maxSends int
+}
+
+// New returns an empty view that passes each change on maxSends times.
+func New(maxSends int) *View {
+	return &View{records: map[string]*record{}, byKey: map[uint32]*record{}, maxSends: maxSends}
+}
+
+// Retain forgets all engines but the named ones.
+func (v *View) Retain(vms []string) {
+	keep := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		keep[vm] = true
+		v.record(vm)
+	}
+	for vm, r := range v.records {
+		if !keep[vm] {
+			delete(v.records, vm)
+			delete(v.byKey, r.key)
+		}
+	}
+}
+
+func (v *View) record(vm string) *record {
+	r, ok := v.records[vm]
+	if !ok {
+		r = &record{vm: vm, key: uint32(xxhash.Sum64String(vm)), sends: v.maxSends}
+		v.records[vm] = r
+		v.byKey[r.key] = r
+	}
+	return r
+}
+
+// Observe takes in an observation and reports whether it was news.
+func (v *View) Observe(vm string, o Observation) bool {
+	r := v.record(vm)
+	if !o.At.After(r.state.At) {
+		return false
+	}
+	if r.state.At.IsZero() || o.slow() != r.state.slow() || o.Failed != r.state.Failed {
+		r.sends = 0
+	}
+	if r.load.After(o.At) {
+		o.Status = withLoad(o.Status, r.state.Status)
+	} else {
+		r.load = o.At
+	}
+	r.state = o
+	return true
+}
+
+// Get returns the newest observation of an engine.
+func (v *View) Get(vm string) (Observation, bool) {
+	r, ok := v.records[vm]
+	if !ok || r.state.At.IsZero() {
+		return Observation{}, false
+	}
+	o := r.state
+	if r.load.After(o.At) {
+		o.At = r.load
+	}
+	return o, true
+}
+
+// Changes returns up to limit changes to pass on, the least often sent first.
+func (v *View) Changes(limit int, now time.Time) []Change {
+	var pending []*record
+	for _, r := range v.records {
+		if r.sends < v.maxSends {
+			pending = append(pending, r)
+		}
+	}
+	slices.SortFunc(pending, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(a.sends, b.sends), cmp.Compare(a.vm, b.vm))
+	})
+	pending = pending[:min(limit, len(pending))]
+	out := make([]Change, 0, len(pending))
+	for _, r := range pending {
+		r.sends++
+		out = append(out, r.change(now))
+	}
+	return out
+}
+
+func (r *record) change(now time.Time) Change {
+	return Change{
+		VM:     r.vm,
+		Status: r.state.slow(),
+		Failed: r.state.Failed,
+		AgeMS:  now.Sub(r.state.At).Milliseconds(),
+	}
+}
+
+// All returns the state of every engine, for a daemon that has just started.
+func (v *View) All(now time.Time) []Change {
+	out := make([]Change, 0, len(v.records))
+	for _, r := range v.records {
+		if !r.state.At.IsZero() {
+			out = append(out, r.change(now))
+		}
+	}
+	slices.SortFunc(out, func(a, b Change) int { return cmp.Compare(a.VM, b.VM) })
+	return out
+}
+
+// Apply takes in changes from a peer.
+func (v *View) Apply(changes []Change, now time.Time) {
+	for _, c := range changes {
+		v.applyChange(c, now)
+	}
+}
+
+func (v *View) applyChange(c Change, now time.Time) {
+	r, ok := v.records[c.VM]
+	if !ok {
+		return
+	}
+	o := Observation{Failed: c.Failed, At: now.Add(-time.Duration(c.AgeMS) * time.Millisecond)}
+	o.Status = withLoad(c.Status, r.state.Status)
+	load := r.load
+	v.Observe(c.VM, o)
+	// A change carries no load, so the age of the known load stays.
+	r.load = load
+}
+
+// withLoad returns status with the load figures of another one.
+func withLoad(status, load port.EngineStatus) port.EngineStatus {
+	status.Running = load.Running
+	status.Queued = load.Queued
+	status.QueuedPrefillTokens = load.QueuedPrefillTokens
+	status.RunningTokens = load.RunningTokens
+	status.KVUsed = load.KVUsed
+	return status
+}
--- /dev/null
+++ b/internal/membership/message.go
@@ -0,0 +1,42 @@
+package membership
+
+import "bergamotsill.example/bergamotsill/internal/engineview"
+
+// Methods of the peer interface that carry membership.
+const (
+	// MethodProbe exchanges a Message for a Message.
+	MethodProbe = "peer.probe"
+	// MethodRelay asks a daemon to probe another one.
+	MethodRelay = "peer.relay"
+	// MethodView returns a View, for a daemon that has just started.
+	MethodView = "peer.view"
+	// MethodVMs returns the VM list as a port.VMSnapshot.
+	MethodVMs = "peer.vms"
+)
+
+// Message is the content of a probe and of its answer. Field names are short
+// because every daemon sends a few messages each second.
+type Message struct {
+	From    Member   `json:"f"`
+	Members []Member `json:"m,omitempty"`
+	// Engines and Loads carry news of engines; see package engineview.
+	Engines []engineview.Change `json:"e,omitempty"`
+	Loads   []byte              `json:"l,omitempty"`
+	// VMsHash identifies the content of the sender's VM list and VMsTime, in
+	// milliseconds, says as of when.
+	VMsHash uint64 `json:"h,omitempty"`
+	VMsTime int64  `json:"t,omitempty"`
+	// Revision is the sender's configuration revision.
+	Revision int64 `json:"c,omitempty"`
+}
+
+// RelayParams is the argument of MethodRelay.
+type RelayParams struct {
+	Address string `json:"address"`
+}
+
+// View is the answer to MethodView.
+type View struct {
+	Members []Member            `json:"members"`
+	Engines []engineview.Change `json:"engines"`
+}
