--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -144,7 +144,7 @@
 	}
 	e := standin.NewEngine(opts)
 	c.engines[name] = e
-	address := fmt.Sprintf("10.1.0.%d:7100", len(c.vms)+1)
+	address := fmt.Sprintf("10.1.%d.%d:7100", len(c.vms)/250, len(c.vms)%250+1)
 	c.serve(name, address, e.Handler())
 	c.addVM(port.VM{ID: name, Address: address, DataCentre: dataCentre, Kind: port.KindEngine, Pool: testPool, State: port.VMLive})
 	return e
@@ -180,8 +180,8 @@
 	n := len(c.vms) + 1
 	vm := port.VM{
 		ID:          name,
-		Address:     fmt.Sprintf("10.3.0.%d:8100", n),
-		PeerAddress: fmt.Sprintf("10.3.0.%d:7600", n),
+		Address:     fmt.Sprintf("10.3.%d.%d:8100", n/250, n%250+1),
+		PeerAddress: fmt.Sprintf("10.3.%d.%d:7600", n/250, n%250+1),
 		DataCentre:  dataCentre,
 		Kind:        port.KindDaemon,
 		State:       port.VMLive,
--- /dev/null
+++ b/internal/daemon/scale_test.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/membership"
+	"bergamotsill.example/bergamotsill/internal/settings"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+const (
+	// scaleWindow is the virtual time over which control work is measured.
+	scaleWindow = 30 * time.Second
+	// scaleProbeInterval is the probe interval at the target size.
+	scaleProbeInterval = time.Second
+	// scaleDataCentres is the number of data centres; each has two daemons or more,
+	// since the death of the only daemon of a data centre looks like a cut.
+	scaleDataCentres = 7
+)
+
+// TestScale prints the control cost per daemon for the fleet sizes in
+// BERGAMOT_SCALE, such as "6,24,96,380". It checks only that a change of
+// configuration and the loss of a daemon become known.
+func TestScale(t *testing.T) {
+	sizes := os.Getenv("BERGAMOT_SCALE")
+	if sizes == "" {
+		sizes = "6"
+	}
+	fmt.Println("daemons engines bytes/s messages/s cpu-ms/s heap-MB config-s death-s appends/s")
+	for field := range strings.SplitSeq(sizes, ",") {
+		n, err := strconv.Atoi(field)
+		if err != nil {
+			t.Fatal(err)
+		}
+		synctest.Test(t, func(t *testing.T) { measureScale(t, n) })
+	}
+}
+
+func measureScale(t *testing.T, daemons int) {
+	c := newCluster(t, 1)
+	defer c.close()
+	c.adjust = func(s *settings.Settings) { s.Timing.ProbeInterval = settings.Duration(scaleProbeInterval) }
+	engines := daemons * 600 / 380
+	dataCentres := min(scaleDataCentres, daemons/2)
+	dataCentre := func(i int) string { return fmt.Sprintf("dc-%d", i%dataCentres) }
+	for i := range engines {
+		c.addEngine(fmt.Sprintf("engine-%d", i), dataCentre(i), standin.EngineOptions{})
+	}
+	for i := range daemons {
+		c.addDaemon(fmt.Sprintf("daemon-%d", i), dataCentre(i))
+	}
+	c.publish("r1", 0, document())
+	c.awaitReady()
+	time.Sleep(scaleWindow)
+	before := c.sample()
+	time.Sleep(scaleWindow)
+	after := c.sample()
+	perDaemon := 1 / float64(daemons) / scaleWindow.Seconds()
+	config := c.timeToConfigure()
+	death := c.timeToKnowDeath()
+	fmt.Printf("%d %d %.0f %.1f %.2f %.2f %.2f %.2f %.2f\n", daemons, engines,
+		float64(after.bytes-before.bytes)*perDaemon,
+		float64(after.writes-before.writes)*perDaemon,
+		float64((after.cpu-before.cpu).Microseconds())/1000*perDaemon,
+		float64(after.memory)/(1<<20)/float64(daemons),
+		config.Seconds(), death.Seconds(),
+		float64(after.appends-before.appends)/scaleWindow.Seconds())
+}
+
+// controlUsage is a sample of what all daemons, and the fakes beside them, have used.
+type controlUsage struct {
+	bytes, writes, appends int64
+	cpu                    time.Duration
+	memory                 uint64
+}
+
+func (c *cluster) sample() controlUsage {
+	var u controlUsage
+	for name := range c.daemons {
+		u.bytes += c.net.Sent(name).Bytes.Load()
+		u.writes += c.net.Sent(name).Writes.Load()
+	}
+	u.appends = c.platform.Log.Appends()
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		c.t.Fatal(err)
+	}
+	u.cpu = time.Duration(r.Utime.Nano() + r.Stime.Nano())
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	u.memory = m.HeapInuse + m.StackInuse
+	return u
+}
+
+// timeToConfigure publishes a revision and returns when it is in force everywhere.
+func (c *cluster) timeToConfigure() time.Duration {
+	start := time.Now()
+	c.publish("r2", 1, document())
+	c.await("the revision is in force everywhere", time.Minute, func() bool {
+		for _, d := range c.daemons {
+			if d.config.Snapshot().Revision != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(start)
+}
+
+// timeToKnowDeath kills a daemon and returns when every other one knows.
+func (c *cluster) timeToKnowDeath() time.Duration {
+	const victim = "daemon-1"
+	start := time.Now()
+	address := c.daemons[victim].settings.Listen.Peer
+	_ = c.daemons[victim].Kill()
+	delete(c.daemons, victim)
+	c.await("the killed daemon is dead everywhere", 5*time.Minute, func() bool {
+		for _, d := range c.daemons {
+			m, ok := memberOf(d, address)
+			if ok && m.Status != membership.Dead {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(start)
+}
--- a/internal/standin/memnet.go
+++ b/internal/standin/memnet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,12 @@
 	listeners map[string]*memListener
 	blocked   map[[2]string]bool
 	conns     map[*memConn]struct{}
+	traffic   map[string]*Traffic
+}
+
+// Traffic counts what a host sent.
+type Traffic struct {
+	Bytes, Writes, Dials atomic.Int64
 }
 
 // NewMemNet returns an empty network.
@@ -23,7 +30,24 @@
 		listeners: map[string]*memListener{},
 		blocked:   map[[2]string]bool{},
 		conns:     map[*memConn]struct{}{},
+		traffic:   map[string]*Traffic{},
+	}
+}
+
+// Sent returns the counts of a host.
+func (n *MemNet) Sent(host string) *Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sentLocked(host)
+}
+
+func (n *MemNet) sentLocked(host string) *Traffic {
+	t, ok := n.traffic[host]
+	if !ok {
+		t = &Traffic{}
+		n.traffic[host] = t
 	}
+	return t
 }
 
 // Host returns the network as seen from a host with the given name. Faults are
@@ -115,11 +139,13 @@
 	if !ok || n.blocked[[2]string{h.name, l.host.name}] {
 		return nil, nil, nil, refusedError(address)
 	}
+	n.sentLocked(h.name).Dials.Add(1)
 	near, far := net.Pipe()
 	lost := make(chan struct{})
 	once := &sync.Once{}
 	client := &memConn{Conn: near, net: n, hosts: [2]string{h.name, l.host.name}, lost: lost, once: once}
 	server := &memConn{Conn: far, net: n, hosts: client.hosts, lost: lost, once: once}
+	client.sent, server.sent = n.sentLocked(h.name), n.sentLocked(l.host.name)
 	client.far, server.far = far, near
 	n.conns[client] = struct{}{}
 	n.conns[server] = struct{}{}
@@ -135,6 +161,7 @@
 	// lost is closed when the connection has gone silent.
 	lost chan struct{}
 	once *sync.Once
+	sent *Traffic
 }
 
 func (c *memConn) between(a, b string) bool {
@@ -151,6 +178,8 @@
 
 // Write drops the bytes of a silent connection.
 func (c *memConn) Write(p []byte) (int, error) {
+	c.sent.Bytes.Add(int64(len(p)))
+	c.sent.Writes.Add(1)
 	select {
 	case <-c.lost:
 		return len(p), nil
