Add make demo: the Feed Board example under load on loopback

There was no way to see the system run as separate processes. scripts/demo.sh starts a platform, 9 engines, 3 services and 6 daemons, publishes the configuration and ends every process by its id. `bergamot-standin load` sends the traffic of the example, resends after broken connections as callers do, and compares each answer with standin.Answer and with the services' executions.

Ports lie below 32768, so that no outgoing connection takes one by chance; check-ports names each one in use before anything is started (seen with port 17913 taken: exit status 1 and the address).

TestCheckerFindsBrokenPromises was seen to fail, one at a time, without the comparison with executions, without the count of doubled keys, without the check for the explicit end of a stream, and without the comparison of texts.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 SEEDS ?= 20
 
-.PHONY: build test lint fuzz
+.PHONY: build test lint fuzz demo
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -18,3 +18,7 @@
 # Runs the seeded tests with SEEDS seeds each.
 fuzz:
 	BERGAMOT_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m ./...
+
+# Runs the Feed Board example on loopback; logs go to out/demo.
+demo: build
+	scripts/demo.sh
--- a/cmd/bergamot-standin/main.go
+++ b/cmd/bergamot-standin/main.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"os"
 
+	"bergamotsill.example/bergamotsill/internal/load"
 	"bergamotsill.example/bergamotsill/internal/standin"
 	"bergamotsill.example/bergamotsill/internal/version"
 )
 
 func main() {
-	if err := standin.NewRoot(version.String()).Execute(); err != nil {
+	root := standin.NewRoot(version.String())
+	root.AddCommand(load.NewCommand())
+	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "bergamot-standin:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/load/call.go
@@ -0,0 +1,261 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/profile"
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+const (
+	// callTimeout is the time after which a caller gives a call up.
+	callTimeout = 12 * time.Second
+	// resendDelay is the pause before a call is sent again after a broken
+	// connection.
+	resendDelay = 100 * time.Millisecond
+	// maxRetryAfter bounds the pause that a refusal asks for, since the next
+	// attempt goes to another daemon.
+	maxRetryAfter = 500 * time.Millisecond
+)
+
+// caller sends one call until it has an answer, a final refusal, or no time left.
+type caller struct {
+	client  *http.Client
+	daemons []string
+	rng     *rand.Rand
+	kind    *Kind
+	profile *profile.Profile
+	id      string
+	serial  int
+
+	// last is the index of the daemon that was tried last.
+	last     int
+	attempts int
+	// refused is the newest refusal, nil when the newest attempt broke off.
+	refused *refusal.BodyError
+	// broken is set when an attempt ended without a reply, so that its outcome is
+	// not known.
+	broken bool
+	// cut is set when the caller's own deadline ended the newest attempt.
+	cut bool
+}
+
+// run sends the call and returns how it ended.
+func (c *caller) run(ctx context.Context) Result {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c.last = c.rng.IntN(len(c.daemons))
+	result := Result{Call: c.id, Kind: c.kind.Name}
+	if c.kind.Interface == Confirmation {
+		c.confirm(ctx, &result)
+	} else {
+		c.until(ctx, &result, c.build)
+	}
+	result.Attempts = c.attempts
+	return result
+}
+
+// next returns the base URL of another daemon than the last one.
+func (c *caller) next() string {
+	c.last = (c.last + 1 + c.rng.IntN(max(1, len(c.daemons)-1))) % len(c.daemons)
+	return "http://" + c.daemons[c.last]
+}
+
+// until repeats attempts until one is final and returns the body of the answer.
+func (c *caller) until(ctx context.Context, result *Result, build func() request) []byte {
+	detail := "no daemon was reached"
+	for ctx.Err() == nil {
+		c.attempts++
+		got := send(ctx, c.client, build())
+		end, why := c.judge(got)
+		if end != "" {
+			result.End, result.Detail = end, why
+			return got.body
+		}
+		detail = why
+		c.note(ctx, got.refusal)
+		pause(ctx, delay(got.refusal))
+	}
+	result.End, result.Detail = c.giveUp(c.refused), detail
+	return nil
+}
+
+// note remembers how an attempt ended. An attempt that the caller's own deadline
+// cut off leaves the refusal before it in place.
+func (c *caller) note(ctx context.Context, r *refusal.BodyError) {
+	switch {
+	case r != nil:
+		c.refused = r
+	case ctx.Err() == nil:
+		c.refused = nil
+		c.broken = true
+	default:
+		c.broken, c.cut = true, true
+	}
+}
+
+// giveUp returns the end of a call whose caller has no time left, by the last
+// refusal that it received.
+func (c *caller) giveUp(last *refusal.BodyError) End {
+	switch {
+	case last == nil:
+		return Lost
+	case last.Outcome == refusal.Unknown:
+		return Unknown
+	case c.cut, last.Scope == refusal.ScopeAttempt && c.broken:
+		return Unknown
+	}
+	return NotRun
+}
+
+// judge returns the end of the call after a reply, or an empty End when the
+// caller sends it again.
+func (c *caller) judge(r reply) (End, string) {
+	if r.err != nil {
+		return "", r.err.Error()
+	}
+	if r.refusal != nil {
+		return c.judgeRefusal(r.refusal)
+	}
+	if r.status != http.StatusOK {
+		return Lost, fmt.Sprintf("status %d: %s", r.status, r.body)
+	}
+	return c.judgeAnswer(r.body)
+}
+
+// retryable holds the codes after which a caller sends the same call again.
+var retryable = map[refusal.Code]bool{
+	refusal.InProgress:       true,
+	refusal.ClaimUnavailable: true,
+	refusal.Overloaded:       true,
+	refusal.NoUpstream:       true,
+	refusal.Stopping:         true,
+	refusal.NotReady:         true,
+	refusal.Incomplete:       true,
+	refusal.BudgetExhausted:  true,
+}
+
+func (c *caller) judgeRefusal(r *refusal.BodyError) (End, string) {
+	detail := fmt.Sprintf("%s: %s", r.Code, r.Message)
+	repeatable := c.kind.Interface != Confirmation
+	switch {
+	case retryable[r.Code], repeatable && r.Code == refusal.OutcomeUnknown:
+		return "", detail
+	}
+	return c.giveUp(r), detail
+}
+
+func (c *caller) judgeAnswer(body []byte) (End, string) {
+	switch c.kind.Interface {
+	case Completion, Chat:
+		return c.judgeText(body)
+	}
+	var got standin.CallResult
+	if err := json.Unmarshal(body, &got); err != nil || got.Service == "" {
+		return Lost, fmt.Sprintf("unexpected answer %q", body)
+	}
+	return Answered, ""
+}
+
+func (c *caller) judgeText(body []byte) (End, string) {
+	text, err := "", error(nil)
+	if c.kind.Stream {
+		var r *refusal.BodyError
+		if text, r, err = streamedText(body); r != nil {
+			return c.judgeRefusal(r)
+		}
+	} else {
+		text, err = wholeText(body)
+	}
+	if err != nil {
+		return "", err.Error()
+	}
+	want := standin.Answer(c.profile.Model, c.prompt(), c.profile.MaxOutputTokens)
+	if text != want {
+		return Lost, fmt.Sprintf("answer is %q, want %q", text, want)
+	}
+	return Answered, ""
+}
+
+func delay(r *refusal.BodyError) time.Duration {
+	if r == nil || r.RetryAfterMS == 0 {
+		return resendDelay
+	}
+	return min(time.Duration(r.RetryAfterMS)*time.Millisecond, maxRetryAfter)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// content returns the text that the caller sends, padded to the kind's length.
+func (c *caller) content() string {
+	const bytesPerToken = 4
+	question := fmt.Sprintf("%s Call %d. tokens=%d ", c.kind.Prompt, c.serial, c.kind.OutputTokens)
+	missing := c.kind.PromptTokens*bytesPerToken - len(question)
+	if missing <= 0 {
+		return question
+	}
+	const history = "dung 40 kg, crop waste 12 kg; "
+	return strings.Repeat(history, missing/len(history)+1)[:missing] + question
+}
+
+// prompt returns the prompt that the engine receives.
+func (c *caller) prompt() string {
+	if c.kind.Interface == Chat {
+		return "user: " + c.content() + "\n"
+	}
+	return c.content()
+}
+
+// completionBody is the body of a completion or chat request.
+type completionBody struct {
+	Model    string        `json:"model"`
+	Prompt   string        `json:"prompt,omitempty"`
+	Messages []chatMessage `json:"messages,omitempty"`
+	Stream   bool          `json:"stream"`
+}
+
+// build returns the next attempt at a call without an idempotency key.
+func (c *caller) build() request {
+	r := request{method: http.MethodPost, header: c.header()}
+	body := completionBody{Model: c.kind.Profile, Stream: c.kind.Stream}
+	switch c.kind.Interface {
+	case Completion:
+		r.url = c.next() + "/v1/completions"
+		body.Prompt = c.content()
+	case Chat:
+		r.url = c.next() + "/v1/chat/completions"
+		body.Messages = []chatMessage{{Role: "user", Content: c.content()}}
+	default:
+		r.method = http.MethodGet
+		r.url = c.next() + c.kind.Path + "?call=" + url.QueryEscape(c.id)
+		return r
+	}
+	// A struct of strings and booleans always encodes.
+	r.body, _ = json.Marshal(body)
+	return r
+}
+
+func (c *caller) header() http.Header {
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	h.Set(refusal.HeaderRequestID, fmt.Sprintf("%s-%d", c.id, c.attempts))
+	if n := len(c.kind.Organisations); n > 0 {
+		h.Set(headerOrganisation, c.kind.Organisations[c.serial%n])
+	}
+	return h
+}
--- /dev/null
+++ b/internal/standin/ports.go
@@ -0,0 +1,129 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+const (
+	// getTimeout bounds one request of the commands get and await.
+	getTimeout = 2 * time.Second
+	// awaitInterval is the pause between two requests of await.
+	awaitInterval = 100 * time.Millisecond
+)
+
+func newCheckPortsCommand() *cobra.Command {
+	var vms string
+	cmd := &cobra.Command{
+		Use:   "check-ports [ADDRESS...]",
+		Short: "Fail when an address is already in use, naming each one",
+		RunE: func(_ *cobra.Command, addresses []string) error {
+			list, err := ReadVMs(vms)
+			if err != nil {
+				return err
+			}
+			return checkPorts(append(addresses, listenAddresses(list)...))
+		},
+	}
+	cmd.Flags().StringVar(&vms, "vms", "", "JSON file with a list of VMs whose addresses are checked too")
+	return cmd
+}
+
+func listenAddresses(vms []port.VM) []string {
+	var out []string
+	for _, vm := range vms {
+		out = append(out, vm.Address)
+		if vm.PeerAddress != "" {
+			out = append(out, vm.PeerAddress)
+		}
+	}
+	return out
+}
+
+// checkPorts opens and closes a listener at each address.
+func checkPorts(addresses []string) error {
+	var taken []string
+	for _, address := range addresses {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			taken = append(taken, err.Error())
+			continue
+		}
+		// Nothing was accepted, so closing loses nothing.
+		_ = l.Close()
+	}
+	if len(taken) > 0 {
+		return trace.AlreadyExists("%d addresses cannot be used:\n%s", len(taken), strings.Join(taken, "\n"))
+	}
+	return nil
+}
+
+func newGetCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "get URL",
+		Short: "Send one GET request and fail unless the status is 200",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return get(cmd.Context(), cmd.OutOrStdout(), args[0])
+		},
+	}
+}
+
+func newAwaitCommand() *cobra.Command {
+	var limit time.Duration
+	cmd := &cobra.Command{
+		Use:   "await URL",
+		Short: "Send GET requests until the status is 200",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return await(cmd.Context(), args[0], limit)
+		},
+	}
+	cmd.Flags().DurationVar(&limit, "timeout", 15*time.Second, "time limit")
+	return cmd
+}
+
+func await(ctx context.Context, url string, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		err := get(ctx, io.Discard, url)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.Wrap(err, "no answer within %s", limit)
+		case <-time.After(awaitInterval):
+		}
+	}
+}
+
+func get(ctx context.Context, out io.Writer, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, getTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return trace.BadParameter("%v", err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("GET %s: %s", url, resp.Status)
+	}
+	_, err = io.Copy(out, resp.Body)
+	return trace.Wrap(err)
+}
--- a/internal/standin/root.go
+++ b/internal/standin/root.go
@@ -24,7 +24,14 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newPlatformCommand(), newEngineCommand(), newServiceCommand())
+	root.AddCommand(
+		newPlatformCommand(),
+		newEngineCommand(),
+		newServiceCommand(),
+		newCheckPortsCommand(),
+		newGetCommand(),
+		newAwaitCommand(),
+	)
 	return root
 }
 
@@ -36,7 +43,7 @@
 		Use:   "platform",
 		Short: "Serve the log service, the VM list and the weight store",
 		RunE: func(*cobra.Command, []string) error {
-			list, err := readVMs(vms)
+			list, err := ReadVMs(vms)
 			if err != nil {
 				return err
 			}
@@ -52,7 +59,8 @@
 	return cmd
 }
 
-func readVMs(path string) ([]port.VM, error) {
+// ReadVMs reads a JSON list of VMs. An empty path is an empty list.
+func ReadVMs(path string) ([]port.VM, error) {
 	if path == "" {
 		return nil, nil
 	}
