Let bergamotctl ask several daemons, compare and roll forward

The commands asked one daemon, printed burn without targets, and validate needed a flag to tell configuration from settings. There was no way to see what a publication would change or to return to an earlier document.

diff, revisions and roll-forward read the configuration stream through the publisher of publish.go, wrapped in a log that keeps the records. roll-forward publishes the old document as a new revision, so no revision comes back. status, explain, burn and roles history ask all daemons at once; one that does not answer gives exit code 4 beside the answers of the others. The burn tracker counts in buckets of 10 s, which the daemon moves on, so that the tracker reads no clock. Decoding now also reports duplicate fields and null in place of a value, names the unit of a field, and a port must be a number: "http" passed as a port before.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -47,6 +47,7 @@
 
 // Explanation is the answer to MethodExplain.
 type Explanation struct {
+	Daemon    string            `json:"daemon"`
 	RequestID string            `json:"request_id"`
 	Records   []decision.Record `json:"records"`
 }
--- a/internal/burn/tracker.go
+++ b/internal/burn/tracker.go
@@ -2,35 +2,15 @@
 package burn
 
 import (
-	"sort"
 	"sync"
+	"time"
 
 	"bergamotsill.example/bergamotsill/internal/profile"
 )
 
-// Row is the account of one profile.
-type Row struct {
-	Rank    profile.Rank `json:"rank"`
-	Profile string       `json:"profile"`
-	// Answered counts whole answers, Within those within their targets.
-	Answered int64 `json:"answered"`
-	Within   int64 `json:"within"`
-	// Refused counts refusals that did not run, Unknown those that may have run.
-	Refused int64 `json:"refused"`
-	Unknown int64 `json:"unknown"`
-	// Worth is the sum of the worth of answers within their targets.
-	Worth float64 `json:"worth"`
-}
-
-// MissedShare returns the share of requests that were not answered within their
-// targets, 0 to 1.
-func (r Row) MissedShare() float64 {
-	total := r.Answered + r.Refused + r.Unknown
-	if total == 0 {
-		return 0
-	}
-	return 1 - float64(r.Within)/float64(total)
-}
+// BucketLength is the resolution of the windows. Tracker.Advance must be called
+// at least that often.
+const BucketLength = 10 * time.Second
 
 // Result is the end of one request.
 type Result int
@@ -45,34 +25,90 @@
 
 // Tracker counts results. It is safe for concurrent use.
 type Tracker struct {
-	mu   sync.Mutex
-	rows map[string]*Row
+	mu       sync.Mutex
+	accounts map[string]*account
+	// bucket is the number of the current bucket since the zero time.
+	bucket int64
+}
+
+// account is the row of one profile and its newest buckets.
+type account struct {
+	row     Row
+	buckets []bucket
+}
+
+// bucket counts the requests that ended within one BucketLength.
+type bucket struct {
+	number int64
+	total  int64
+	missed int64
 }
 
 // NewTracker returns an empty tracker.
-func NewTracker() *Tracker { return &Tracker{rows: map[string]*Row{}} }
+func NewTracker() *Tracker { return &Tracker{accounts: map[string]*account{}} }
+
+// Advance moves the windows on to now.
+func (t *Tracker) Advance(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.bucket = now.Unix() / int64(BucketLength/time.Second)
+	for _, a := range t.accounts {
+		a.trim(t.bucket)
+	}
+}
+
+// trim removes buckets that are older than the longest window.
+func (a *account) trim(current int64) {
+	oldest := current - buckets(Windows[len(Windows)-1])
+	first := 0
+	for first < len(a.buckets) && a.buckets[first].number <= oldest {
+		first++
+	}
+	a.buckets = append(a.buckets[:0], a.buckets[first:]...)
+}
 
-// Count adds one result for a profile.
+// buckets returns how many buckets a window covers.
+func buckets(window time.Duration) int64 { return int64(window / BucketLength) }
+
+// Count adds one result for a profile to the current bucket.
 func (t *Tracker) Count(p *profile.Profile, result Result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	row, ok := t.rows[p.Name]
+	a, ok := t.accounts[p.Name]
 	if !ok {
-		row = &Row{Profile: p.Name}
-		t.rows[p.Name] = row
+		a = &account{row: Row{Profile: p.Name}}
+		t.accounts[p.Name] = a
 	}
-	row.Rank = p.Rank
+	a.row.Rank = p.Rank
+	a.row.Targets = Targets{FirstTokenMS: p.FirstTokenMS, TokenMS: p.TokenMS, TotalMS: p.TotalMS}
+	a.row.count(result, p.Worth)
+	a.countBucket(t.bucket, result != AnsweredWithin)
+}
+
+func (r *Row) count(result Result, worth float64) {
 	switch result {
 	case AnsweredWithin:
-		row.Answered++
-		row.Within++
-		row.Worth += p.Worth
+		r.Answered++
+		r.Within++
+		r.Worth += worth
 	case AnsweredLate:
-		row.Answered++
+		r.Answered++
 	case Refused:
-		row.Refused++
+		r.Refused++
 	case Unknown:
-		row.Unknown++
+		r.Unknown++
+	}
+}
+
+func (a *account) countBucket(number int64, missed bool) {
+	last := len(a.buckets) - 1
+	if last < 0 || a.buckets[last].number != number {
+		a.buckets = append(a.buckets, bucket{number: number})
+		last++
+	}
+	a.buckets[last].total++
+	if missed {
+		a.buckets[last].missed++
 	}
 }
 
@@ -80,15 +116,26 @@
 func (t *Tracker) Rows() []Row {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	rows := make([]Row, 0, len(t.rows))
-	for _, r := range t.rows {
-		rows = append(rows, *r)
+	rows := make([]Row, 0, len(t.accounts))
+	for _, a := range t.accounts {
+		row := a.row
+		row.Windows = a.windows(t.bucket)
+		rows = append(rows, row)
 	}
-	sort.Slice(rows, func(i, j int) bool {
-		if rows[i].Rank != rows[j].Rank {
-			return rows[i].Rank.Priority() < rows[j].Rank.Priority()
-		}
-		return rows[i].Profile < rows[j].Profile
-	})
+	sortRows(rows)
 	return rows
 }
+
+func (a *account) windows(current int64) []Window {
+	out := make([]Window, len(Windows))
+	for i, length := range Windows {
+		out[i].Seconds = int64(length / time.Second)
+		for _, b := range a.buckets {
+			if b.number > current-buckets(length) {
+				out[i].Total += b.total
+				out[i].Missed += b.missed
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ctl/ask.go
@@ -0,0 +1,69 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"bergamotsill.example/bergamotsill/internal/adapter/peer"
+)
+
+// answer is what one daemon replied to an operator's question.
+type answer[T any] struct {
+	address string
+	value   T
+	err     error
+}
+
+// ask calls one method of every daemon that the flags name, all at once. It
+// returns the answers in the order of the flags. The error names the daemons that
+// did not answer; it is ErrPartial when others did.
+func ask[T any](ctx context.Context, opts *options, method string, params any) ([]T, error) {
+	ctx, cancel := context.WithTimeout(ctx, opts.timeout)
+	defer cancel()
+	dialer := peer.NewDialer(opts.network)
+	defer dialer.Close()
+	answers := make([]answer[T], len(opts.daemons))
+	var group sync.WaitGroup
+	for i, address := range opts.daemons {
+		a := &answers[i]
+		a.address = address
+		group.Go(func() { a.err = dialer.Dial(address).Call(ctx, method, params, &a.value) })
+	}
+	group.Wait()
+	return collect(answers)
+}
+
+func collect[T any](answers []answer[T]) ([]T, error) {
+	var values []T
+	var failures []string
+	for _, a := range answers {
+		if a.err != nil {
+			failures = append(failures, fmt.Sprintf("daemon %s: %s", a.address, trace.UserMessage(a.err)))
+			continue
+		}
+		values = append(values, a.value)
+	}
+	if len(failures) == 0 {
+		return values, nil
+	}
+	detail := strings.Join(failures, "\n")
+	if len(values) == 0 {
+		return nil, trace.ConnectionProblem(nil, "no daemon answered:\n%s", detail)
+	}
+	return values, trace.Wrap(ErrPartial, "%d of %d daemons did not answer:\n%s", len(failures), len(answers), detail)
+}
+
+// show prints the answers that arrived and then returns the error of ask.
+func show(asked error, print func() error) error {
+	if asked != nil && ExitCode(asked) != ExitPartial {
+		return asked
+	}
+	if err := print(); err != nil {
+		return err
+	}
+	return asked
+}
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -6,8 +6,15 @@
 	"github.com/gravitational/trace"
 )
 
-// ErrConflict reports that another revision won.
-var ErrConflict = errors.New("another revision is in force")
+// Errors that have an exit code of their own.
+var (
+	// ErrConflict reports that another revision won.
+	ErrConflict = errors.New("another revision is in force")
+	// ErrPartial reports that some daemons did not answer.
+	ErrPartial = errors.New("some daemons did not answer")
+	// ErrDifferent reports that two configurations differ.
+	ErrDifferent = errors.New("the configurations differ")
+)
 
 // ExitCode returns the exit code for the error of a command.
 func ExitCode(err error) int {
@@ -16,6 +23,10 @@
 		return ExitOK
 	case errors.Is(err, ErrConflict):
 		return ExitConflict
+	case errors.Is(err, ErrPartial):
+		return ExitPartial
+	case errors.Is(err, ErrDifferent):
+		return ExitDifferent
 	case trace.IsBadParameter(err):
 		return ExitInvalid
 	}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -2,7 +2,6 @@
 package ctl
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,10 +10,9 @@
 	"github.com/spf13/cobra"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
-	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 )
 
-// Exit codes of bergamotctl.
+// Exit codes of bergamotctl. docs/bergamotctl.md lists them for operators.
 const (
 	ExitOK = 0
 	// ExitFailure means that the command failed.
@@ -23,18 +21,27 @@
 	ExitInvalid = 2
 	// ExitConflict means that another operator's revision won.
 	ExitConflict = 3
+	// ExitPartial means that some of the daemons did not answer.
+	ExitPartial = 4
+	// ExitDifferent means that diff found a difference.
+	ExitDifferent = 5
 )
 
 // options are the flags that all commands share.
 type options struct {
-	daemon  string
+	daemons []string
 	json    bool
 	timeout time.Duration
+	// network opens the connections to daemons.
+	network network.Network
 }
 
 // NewRoot returns the root command.
 func NewRoot(version string) *cobra.Command {
-	opts := &options{}
+	return newRoot(version, &options{network: network.TCP{}})
+}
+
+func newRoot(version string, opts *options) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "bergamotctl",
 		Short:         "Operate a bergamotsill installation",
@@ -43,29 +50,25 @@
 		SilenceErrors: true,
 	}
 	flags := root.PersistentFlags()
-	flags.StringVar(&opts.daemon, "daemon", "127.0.0.1:7600", "peer address of a daemon, IP:port")
+	flags.StringSliceVar(&opts.daemons, "daemon", []string{"127.0.0.1:7600"},
+		"peer address of a daemon, IP:port; may be repeated or hold a list with commas")
 	flags.BoolVar(&opts.json, "json", false, "print JSON instead of a table")
 	flags.DurationVar(&opts.timeout, "timeout", 10*time.Second, "time limit of the command")
 	root.AddCommand(
 		newValidate(),
 		newPublish(opts),
+		newDiff(opts),
+		newRollForward(opts),
+		newRevisions(opts),
 		newStatus(opts),
 		newExplain(opts),
 		newBurn(opts),
 		newRoles(opts),
+		newVersion(version),
 	)
 	return root
 }
 
-// call invokes a method of the daemon that the flags name.
-func (o *options) call(ctx context.Context, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, o.timeout)
-	defer cancel()
-	dialer := peer.NewDialer(network.TCP{})
-	defer dialer.Close()
-	return dialer.Dial(o.daemon).Call(ctx, method, params, result)
-}
-
 func printJSON(w io.Writer, v any) error {
 	data, err := json.MarshalIndent(v, "", "  ")
 	if err != nil {
--- a/internal/ctl/validate.go
+++ b/internal/ctl/validate.go
@@ -7,37 +7,98 @@
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
+	"bergamotsill.example/bergamotsill/internal/findings"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/settings"
 )
 
+// fileKind tells what a file is checked as.
+type fileKind string
+
+// Kinds of files.
+const (
+	kindAuto          fileKind = "auto"
+	kindSettings      fileKind = "settings"
+	kindConfiguration fileKind = "configuration"
+)
+
 func newValidate() *cobra.Command {
-	var configuration bool
+	var kind string
 	cmd := &cobra.Command{
-		Use:   "validate FILE",
-		Short: "Check a settings file, or with --configuration a configuration document",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			if err := validate(args[0], configuration); err != nil {
-				return err
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%s: valid\n", args[0])
-			return nil
+		Use:   "validate FILE...",
+		Short: "Check settings files and configuration documents and report every mistake",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, files []string) error {
+			return validateAll(cmd, files, fileKind(kind))
 		},
 	}
-	cmd.Flags().BoolVar(&configuration, "configuration", false, "the file is a configuration document")
+	cmd.Flags().StringVar(&kind, "kind", string(kindAuto),
+		"settings, configuration, or auto to tell from the content")
 	return cmd
 }
 
-func validate(file string, configuration bool) error {
-	if !configuration {
-		_, err := settings.Load(file)
-		return err
+// validateAll checks every file before it reports the findings of all of them.
+func validateAll(cmd *cobra.Command, files []string, kind fileKind) error {
+	var all []findings.Finding
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		found, checked, err := validate(file, data, kind)
+		if err != nil {
+			return err
+		}
+		if len(found) == 0 {
+			fmt.Fprintf(cmd.OutOrStdout(), "%s: valid %s\n", file, checked)
+		}
+		all = append(all, found...)
+	}
+	return findings.Error(all)
+}
+
+// validate returns the findings of one file and the kind that it was checked as.
+func validate(file string, data []byte, kind fileKind) ([]findings.Finding, fileKind, error) {
+	if kind == kindAuto {
+		detected, err := detect(file, data)
+		if err != nil {
+			return nil, kind, err
+		}
+		kind = detected
 	}
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return trace.ConvertSystemError(err)
+	switch kind {
+	case kindSettings:
+		_, list := settings.Check(file, data)
+		return list.Items(), kind, nil
+	case kindConfiguration:
+		_, list := profile.ParseDocument(file, data)
+		return list.Items(), kind, nil
+	}
+	return nil, kind, trace.BadParameter("unknown kind %q: expected %s, %s or %s",
+		kind, kindAuto, kindSettings, kindConfiguration)
+}
+
+// detect tells the kind of a file from its top-level fields. It reads as far as
+// the first syntax error, since a broken file has a kind too.
+func detect(file string, data []byte) (fileKind, error) {
+	fields := findings.LineIndex(data)
+	inSettings := countFields(fields, findings.FieldNames(settings.Settings{}))
+	inDocument := countFields(fields, findings.FieldNames(profile.Document{}))
+	switch {
+	case inSettings > inDocument:
+		return kindSettings, nil
+	case inDocument > inSettings:
+		return kindConfiguration, nil
+	}
+	return "", trace.BadParameter("%s: cannot tell whether this is a settings file or a configuration document; use --kind", file)
+}
+
+func countFields(fields map[string]int, names []string) int {
+	n := 0
+	for _, name := range names {
+		if _, ok := fields[name]; ok {
+			n++
+		}
 	}
-	_, list := profile.ParseDocument(file, data)
-	return list.Err()
+	return n
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"bergamotsill.example/bergamotsill/internal/admin"
+	"bergamotsill.example/bergamotsill/internal/burn"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -55,13 +56,24 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, trace.BadParameter("params: %v", err)
 	}
-	return admin.Explanation{RequestID: in.RequestID, Records: d.decisions.Find(in.RequestID)}, nil
+	return admin.Explanation{
+		Daemon:    d.settings.Name,
+		RequestID: in.RequestID,
+		Records:   d.decisions.Find(in.RequestID),
+	}, nil
 }
 
 func (d *Daemon) adminBurn(context.Context, json.RawMessage) (any, error) {
+	d.burn.Advance(time.Now())
 	return admin.Burn{Daemon: d.settings.Name, Rows: d.burn.Rows()}, nil
 }
 
 func (d *Daemon) adminRoles(context.Context, json.RawMessage) (any, error) {
 	return admin.Roles{Daemon: d.settings.Name, Records: d.roles.Find("")}, nil
 }
+
+// runBurn moves the windows of the burn report on.
+func (d *Daemon) runBurn() error {
+	every(d.context(), burn.BucketLength, func(context.Context) { d.burn.Advance(time.Now()) })
+	return nil
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,6 +116,7 @@
 	d.tomb.Go(d.config.run)
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
+	d.tomb.Go(d.runBurn)
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
 		zap.String("caller-address", d.settings.Listen.Caller),
--- a/internal/findings/decode.go
+++ b/internal/findings/decode.go
@@ -21,10 +21,24 @@
 		list.Add("", "%s", SyntaxError(data, err))
 		return list
 	}
+	reportDuplicates(list, data)
 	decodeValue(list, "", data, reflect.ValueOf(dst).Elem())
 	return list
 }
 
+// FieldNames returns the JSON names of the fields of a struct.
+func FieldNames(v any) []string {
+	names := []string{}
+	for name := range fieldsByName(reflect.TypeOf(v)) {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// null is accepted for lists only, where it means the empty list.
+var null = []byte("null")
+
 var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
 
 func decodeValue(list *List, path string, data json.RawMessage, dst reflect.Value) {
@@ -32,11 +46,13 @@
 	switch {
 	case !custom && dst.Kind() == reflect.Struct:
 		decodeStruct(list, path, data, dst)
+	case bytes.Equal(data, null) && dst.Kind() != reflect.Slice && dst.Kind() != reflect.Pointer:
+		list.Add(path, "expected a value, found null")
 	case !custom && dst.Kind() == reflect.Slice && dst.Type().Elem().Kind() != reflect.Uint8:
 		decodeSlice(list, path, data, dst)
 	default:
 		if err := json.Unmarshal(data, dst.Addr().Interface()); err != nil {
-			list.Add(path, "%s", describe(err, data))
+			list.Add(path, "%s", describe(path, err, data))
 		}
 	}
 }
@@ -91,7 +107,19 @@
 	return keys
 }
 
-func describe(err error, data json.RawMessage) string {
+// units maps the endings of field names to the unit of their values.
+var units = map[string]string{
+	"_ms":    "milliseconds",
+	"_s":     "seconds",
+	"_bytes": "bytes",
+}
+
+func describe(path string, err error, data json.RawMessage) string {
+	for ending, unit := range units {
+		if strings.HasSuffix(path, ending) {
+			return fmt.Sprintf("expected a whole number of %s, found %s", unit, summary(data))
+		}
+	}
 	if e, ok := err.(*json.UnmarshalTypeError); ok {
 		return fmt.Sprintf("expected %s, found %s", e.Type, summary(data))
 	}
--- a/internal/findings/findings.go
+++ b/internal/findings/findings.go
@@ -53,9 +53,13 @@
 
 // Add records a mistake at a JSON path.
 func (l *List) Add(path, format string, args ...any) {
+	l.addAt(l.line(path), path, format, args...)
+}
+
+func (l *List) addAt(line int, path, format string, args ...any) {
 	l.items = append(l.items, Finding{
 		File:    l.File,
-		Line:    l.line(path),
+		Line:    line,
 		Path:    path,
 		Message: fmt.Sprintf(format, args...),
 	})
@@ -81,12 +85,16 @@
 
 // Err returns nil when there are no findings, else one trace.BadParameter that
 // lists all of them.
-func (l *List) Err() error {
-	if len(l.items) == 0 {
+func (l *List) Err() error { return Error(l.items) }
+
+// Error returns nil when there are no findings, else one trace.BadParameter that
+// lists all of them.
+func Error(items []Finding) error {
+	if len(items) == 0 {
 		return nil
 	}
-	lines := make([]string, len(l.items))
-	for i, f := range l.items {
+	lines := make([]string, len(items))
+	for i, f := range items {
 		lines[i] = f.String()
 	}
 	return trace.BadParameter("%d findings:\n%s", len(lines), strings.Join(lines, "\n"))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/url"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -156,10 +157,16 @@
 
 // Parse checks settings; file names the input in findings.
 func Parse(file string, data []byte) (Settings, error) {
+	s, list := Check(file, data)
+	return s, list.Err()
+}
+
+// Check decodes settings and returns every finding.
+func Check(file string, data []byte) (Settings, *findings.List) {
 	s := Default()
 	list := findings.Decode(file, data, &s)
 	s.check(list)
-	return s, list.Err()
+	return s, list
 }
 
 func (s *Settings) check(list *findings.List) {
@@ -249,8 +256,8 @@
 	if net.ParseIP(host) == nil {
 		list.Add(path, "expected a numeric IP address, found %q", host)
 	}
-	if _, err := net.LookupPort("tcp", port); err != nil {
-		list.Add(path, "bad port %q", port)
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		list.Add(path, "expected a port from 1 to 65535, found %q", port)
 	}
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -107,12 +107,15 @@
   log "replacement of daemon $1 started"
 }
 
+# print_burn adds up the reports of all daemons. Those of the killed and of the
+# stopped daemon went with their processes.
 print_burn() {
-  local name
+  local name addresses=()
   for name in "${daemons[@]}"; do
-    echo "service-level burn at daemon $name:"
-    bin/bergamotctl burn --daemon "$(peer_address_of "$name")"
+    addresses+=(--daemon "$(peer_address_of "$name")")
   done
+  echo "service-level burn by rank and profile:"
+  bin/bergamotctl burn "${addresses[@]}"
 }
 
 daemons=()
