--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -10,6 +10,7 @@
 
 	"bergamotsill.example/bergamotsill/internal/admin"
 	"bergamotsill.example/bergamotsill/internal/burn"
+	"bergamotsill.example/bergamotsill/internal/membership"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -20,6 +21,11 @@
 		admin.MethodExplain: d.adminExplain,
 		admin.MethodBurn:    d.adminBurn,
 		admin.MethodRoles:   d.adminRoles,
+
+		membership.MethodProbe: d.gossip.handleProbe,
+		membership.MethodRelay: d.gossip.handleRelay,
+		membership.MethodView:  d.gossip.handleView,
+		membership.MethodVMs:   d.fleet.handleVMs,
 	}
 }
 
