Add TLS for callers, peers, upstreams and platform

Settings had a TLS section without effect. TLS sits in the network layer: a Secure network wraps the connections of another one, so the HTTP and jsonrpc2 adapters stay as they are. Peers require and present certificates; tls.peer_name narrows them to one DNS name, because the same CA may sign those of upstreams.

URLs with user names or queries are refused by settings.

--- /dev/null
+++ b/internal/adapter/network/links.go
@@ -0,0 +1,40 @@
+package network
+
+// Links holds the Network of each kind of connection of a daemon.
+type Links struct {
+	// Callers accepts connections of callers.
+	Callers Network
+	// Peers accepts connections of other daemons and of operators, and opens those
+	// to other daemons.
+	Peers Network
+	// Upstreams opens connections to engines and services.
+	Upstreams Network
+	// Platform opens connections to the log service, VM list and weight store.
+	Platform Network
+}
+
+// LinkOptions tells which links use TLS.
+type LinkOptions struct {
+	Callers   bool
+	Peers     bool
+	Upstreams bool
+	Platform  bool
+	// PeerName is the DNS name that certificates of peers must carry, if any.
+	PeerName string
+}
+
+// NewLinks returns links over base; those that opts names are TLS with keys.
+func NewLinks(base Network, keys *Keys, opts LinkOptions) Links {
+	secure := func(on bool, o SecureOptions) Network {
+		if !on {
+			return base
+		}
+		return NewSecure(base, keys, o)
+	}
+	return Links{
+		Callers:   secure(opts.Callers, SecureOptions{}),
+		Peers:     secure(opts.Peers, SecureOptions{Mutual: true, PeerName: opts.PeerName}),
+		Upstreams: secure(opts.Upstreams, SecureOptions{}),
+		Platform:  secure(opts.Platform, SecureOptions{}),
+	}
+}
--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -31,9 +31,11 @@
 }
 
 func newClient(base string, nw network.Network) client {
+	transport := &http.Transport{}
+	network.ConfigureTransport(transport, nw)
 	return client{
 		base: strings.TrimSuffix(base, "/"),
-		http: &http.Client{Transport: &http.Transport{DialContext: nw.DialContext}},
+		http: &http.Client{Transport: transport},
 	}
 }
 
--- a/internal/ctl/ask.go
+++ b/internal/ctl/ask.go
@@ -24,7 +24,11 @@
 func ask[T any](ctx context.Context, opts *options, method string, params any) ([]T, error) {
 	ctx, cancel := context.WithTimeout(ctx, opts.timeout)
 	defer cancel()
-	dialer := peer.NewDialer(opts.network)
+	nw, err := opts.daemonNetwork()
+	if err != nil {
+		return nil, err
+	}
+	dialer := peer.NewDialer(nw)
 	defer dialer.Close()
 	answers := make([]answer[T], len(opts.daemons))
 	var group sync.WaitGroup
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -12,7 +12,6 @@
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
-	"bergamotsill.example/bergamotsill/internal/adapter/platform"
 	"bergamotsill.example/bergamotsill/internal/findings"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
@@ -37,7 +36,11 @@
 		RunE: func(cmd *cobra.Command, args []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
 			defer cancel()
-			revision, list, err := diffFile(ctx, platform.NewLog(logURL, opts.network), args[0])
+			log, err := opts.openLog(logURL)
+			if err != nil {
+				return err
+			}
+			revision, list, err := diffFile(ctx, log, args[0])
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/history.go
+++ b/internal/ctl/history.go
@@ -11,7 +11,6 @@
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
-	"bergamotsill.example/bergamotsill/internal/adapter/platform"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
 )
@@ -95,7 +94,11 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
 			defer cancel()
-			_, revisions, err := history(ctx, platform.NewLog(logURL, opts.network))
+			log, err := opts.openLog(logURL)
+			if err != nil {
+				return err
+			}
+			_, revisions, err := history(ctx, log)
 			if err != nil {
 				return trace.Wrap(err)
 			}
--- a/internal/ctl/rollforward.go
+++ b/internal/ctl/rollforward.go
@@ -10,7 +10,6 @@
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
-	"bergamotsill.example/bergamotsill/internal/adapter/platform"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
 )
@@ -28,8 +27,11 @@
 			}
 			ctx, cancel := context.WithTimeout(cmd.Context(), opts.timeout)
 			defer cancel()
-			p := publisher{log: platform.NewLog(logURL, opts.network), author: author}
-			verdict, err := rollForward(ctx, p, revision)
+			log, err := opts.openLog(logURL)
+			if err != nil {
+				return err
+			}
+			verdict, err := rollForward(ctx, publisher{log: log, author: author}, revision)
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -34,6 +34,7 @@
 	timeout time.Duration
 	// network opens the connections to daemons.
 	network network.Network
+	tls     tlsFlags
 }
 
 // NewRoot returns the root command.
@@ -54,6 +55,7 @@
 		"peer address of a daemon, IP:port; may be repeated or hold a list with commas")
 	flags.BoolVar(&opts.json, "json", false, "print JSON instead of a table")
 	flags.DurationVar(&opts.timeout, "timeout", 10*time.Second, "time limit of the command")
+	opts.tls.register(flags)
 	root.AddCommand(
 		newValidate(),
 		newPublish(opts),
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,8 @@
 
 // Dependencies are the outside systems of a daemon.
 type Dependencies struct {
+	// Callers accepts connections of callers, Network those of peers.
+	Callers  network.Network
 	Network  network.Network
 	Log      port.Log
 	VMs      port.VMList
@@ -102,7 +104,7 @@
 // Start opens the listeners and starts all components.
 func (d *Daemon) Start() error {
 	var err error
-	if d.callerListener, err = d.deps.Network.Listen(d.settings.Listen.Caller); err != nil {
+	if d.callerListener, err = d.deps.Callers.Listen(d.settings.Listen.Caller); err != nil {
 		return trace.Wrap(err, "listen.caller")
 	}
 	if d.peerListener, err = d.deps.Network.Listen(d.settings.Listen.Peer); err != nil {
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -32,7 +32,11 @@
 	defer func() { _ = logger.Sync() }()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d := New(s, Connect(s, network.TCP{}, logger, version))
+	keys, err := loadKeys(s.TLS, logger)
+	if err != nil {
+		return err
+	}
+	d := New(s, connect(s, links(s.TLS, network.TCP{}, keys), logger, version))
 	if err := d.Start(); err != nil {
 		return err
 	}
@@ -44,21 +48,27 @@
 	}
 }
 
-// Connect returns the dependencies that the settings name, reached over nw.
+// Connect returns the dependencies that the settings name, reached over nw
+// without TLS.
 func Connect(s settings.Settings, nw network.Network, logger *zap.Logger, version string) Dependencies {
+	return connect(s, network.NewLinks(nw, nil, network.LinkOptions{}), logger, version)
+}
+
+func connect(s settings.Settings, l network.Links, logger *zap.Logger, version string) Dependencies {
 	engines := engine.NewDialer(engine.Options{
-		Network:   nw,
+		Network:   l.Upstreams,
 		Progress:  s.Timing.Progress.Std(),
 		IdleTrust: s.Timing.Progress.Std(),
 	})
 	return Dependencies{
-		Network:  nw,
-		Log:      platform.NewLog(s.Platform.Log, nw),
-		VMs:      platform.NewVMList(s.Platform.VMList, nw),
-		Weights:  platform.NewWeightStore(s.Platform.WeightStore, nw),
+		Callers:  l.Callers,
+		Network:  l.Peers,
+		Log:      platform.NewLog(s.Platform.Log, l.Platform),
+		VMs:      platform.NewVMList(s.Platform.VMList, l.Platform),
+		Weights:  platform.NewWeightStore(s.Platform.WeightStore, l.Platform),
 		Engines:  engines.Dial,
-		Services: service.NewDialer(nw),
-		Peers:    peer.NewDialer(nw).Dial,
+		Services: service.NewDialer(l.Upstreams),
+		Peers:    peer.NewDialer(l.Peers).Dial,
 		Logger:   logger,
 		Seed:     uint64(time.Now().UnixNano()),
 		Version:  version,
--- /dev/null
+++ b/internal/daemon/tls.go
@@ -0,0 +1,27 @@
+package daemon
+
+import (
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/adapter/network"
+	"bergamotsill.example/bergamotsill/internal/settings"
+)
+
+// loadKeys reads the files that the settings name, or returns nil without TLS.
+func loadKeys(t settings.TLS, logger *zap.Logger) (*network.Keys, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	return network.LoadKeys(network.Files{Certificate: t.Certificate, Key: t.Key, CA: t.CA}, logger)
+}
+
+// links returns the networks of all links of a daemon.
+func links(t settings.TLS, base network.Network, keys *network.Keys) network.Links {
+	return network.NewLinks(base, keys, network.LinkOptions{
+		Callers:   t.Callers,
+		Peers:     t.Peers,
+		Upstreams: t.Upstreams,
+		Platform:  t.Platform,
+		PeerName:  t.PeerName,
+	})
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -71,16 +72,27 @@
 	WeightStore string `json:"weight_store"`
 }
 
-// TLS names PEM files. All empty means plain TCP. The files are read again when
-// they change.
+// TLS names PEM files and the links that use them. The files are read again when
+// they change; a bad new file keeps the old one.
 type TLS struct {
+	// Certificate holds the daemon's certificate chain, Key its private key.
 	Certificate string `json:"certificate"`
 	Key         string `json:"key"`
-	CA          string `json:"ca"`
+	// CA holds the certificates that sign those of peers, upstreams and platform.
+	CA string `json:"ca"`
+	// Callers, Peers, Upstreams and Platform switch TLS on for one kind of link.
+	// Peers authenticate each other.
+	Callers   bool `json:"callers"`
+	Peers     bool `json:"peers"`
+	Upstreams bool `json:"upstreams"`
+	Platform  bool `json:"platform"`
+	// PeerName is the DNS name that the certificates of peers and operators must
+	// carry. When it is empty, every certificate that the CA signed is accepted.
+	PeerName string `json:"peer_name"`
 }
 
-// Enabled tells whether TLS is configured.
-func (t TLS) Enabled() bool { return t != TLS{} }
+// Enabled tells whether any link uses TLS.
+func (t TLS) Enabled() bool { return t.Callers || t.Peers || t.Upstreams || t.Platform }
 
 // Limits bound the daemon's memory.
 type Limits struct {
@@ -203,12 +215,31 @@
 }
 
 func (s *Settings) checkTLS(list *findings.List) {
-	if !s.TLS.Enabled() {
-		return
+	t := s.TLS
+	if t.Enabled() {
+		required(list, "tls.certificate", t.Certificate)
+		required(list, "tls.key", t.Key)
+		required(list, "tls.ca", t.CA)
+	} else if t != (TLS{}) {
+		list.Add("tls", "no link is switched on: set callers, peers, upstreams or platform")
+	}
+	if t.PeerName != "" && !t.Peers {
+		list.Add("tls.peer_name", "has no effect unless peers is true")
+	}
+	s.checkScheme(list, "platform.log", s.Platform.Log)
+	s.checkScheme(list, "platform.vm_list", s.Platform.VMList)
+	s.checkScheme(list, "platform.weight_store", s.Platform.WeightStore)
+}
+
+// checkScheme reports a URL whose scheme contradicts tls.platform.
+func (s *Settings) checkScheme(list *findings.List, path, value string) {
+	secure := strings.HasPrefix(value, "https:")
+	if s.TLS.Platform && !secure {
+		list.Add(path, "must start with https since tls.platform is true")
+	}
+	if !s.TLS.Platform && secure {
+		list.Add(path, "must start with http unless tls.platform is true")
 	}
-	required(list, "tls.certificate", s.TLS.Certificate)
-	required(list, "tls.key", s.TLS.Key)
-	required(list, "tls.ca", s.TLS.CA)
 }
 
 func (s *Settings) checkLimits(list *findings.List) {
@@ -263,7 +294,16 @@
 
 func baseURL(list *findings.List, path, value string) {
 	u, err := url.Parse(value)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		list.Add(path, "expected an http or https URL, found %q", value)
+	if err != nil {
+		list.Add(path, "expected an http or https URL")
+		return
+	}
+	if (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		list.Add(path, "expected an http or https URL, found %q", u.Redacted())
+		return
+	}
+	// A password in the URL would reach the logs with error messages.
+	if u.User != nil || u.RawQuery != "" || u.Fragment != "" {
+		list.Add(path, "must not hold a user name, a password, a query or a fragment")
 	}
 }
