Add admission queue by rank, profile and organisation

A flood of one rank must leave the other ranks their minimum share, and callers must hear at once when their work cannot start in time.

Cost is prompt plus predicted output. A rank earns its share of every dispatch while it waits and goes first once it can pay for its head; the rest goes to the most urgent rank. A rank below its part of the limit in flight starts on top of what others hold, so that urgent work needs no idle reserve.

Guards removed once each, seen to fail: double release, urgent-first order, rank credit, own part of the limit, bound of the queue, predicted rate, organisation weights.

--- /dev/null
+++ b/internal/admission/scheduler.go
@@ -0,0 +1,158 @@
+package admission
+
+import "math"
+
+// quantum is the credit, in tokens, that a flow of weight 1 gets per round. It
+// is near the cost of a common request, so that most rounds start one.
+const quantum = 1024
+
+// flow is a queue of one organisation, or of one profile that holds the flows of
+// its organisations.
+type flow struct {
+	name    string
+	weight  float64
+	deficit float64
+	tickets []*Ticket
+	inner   *scheduler
+}
+
+// scheduler serves its flows by deficit round robin (Shreedhar and Varghese,
+// 1995) with the cost of tickets in place of packet lengths.
+type scheduler struct {
+	flows   []*flow
+	current int
+}
+
+// flow returns the flow with the given name, adding it when it is missing.
+func (s *scheduler) flow(name string, weight float64) *flow {
+	if f := s.find(name); f != nil {
+		f.weight = weight
+		return f
+	}
+	f := &flow{name: name, weight: weight}
+	s.flows = append(s.flows, f)
+	return f
+}
+
+func (s *scheduler) find(name string) *flow {
+	for _, f := range s.flows {
+		if f.name == name {
+			return f
+		}
+	}
+	return nil
+}
+
+// head returns the ticket whose turn it is, or nil. Calling it again without a
+// change in between returns the same ticket.
+func (s *scheduler) head() *Ticket {
+	f := s.turn()
+	if f == nil {
+		return nil
+	}
+	return f.head()
+}
+
+func (f *flow) head() *Ticket {
+	if f.inner != nil {
+		return f.inner.head()
+	}
+	return f.tickets[0]
+}
+
+// turn returns the flow whose turn it is and that can pay for its head.
+func (s *scheduler) turn() *flow {
+	if len(s.flows) == 0 {
+		return nil
+	}
+	for {
+		for range s.flows {
+			f := s.flows[s.current]
+			if f.deficit >= f.head().cost {
+				return f
+			}
+			s.advance()
+		}
+		s.skipRounds()
+	}
+}
+
+// advance moves to the next flow, which gets its quantum.
+func (s *scheduler) advance() {
+	s.current = (s.current + 1) % len(s.flows)
+	f := s.flows[s.current]
+	f.deficit += quantum * f.weight
+}
+
+// skipRounds adds the rounds in which no flow could pay for its head at once, so
+// that small weights and large requests do not take thousands of steps.
+func (s *scheduler) skipRounds() {
+	rounds := math.Inf(1)
+	for _, f := range s.flows {
+		missing := (f.head().cost - f.deficit) / (quantum * f.weight)
+		rounds = min(rounds, math.Floor(missing))
+	}
+	if rounds < 1 {
+		return
+	}
+	for _, f := range s.flows {
+		f.deficit += rounds * quantum * f.weight
+	}
+}
+
+// take removes the ticket that head returned and charges its flow.
+func (s *scheduler) take() *Ticket {
+	f := s.turn()
+	var t *Ticket
+	if f.inner != nil {
+		t = f.inner.take()
+	} else {
+		t = f.tickets[0]
+		f.tickets = f.tickets[1:]
+	}
+	f.deficit -= t.cost
+	s.dropIfEmpty(f)
+	return t
+}
+
+func (f *flow) empty() bool {
+	if f.inner != nil {
+		return len(f.inner.flows) == 0
+	}
+	return len(f.tickets) == 0
+}
+
+// dropIfEmpty removes a flow without tickets. Its deficit is lost, as the
+// algorithm requires: an idle flow saves no credit.
+func (s *scheduler) dropIfEmpty(f *flow) {
+	if !f.empty() {
+		return
+	}
+	for i := range s.flows {
+		if s.flows[i] == f {
+			s.flows = append(s.flows[:i], s.flows[i+1:]...)
+			s.afterDrop(i)
+			return
+		}
+	}
+}
+
+func (s *scheduler) afterDrop(i int) {
+	if i < s.current {
+		s.current--
+	}
+	if s.current >= len(s.flows) {
+		s.current = 0
+	}
+}
+
+// remove takes a ticket out of the middle of a flow of organisations.
+func (s *scheduler) remove(f *flow, t *Ticket) {
+	for i := range f.tickets {
+		if f.tickets[i] == t {
+			f.tickets = append(f.tickets[:i], f.tickets[i+1:]...)
+			break
+		}
+	}
+	s.dropIfEmpty(f)
+}
--- /dev/null
+++ b/internal/admission/share.go
@@ -0,0 +1,29 @@
+package admission
+
+// minDaemonShare is the part of an even split that a daemon keeps without any
+// demand of its own, so that its first requests start before its peers have
+// heard of them.
+const minDaemonShare = 0.1
+
+// Share returns the part, 0 to 1, of the data centre's capacity that a daemon
+// works from. Demand is in tokens per second; peers holds the demand that the
+// other daemons of the data centre reported, and daemons is the number of
+// daemons there, this one included. Daemons without a report count as an
+// average one; without any report the split is even.
+func Share(own float64, peers []float64, daemons int) float64 {
+	daemons = max(daemons, len(peers)+1)
+	even := 1 / float64(daemons)
+	if len(peers) == 0 {
+		return even
+	}
+	total := own
+	for _, demand := range peers {
+		total += demand
+	}
+	if total <= 0 {
+		return even
+	}
+	known := float64(len(peers)+1) * even
+	floor := minDaemonShare * even
+	return floor + (1-minDaemonShare)*known*own/total
+}
