Choose engines by predicted time over a few candidates

Least running requests in a scan ignored late reports, prompt sizes, prefix caches, roles and targets.

A choice now predicts the time at a few random candidates and at the home of the prompt's prefix, from the report, its age and what this daemon sent since. Data centres of up to 8 engines are compared whole.

Guards removed once each, seen to fail: draining, failed, sent work, report age, affinity, bound on its load, role preference and its limit, other data centre only past the target, distance of the other one.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -1,111 +1,342 @@
-// Package routing chooses the upstream for a request from an immutable snapshot
-// of the fleet.
 package routing
 
 import (
-	"sync/atomic"
+	"math/rand/v2"
 	"time"
 
-	"bergamotsill.example/bergamotsill/internal/port"
+	"github.com/cespare/xxhash/v2"
 )
 
-// Upstream is one engine or service and what this daemon knows of it.
-type Upstream struct {
-	VM      port.VM
-	Engine  port.Engine
-	Service port.Service
+const (
+	// candidateCount is the number of random candidates. Two already avoid most
+	// of the imbalance of one; a few more tolerate stale reports of some.
+	candidateCount = 4
+	// smallPool is the number of upstreams up to which all are compared: in a data
+	// centre of three or four engines a sample would leave one out.
+	smallPool = 8
+	// sampleTries bounds the tries at finding a usable random candidate.
+	sampleTries = 4 * candidateCount
+	// boundedLoad is the factor over the mean load of the candidates up to which
+	// prefix affinity counts.
+	boundedLoad = 1.25
+	// boundedSlack is added to that bound, so that affinity counts on an idle
+	// fleet.
+	boundedSlack = 50 * time.Millisecond
+	// longPrompt is the prompt length, in tokens, and promptRatio its ratio to the
+	// output from which prefill dominates a request. Below, decoding does.
+	longPrompt  = 1000
+	promptRatio = 8
+	// rolePenalty is the factor on the predicted time at an engine whose role is
+	// for the other kind of work.
+	rolePenalty = 1.5
+	// remoteMargin is the time by which another data centre must be better.
+	remoteMargin = 20 * time.Millisecond
+)
 
-	inFlight atomic.Int64
-	status   atomic.Pointer[Report]
+// entry is an upstream of a table with the hash of its id.
+type entry struct {
+	upstream *Upstream
+	hash     uint64
 }
 
-// Report is an engine's status and when this daemon received it.
-type Report struct {
-	Status   port.EngineStatus
-	Received time.Time
-	// Failed is set when the engine did not answer.
-	Failed bool
+// pool holds the upstreams of one pool by data centre.
+type pool struct {
+	all     []*Upstream
+	centres []centre
 }
 
-// SetReport stores the newest report.
-func (u *Upstream) SetReport(r *Report) { u.status.Store(r) }
-
-// Report returns the newest report, or nil.
-func (u *Upstream) Report() *Report { return u.status.Load() }
-
-// Begin counts a request as in flight; the returned function ends it.
-func (u *Upstream) Begin() func() {
-	u.inFlight.Add(1)
-	return func() { u.inFlight.Add(-1) }
+type centre struct {
+	name    string
+	entries []entry
 }
 
-// InFlight returns the number of requests that this daemon has in flight.
-func (u *Upstream) InFlight() int64 { return u.inFlight.Load() }
-
-// Table is an immutable view of the fleet by pool.
+// Table is an immutable view of the fleet by pool. It is read through an atomic
+// pointer and may be used by any number of goroutines.
 type Table struct {
-	pools map[string][]*Upstream
+	pools map[string]*pool
 }
 
 // NewTable returns a table of the given upstreams.
 func NewTable(upstreams []*Upstream) *Table {
-	t := &Table{pools: map[string][]*Upstream{}}
+	t := &Table{pools: map[string]*pool{}}
 	for _, u := range upstreams {
-		t.pools[u.VM.Pool] = append(t.pools[u.VM.Pool], u)
+		p, ok := t.pools[u.VM.Pool]
+		if !ok {
+			p = &pool{}
+			t.pools[u.VM.Pool] = p
+		}
+		p.add(u)
 	}
 	return t
 }
 
+func (p *pool) add(u *Upstream) {
+	p.all = append(p.all, u)
+	e := entry{upstream: u, hash: xxhash.Sum64String(u.VM.ID)}
+	for i := range p.centres {
+		if p.centres[i].name == u.VM.DataCentre {
+			p.centres[i].entries = append(p.centres[i].entries, e)
+			return
+		}
+	}
+	p.centres = append(p.centres, centre{name: u.VM.DataCentre, entries: []entry{e}})
+}
+
 // Pool returns the upstreams of a pool.
-func (t *Table) Pool(name string) []*Upstream { return t.pools[name] }
+func (t *Table) Pool(name string) []*Upstream {
+	p, ok := t.pools[name]
+	if !ok {
+		return nil
+	}
+	return p.all
+}
 
-// Request describes what an upstream is wanted for.
+// Request describes what an upstream is wanted for. Pool alone suffices for a
+// service; the other fields improve the choice of an engine.
 type Request struct {
 	Pool       string
 	Model      string
 	DataCentre string
 	// Excluded holds ids of VMs that failed this request already.
 	Excluded map[string]bool
+
+	Now time.Time
+	// Rand picks candidates; nil compares all upstreams.
+	Rand *rand.Rand
+	// PromptTokens and OutputTokens are the predicted sizes.
+	PromptTokens int
+	OutputTokens int
+	// Prefix is the hash of the first prompt blocks, 0 for no affinity, and
+	// PrefixTokens the length that a warm prefix cache is expected to save.
+	Prefix       uint64
+	PrefixTokens int
+	// Budget is what remains until the target for the first token; 0 means that
+	// there is no target, so that the local data centre is kept.
+	Budget time.Duration
+	// RemoteDelay is the extra round trip to another data centre.
+	RemoteDelay time.Duration
+}
+
+// Choice is the result of a decision.
+type Choice struct {
+	// Upstream is nil when no upstream is usable.
+	Upstream *Upstream
+	// FirstToken is the predicted time to the first token.
+	FirstToken time.Duration
+	// Affine is set when the upstream is the home of the request's prefix.
+	Affine bool
+	// Remote is set when the upstream is in another data centre.
+	Remote bool
+
+	cost time.Duration
+}
+
+// Pick returns the chosen upstream, or nil.
+func (t *Table) Pick(r Request) *Upstream { return t.Choose(r).Upstream }
+
+// Choose compares a few upstreams and returns the one with the lowest predicted
+// time. Another data centre is used when the local one has no usable upstream, or
+// cannot meet the target while the other one can.
+func (t *Table) Choose(r Request) Choice {
+	p, ok := t.pools[r.Pool]
+	if !ok {
+		return Choice{}
+	}
+	local := p.chooseLocal(&r)
+	if local.Upstream != nil && (r.Budget <= 0 || local.FirstToken <= r.Budget) {
+		return local
+	}
+	remote := p.chooseRemote(&r)
+	if remote.Upstream == nil {
+		return local
+	}
+	if local.Upstream == nil || remote.FirstToken <= r.Budget && remote.cost+remoteMargin < local.cost {
+		return remote
+	}
+	return local
+}
+
+func (p *pool) chooseLocal(r *Request) Choice {
+	for i := range p.centres {
+		if p.centres[i].name == r.DataCentre {
+			return p.centres[i].choose(r, 0)
+		}
+	}
+	return Choice{}
+}
+
+func (p *pool) chooseRemote(r *Request) Choice {
+	var best Choice
+	for i := range p.centres {
+		if p.centres[i].name == r.DataCentre {
+			continue
+		}
+		c := p.centres[i].choose(r, r.RemoteDelay)
+		c.Remote = true
+		if c.Upstream != nil && (best.Upstream == nil || c.cost < best.cost) {
+			best = c
+		}
+	}
+	return best
+}
+
+// candidates is a small set of upstreams under comparison.
+type candidates struct {
+	list  [smallPool + 1]*Upstream
+	count int
+}
+
+func (c *candidates) add(u *Upstream) {
+	for _, known := range c.list[:c.count] {
+		if known == u {
+			return
+		}
+	}
+	c.list[c.count] = u
+	c.count++
+}
+
+// choose returns the best of one data centre.
+func (c *centre) choose(r *Request, distance time.Duration) Choice {
+	if r.Rand == nil && len(c.entries) > smallPool {
+		return c.scan(r, distance)
+	}
+	var set candidates
+	home := c.home(r)
+	if home != nil {
+		set.add(home)
+	}
+	c.sample(r, &set)
+	return set.best(r, home, distance)
 }
 
-// Pick returns the upstream with the least load, in the request's data centre if
-// there is one, or nil.
-func (t *Table) Pick(r Request) *Upstream {
+// scan compares all upstreams without a bound on their number.
+func (c *centre) scan(r *Request, distance time.Duration) Choice {
+	var best Choice
+	for i := range c.entries {
+		if u := c.entries[i].upstream; u.usable(r) {
+			best = better(best, predict(r, u, 0, distance))
+		}
+	}
+	return best
+}
+
+// home returns the usable upstream that rendezvous hashing gives the request's
+// prefix, or nil.
+func (c *centre) home(r *Request) *Upstream {
+	if r.Prefix == 0 {
+		return nil
+	}
 	var best *Upstream
-	for _, u := range t.pools[r.Pool] {
-		if u.usable(r) && (best == nil || u.better(best, r.DataCentre)) {
-			best = u
+	var highest uint64
+	for i := range c.entries {
+		weight := mix(c.entries[i].hash ^ r.Prefix)
+		if weight > highest && c.entries[i].upstream.usable(r) {
+			best, highest = c.entries[i].upstream, weight
 		}
 	}
 	return best
 }
 
-func (u *Upstream) usable(r Request) bool {
-	if u.VM.State == port.VMLeaving || r.Excluded[u.VM.ID] {
-		return false
+// mix is the finalizer of SplitMix64 (Steele, Lea and Flood, 2014).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// sample adds random usable upstreams, or all of a small data centre.
+func (c *centre) sample(r *Request, set *candidates) {
+	if len(c.entries) <= smallPool {
+		for i := range c.entries {
+			if u := c.entries[i].upstream; u.usable(r) {
+				set.add(u)
+			}
+		}
+		return
 	}
-	if u.VM.Kind != port.KindEngine {
-		return true
+	found := 0
+	for range sampleTries {
+		u := c.entries[r.Rand.IntN(len(c.entries))].upstream
+		if found < candidateCount && u.usable(r) {
+			set.add(u)
+			found++
+		}
 	}
-	report := u.Report()
-	if report == nil || report.Failed {
-		return false
+	if set.count == 0 {
+		// Most upstreams are unusable; any usable one will do.
+		c.addFirstUsable(r, set)
 	}
-	s := report.Status
-	return s.Phase == port.PhaseServing && !s.Leaving && s.Model == r.Model
 }
 
-func (u *Upstream) better(other *Upstream, dataCentre string) bool {
-	local, otherLocal := u.VM.DataCentre == dataCentre, other.VM.DataCentre == dataCentre
-	if local != otherLocal {
-		return local
+func (c *centre) addFirstUsable(r *Request, set *candidates) {
+	offset := r.Rand.IntN(len(c.entries))
+	for i := range c.entries {
+		u := c.entries[(offset+i)%len(c.entries)].upstream
+		if u.usable(r) {
+			set.add(u)
+			return
+		}
 	}
-	return u.load() < other.load()
 }
 
-func (u *Upstream) load() int64 {
-	if r := u.Report(); r != nil {
-		return max(u.InFlight(), int64(r.Status.Running))
+// best returns the candidate with the lowest predicted time.
+func (c *candidates) best(r *Request, home *Upstream, distance time.Duration) Choice {
+	var predicted [smallPool + 1]Choice
+	var total time.Duration
+	for i, u := range c.list[:c.count] {
+		predicted[i] = predict(r, u, 0, distance)
+		total += predicted[i].cost
+	}
+	var best Choice
+	for _, p := range predicted[:c.count] {
+		if p.Upstream == home && withinBound(p.cost, total, c.count) {
+			p = predict(r, home, r.PrefixTokens, distance)
+			p.Affine = true
+		}
+		best = better(best, p)
 	}
-	return u.InFlight()
+	return best
+}
+
+// withinBound is the bound of consistent hashing with bounded loads (Mirrokni,
+// Thorup and Zadimoghaddam, 2018) over the candidates.
+func withinBound(cost, total time.Duration, count int) bool {
+	mean := float64(total) / float64(count)
+	return float64(cost) <= boundedLoad*mean+float64(boundedSlack)
 }
+
+// better returns the choice with the lower cost; at equal cost the first.
+func better(a, b Choice) Choice {
+	if a.Upstream == nil || b.cost < a.cost {
+		return b
+	}
+	return a
+}
+
+// predict returns the time that a request would take at an upstream that has
+// cached tokens of its prompt.
+func predict(r *Request, u *Upstream, cached int, distance time.Duration) Choice {
+	l := u.predictLoad(r.Now)
+	prompt := float64(max(0, r.PromptTokens-cached))
+	first := (l.prefill + prompt) / l.capacity
+	// Each step of a batch produces one token per running request.
+	decode := (l.running + 1) * float64(max(1, r.OutputTokens)) / l.capacity
+	cost := first + decode
+	if mismatch(r, u) {
+		cost *= rolePenalty
+	}
+	if limit := u.limit.Load(); limit > 0 {
+		over := float64(u.Tokens()+int64(r.PromptTokens+r.OutputTokens)) / float64(limit)
+		cost *= max(1, over)
+	}
+	return Choice{
+		Upstream:   u,
+		FirstToken: distance + seconds(first),
+		cost:       distance + seconds(cost),
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
