Admit requests to engines before routing them

A flood used to reach the engines whole, and urgent work waited behind it in their prefill queues.

Each daemon now queues work per pool and model, sized by the adaptive limits of the data centre's engines times its share, and releases it with the real token counts. Work that the data centre cannot start in time may use a small part of another one that still meets the target.

The limit now starts at 1 s, grows fast until the first excess, ignores answers to requests sent before its last change, and judges the wait inside an engine by the strictest profile.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -8,12 +8,14 @@
 	pressureHigh = 0.9
 	// pressureLow is the part of a target below which a limit in use may grow.
 	pressureLow = 0.7
-	// limitDecrease is the factor of one decrease; limitIncrease adds that part
-	// of the initial limit in one increase.
-	limitDecrease = 0.9
-	limitIncrease = 0.05
-	// limitInterval is the shortest time between two changes: the effect of a
-	// change shows only in answers that started after it.
+	// limitDecreaseMin and limitDecreaseMax bound the factor of one decrease.
+	limitDecreaseMin = 0.7
+	limitDecreaseMax = 0.95
+	// limitIncrease is the factor of one increase, limitStart the factor until the
+	// first decrease, when the right limit may still be far away.
+	limitIncrease = 1.05
+	limitStart    = 1.25
+	// limitInterval is the shortest time between two changes.
 	limitInterval = 500 * time.Millisecond
 	// limitFloor is the smallest part of the initial limit.
 	limitFloor = 0.1
@@ -28,9 +30,11 @@
 
 // Sample is what one answer of an engine showed.
 type Sample struct {
-	// FirstToken is the time from dispatch to the first token, FirstTokenTarget
-	// what remained of the profile's target at dispatch.
-	FirstToken, FirstTokenTarget time.Duration
+	// Sent is when the request was sent to the engine.
+	Sent time.Time
+	// Queued is the time that the request waited in the engine before its prefill,
+	// QueuedTarget the longest wait that the strictest profile allows.
+	Queued, QueuedTarget time.Duration
 	// Token is the mean time between tokens, TokenTarget the profile's target.
 	Token, TokenTarget time.Duration
 }
@@ -38,8 +42,8 @@
 // pressure returns how far the sample used its targets, 1 for the whole target.
 func (s Sample) pressure() float64 {
 	p := 0.0
-	if s.FirstTokenTarget > 0 {
-		p = max(p, float64(s.FirstToken)/float64(s.FirstTokenTarget))
+	if s.QueuedTarget > 0 {
+		p = max(p, float64(s.Queued)/float64(s.QueuedTarget))
 	}
 	if s.TokenTarget > 0 {
 		p = max(p, float64(s.Token)/float64(s.TokenTarget))
@@ -47,11 +51,13 @@
 	return p
 }
 
-// Limit is the adaptive concurrency limit of one engine: additive increase while
-// answers stay well within their targets, multiplicative decrease otherwise.
+// Limit is the adaptive concurrency limit of one engine: it grows slowly while
+// answers stay well within their targets and requests wait, and shrinks with the
+// excess over the targets.
 type Limit struct {
 	opts    LimitOptions
 	value   float64
+	settled bool
 	changed time.Time
 }
 
@@ -62,16 +68,20 @@
 func (l *Limit) Tokens() float64 { return l.value }
 
 // Observe adapts the limit to one answer. Waiting tells whether requests wait
-// for capacity: a limit that is not reached has no reason to grow.
+// for capacity: a limit that is not reached has no reason to grow. Answers to
+// requests that were sent before the last change do not show its effect yet.
 func (l *Limit) Observe(now time.Time, s Sample, waiting bool) {
-	if now.Sub(l.changed) < limitInterval {
+	if now.Sub(l.changed) < limitInterval || s.Sent.Before(l.changed) {
 		return
 	}
 	switch p := s.pressure(); {
 	case p > pressureHigh:
-		l.set(now, l.value*limitDecrease)
+		l.settled = true
+		l.set(now, l.value*max(limitDecreaseMin, min(pressureHigh/p, limitDecreaseMax)))
+	case p < pressureLow && waiting && l.settled:
+		l.set(now, l.value*limitIncrease)
 	case p < pressureLow && waiting:
-		l.set(now, l.value+l.opts.Initial*limitIncrease)
+		l.set(now, l.value*limitStart)
 	}
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -107,6 +107,10 @@
 	q.capacity = c
 }
 
+// Unlimited tells that no engine of the data centre is known to serve, so that
+// there is no capacity to share out.
+func (q *Queue) Unlimited() bool { return q.capacity.InFlight <= 0 }
+
 // limit is the work, in tokens, that this daemon may have in flight.
 func (q *Queue) limit() float64 { return q.capacity.InFlight * q.capacity.Share }
 
--- /dev/null
+++ b/internal/daemon/admission.go
@@ -0,0 +1,435 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/admission"
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/routing"
+)
+
+const (
+	// bytesPerToken is the usual mean for text; the engine reports the real count
+	// with the answer.
+	bytesPerToken = 4
+	// initialLimitSeconds is the work, in seconds of an engine's capacity, that it
+	// may hold before its limit has adapted.
+	initialLimitSeconds = 1
+	// queuedShare is the part of the strictest target for the first token that a
+	// request may wait inside an engine.
+	queuedShare = 0.5
+	// remoteDelay is the extra round trip to another data centre.
+	remoteDelay = 10 * time.Millisecond
+	// spillShare is the part of a remote engine's limit that this daemon uses when
+	// its own data centre cannot meet a target. It is small because every daemon
+	// of every other data centre may do the same at once.
+	spillShare = 0.1
+	// prefillDecay is applied to the fastest prefill seen with every answer.
+	prefillDecay = 0.999
+)
+
+// queueKey identifies the engines that a queue stands for.
+type queueKey struct {
+	pool  string
+	model string
+}
+
+// engineQueue is the queue before the engines that serve one model of a pool.
+type engineQueue struct {
+	queue   *admission.Queue
+	waiters map[*admission.Ticket]chan struct{}
+	// prefill is the fastest prefill seen lately, in tokens per second.
+	prefill float64
+	// queuedTarget is the longest wait inside an engine that the strictest profile
+	// allows.
+	queuedTarget time.Duration
+}
+
+// gate admits requests to engines.
+type gate struct {
+	daemon  *Daemon
+	choices atomic.Uint64
+
+	mu        sync.Mutex
+	predictor *admission.Predictor
+	queues    map[queueKey]*engineQueue
+	// limits holds the adaptive limit of each engine by VM id.
+	limits map[string]*admission.Limit
+	// peers is the demand, in tokens per second, that the other daemons of the
+	// data centre reported; daemons is their number with this one.
+	peers   []float64
+	daemons int
+}
+
+func newGate(d *Daemon) *gate {
+	return &gate{
+		daemon:    d,
+		predictor: admission.NewPredictor(),
+		queues:    map[queueKey]*engineQueue{},
+		limits:    map[string]*admission.Limit{},
+		daemons:   1,
+	}
+}
+
+// run keeps capacities up to date.
+func (a *gate) run() error {
+	every(a.daemon.context(), a.daemon.settings.Timing.StatusInterval.Std(), a.refresh)
+	return nil
+}
+
+func (a *gate) refresh(context.Context) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	waiting := 0
+	for key, e := range a.queues {
+		a.update(key, e)
+		a.dispatch(e)
+		waiting += e.queue.Waiting()
+	}
+	a.daemon.metrics.Waiting.Set(int64(waiting))
+}
+
+// SetPeerDemand stores the demand, in tokens per second, that the other daemons of
+// the data centre reported.
+func (a *gate) SetPeerDemand(demand []float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.peers = demand
+}
+
+// Demand returns the work offered to this daemon, in tokens per second.
+func (a *gate) Demand() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.demand()
+}
+
+func (a *gate) demand() float64 {
+	total := 0.0
+	for _, e := range a.queues {
+		total += e.queue.Demand()
+	}
+	return total
+}
+
+// observeVMs counts the daemons of the data centre.
+func (a *gate) observeVMs(vms []port.VM) {
+	count := 0
+	for _, vm := range vms {
+		if vm.Kind == port.KindDaemon && vm.State == port.VMLive && vm.DataCentre == a.daemon.settings.DataCentre {
+			count++
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.daemons = max(1, count)
+}
+
+// queue returns the queue for a request, creating it when it is missing.
+func (a *gate) queue(g *generation) *engineQueue {
+	key := queueKey{pool: g.profile.Pool, model: g.profile.Model}
+	e, ok := a.queues[key]
+	if !ok {
+		e = &engineQueue{
+			queue:   admission.NewQueue(a.options(), a.predictor),
+			waiters: map[*admission.Ticket]chan struct{}{},
+		}
+		a.queues[key] = e
+		a.update(key, e)
+	}
+	return e
+}
+
+func (a *gate) options() admission.Options {
+	o := admission.Options{MaxWaiting: a.daemon.settings.Limits.QueueRequests}
+	if s := a.daemon.config.Snapshot(); s != nil {
+		o.MinShares = admission.MinShares(s.Document)
+	}
+	return o
+}
+
+// update takes over the configuration and what the engines report.
+func (a *gate) update(key queueKey, e *engineQueue) {
+	table := a.daemon.fleet.Table()
+	if table == nil {
+		return
+	}
+	e.queue.SetOptions(a.options())
+	e.queuedTarget = a.queuedTarget(key)
+	capacity := admission.Capacity{
+		PrefillPerSecond: e.prefill,
+		Share:            admission.Share(a.demand(), a.peers, a.daemons),
+	}
+	for _, u := range table.Pool(key.pool) {
+		a.addEngine(&capacity, key, u)
+	}
+	e.queue.SetCapacity(capacity)
+}
+
+// queuedTarget returns the longest wait inside an engine that the strictest profile
+// of the queue allows, or 0.
+func (a *gate) queuedTarget(key queueKey) time.Duration {
+	snapshot := a.daemon.config.Snapshot()
+	if snapshot == nil {
+		return 0
+	}
+	var strictest int64
+	for _, p := range snapshot.Document.Profiles {
+		if p.Pool == key.pool && p.Model == key.model && (strictest == 0 || p.FirstTokenMS < strictest) {
+			strictest = p.FirstTokenMS
+		}
+	}
+	return time.Duration(queuedShare * float64(strictest) * float64(time.Millisecond))
+}
+
+// addEngine adds what an engine of the data centre can do. Engines of other data
+// centres are the capacity of the daemons there.
+func (a *gate) addEngine(c *admission.Capacity, key queueKey, u *routing.Upstream) {
+	report := u.Report()
+	if report == nil || report.Status.Model != key.model {
+		return
+	}
+	c.Largest = max(c.Largest, float64(report.Status.KVCapacity))
+	limit := a.limit(u, report)
+	u.SetLimit(int64(limit.Tokens()))
+	if u.VM.DataCentre != a.daemon.settings.DataCentre || !u.Serving() {
+		return
+	}
+	c.TokensPerSecond += float64(report.Status.Capacity)
+	c.InFlight += limit.Tokens()
+}
+
+func (a *gate) limit(u *routing.Upstream, report *routing.Report) *admission.Limit {
+	l, ok := a.limits[u.VM.ID]
+	if !ok {
+		l = admission.NewLimit(admission.LimitOptions{
+			Initial: initialLimitSeconds * float64(report.Status.Capacity),
+			Max:     float64(report.Status.KVCapacity),
+		})
+		a.limits[u.VM.ID] = l
+	}
+	return l
+}
+
+// permit allows one request to run. A permit without a ticket is for engines of
+// another data centre, or for a data centre without engines.
+type permit struct {
+	gate     *gate
+	queue    *engineQueue
+	ticket   *admission.Ticket
+	request  admission.Request
+	output   int
+	upstream *routing.Upstream
+	sent     time.Time
+}
+
+// acquire waits until a request may start. The error is a refusal that did not run.
+func (a *gate) acquire(ctx context.Context, g *generation) (*permit, error) {
+	a.mu.Lock()
+	p := a.newPermit(g)
+	if p.queue.queue.Unlimited() {
+		// Without an engine in the data centre there is nothing to wait for;
+		// routing finds another data centre or refuses.
+		a.mu.Unlock()
+		return p, nil
+	}
+	now := time.Now()
+	t, refused := p.queue.queue.Offer(now, p.request)
+	if refused != nil {
+		a.mu.Unlock()
+		return a.spill(g, p, refused)
+	}
+	p.ticket = t
+	ready := make(chan struct{})
+	p.queue.waiters[t] = ready
+	a.dispatch(p.queue)
+	a.mu.Unlock()
+	if err := p.wait(ctx, ready); err != nil {
+		return nil, err
+	}
+	a.daemon.metrics.Admitted.Add(1)
+	return p, nil
+}
+
+func (a *gate) newPermit(g *generation) *permit {
+	prompt := (len(g.prompt) + bytesPerToken - 1) / bytesPerToken
+	return &permit{
+		gate:  a,
+		queue: a.queue(g),
+		request: admission.Request{
+			Profile:      g.profile,
+			Organisation: g.call.organisation,
+			Weight:       g.snapshot.Weight(g.call.organisation),
+			PromptTokens: prompt,
+			MaxTokens:    g.maxTokens,
+			Arrived:      g.call.started,
+		},
+		output: a.predictor.Output(g.profile.Name, 0, g.maxTokens),
+	}
+}
+
+// dispatch starts the requests that fit.
+func (a *gate) dispatch(e *engineQueue) {
+	for _, t := range e.queue.Grant(time.Now()) {
+		close(e.waiters[t])
+		delete(e.waiters, t)
+	}
+}
+
+// wait blocks until the request starts, is refused for its target, or its caller
+// leaves.
+func (p *permit) wait(ctx context.Context, ready <-chan struct{}) error {
+	timer := time.NewTimer(time.Until(p.ticket.StartBy()) + time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-ready:
+		return nil
+	case <-ctx.Done():
+		return p.giveUp(func(q *admission.Queue) bool { return q.Cancel(p.ticket) })
+	case <-timer.C:
+		return p.giveUp(func(q *admission.Queue) bool { return q.Expire(time.Now(), p.ticket) })
+	}
+}
+
+// giveUp takes the request out of the queue, unless it has just started.
+func (p *permit) giveUp(leave func(*admission.Queue) bool) error {
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	if !leave(p.queue.queue) {
+		return nil
+	}
+	delete(p.queue.waiters, p.ticket)
+	p.gate.dispatch(p.queue)
+	if r := p.ticket.Refusal(); r != nil {
+		return r
+	}
+	return refusal.New(refusal.Overloaded, "the caller left before the request started")
+}
+
+// spill admits a refused request to another data centre that can still meet the
+// target, within a small part of the engines there.
+func (a *gate) spill(g *generation, p *permit, refused *refusal.Error) (*permit, error) {
+	if refused.Code != refusal.Overloaded {
+		return nil, refused
+	}
+	g.permit = p
+	choice := a.daemon.fleet.Table().Choose(a.request(g))
+	if !choice.Remote || choice.FirstToken > p.budget(time.Now()) {
+		return nil, refused
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limit, ok := a.limits[choice.Upstream.VM.ID]
+	if !ok || float64(choice.Upstream.Tokens()+p.tokens()) > spillShare*limit.Tokens() {
+		return nil, refused
+	}
+	a.daemon.metrics.Spilled.Add(1)
+	return p, nil
+}
+
+func (p *permit) tokens() int64 { return int64(p.request.PromptTokens + p.output) }
+
+// budget returns what remains until the target for the first token.
+func (p *permit) budget(now time.Time) time.Duration {
+	target := time.Duration(p.request.Profile.FirstTokenMS) * time.Millisecond
+	return max(time.Millisecond, target-now.Sub(p.request.Arrived))
+}
+
+// request describes a generation to routing.
+func (a *gate) request(g *generation) routing.Request {
+	now := time.Now()
+	prefix, prefixTokens := routing.PrefixOf(g.prompt)
+	r := routing.Request{
+		Pool:         g.profile.Pool,
+		Model:        g.profile.Model,
+		DataCentre:   a.daemon.settings.DataCentre,
+		Excluded:     g.excluded,
+		Now:          now,
+		Rand:         rand.New(rand.NewPCG(a.daemon.deps.Seed, a.choices.Add(1))),
+		Prefix:       prefix,
+		PrefixTokens: prefixTokens,
+		RemoteDelay:  remoteDelay,
+	}
+	if g.permit != nil {
+		r.PromptTokens = g.permit.request.PromptTokens
+		r.OutputTokens = g.permit.output
+		r.Budget = g.permit.budget(now)
+	}
+	return r
+}
+
+// begin counts an attempt at an engine as in flight; the returned function ends it.
+func (p *permit) begin(u *routing.Upstream) func() {
+	p.upstream = u
+	p.sent = time.Now()
+	return u.BeginWork(p.sent, p.request.PromptTokens, p.output)
+}
+
+// progress corrects the predicted output of a running request.
+func (p *permit) progress(produced int) {
+	if p.ticket == nil || produced%progressTokens != 0 {
+		return
+	}
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.queue.queue.Progress(p.ticket, produced)
+}
+
+// progressTokens is the number of output tokens between two corrections.
+const progressTokens = 64
+
+// release ends a request with its real token counts.
+func (p *permit) release(g *generation) {
+	now := time.Now()
+	p.gate.mu.Lock()
+	defer p.gate.mu.Unlock()
+	p.observe(now, g)
+	if p.ticket == nil {
+		return
+	}
+	p.queue.queue.Release(now, p.ticket, p.usage(g))
+	p.gate.dispatch(p.queue)
+}
+
+func (p *permit) usage(g *generation) admission.Usage {
+	u := admission.Usage{PromptTokens: p.request.PromptTokens, OutputTokens: g.assembler.Next()}
+	if g.last.Done {
+		u = admission.Usage{PromptTokens: g.last.PromptTokens, OutputTokens: g.last.OutputTokens, Whole: true}
+	}
+	return u
+}
+
+// observe adapts the engine's limit to an answer of a single attempt. Answers that
+// were resumed say nothing about one engine.
+func (p *permit) observe(now time.Time, g *generation) {
+	if p.upstream == nil || g.firstToken.Before(p.sent) || !g.last.Done {
+		return
+	}
+	first := g.firstToken.Sub(p.sent)
+	if first > 0 {
+		p.queue.prefill = max(p.queue.prefill*prefillDecay, float64(g.last.PromptTokens)/first.Seconds())
+	}
+	limit, ok := p.gate.limits[p.upstream.VM.ID]
+	if !ok {
+		return
+	}
+	sample := admission.Sample{Sent: p.sent, Queued: first - p.prefillTime(g), QueuedTarget: p.queue.queuedTarget}
+	if n := g.last.OutputTokens - 1; n > 0 {
+		sample.Token = now.Sub(g.firstToken) / time.Duration(n)
+		sample.TokenTarget = time.Duration(g.profile.TokenMS) * time.Millisecond
+	}
+	limit.Observe(now, sample, p.queue.queue.Waiting() > 0)
+}
+
+// prefillTime returns the time that the prompt takes on an idle engine.
+func (p *permit) prefillTime(g *generation) time.Duration {
+	if p.queue.prefill <= 0 {
+		return 0
+	}
+	return time.Duration(float64(g.last.PromptTokens) / p.queue.prefill * float64(time.Second))
+}
--- /dev/null
+++ b/internal/daemon/admission_test.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/profile"
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+const backgroundProfile = "feed-history"
+
+// urgentBound is the target for the first token plus 20 tokens of 10 ms each.
+const urgentBound = 1100 * time.Millisecond
+
+// floodDocument adds background work to the usual configuration.
+func floodDocument() *profile.Document {
+	doc := document()
+	background := doc.Profiles[0]
+	background.Name, background.Rank, background.FirstTokenMS = backgroundProfile, profile.Background, 3000
+	doc.Profiles = append(doc.Profiles, background)
+	return doc
+}
+
+// floodResult is one reply with what its request was.
+type floodResult struct {
+	id      string
+	profile string
+	took    time.Duration
+	reply   reply
+}
+
+// flooder sends requests at once and collects the replies.
+type flooder struct {
+	c       *cluster
+	group   sync.WaitGroup
+	mu      sync.Mutex
+	results []floodResult
+}
+
+func (f *flooder) send(ctx context.Context, daemon, id, profileName string) {
+	prompt := fmt.Sprintf("%s tokens=20 %s", id, strings.Repeat("history ", 100))
+	body, err := json.Marshal(completionRequest{Model: profileName, Prompt: prompt, MaxTokens: 40})
+	if err != nil {
+		f.c.t.Fatal(err)
+	}
+	f.group.Go(func() {
+		start := time.Now()
+		header := http.Header{refusal.HeaderRequestID: {id}}
+		got := f.c.do(ctx, daemon, http.MethodPost, "/v1/completions", header, body)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.results = append(f.results, floodResult{id: id, profile: profileName, took: time.Since(start), reply: got})
+	})
+}
+
+// Guards against urgent work that waits behind a background flood, a refusal that
+// says "not run" of a request that an engine has started or gives no time to
+// retry, and capacity that is lost when callers leave the queue.
+func TestBackgroundFloodLeavesUrgentWorkAlone(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		engine := c.addEngine("engine-1", "anand", standin.EngineOptions{Capacity: 4000, PrefillRate: 4000})
+		c.addDaemon("daemon-1", "anand")
+		c.addDaemon("daemon-2", "anand")
+		c.publish("r1", 0, floodDocument())
+		c.awaitReady()
+		time.Sleep(2 * time.Second)
+		f := &flooder{c: c}
+		impatient, leave := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+		defer leave()
+		for i := range 600 {
+			daemon := fmt.Sprintf("daemon-%d", 1+i%2)
+			ctx := context.Background()
+			if i%10 == 0 {
+				ctx = impatient
+			}
+			f.send(ctx, daemon, fmt.Sprint("background-", i), backgroundProfile)
+			if i%20 == 0 {
+				f.send(context.Background(), daemon, fmt.Sprint("urgent-", i), testProfile)
+			}
+			time.Sleep(time.Duration(c.rng.IntN(20)) * time.Millisecond)
+		}
+		f.group.Wait()
+		refused := 0
+		for _, r := range f.results {
+			if r.profile == testProfile && (r.reply.status != http.StatusOK || r.took > urgentBound) {
+				c.t.Errorf("%s answered %d after %s", r.id, r.reply.status, r.took)
+			}
+			if r.reply.refusal == nil {
+				continue
+			}
+			refused++
+			got := r.reply.refusal
+			if got.Code != refusal.Overloaded || got.Outcome != refusal.NotRun || got.RetryAfterMS <= 0 || engine.Runs(r.id) != 0 {
+				c.t.Errorf("%s refused with %+v after %d runs", r.id, got, engine.Runs(r.id))
+			}
+		}
+		if refused == 0 {
+			c.t.Errorf("nothing was refused of a flood above capacity")
+		}
+		c.checkGatesEmpty()
+	})
+}
+
+// checkGatesEmpty checks that no daemon counts work in flight or waiting.
+func (c *cluster) checkGatesEmpty() {
+	for name, d := range c.daemons {
+		d.admission.mu.Lock()
+		for key, e := range d.admission.queues {
+			if e.queue.Running() != 0 || e.queue.Waiting() != 0 || len(e.waiters) != 0 {
+				c.t.Errorf("%s: %v has %g tokens in flight, %d waiting", name, key, e.queue.Running(), e.queue.Waiting())
+			}
+		}
+		d.admission.mu.Unlock()
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,7 @@
 	tomb      tomb.Tomb
 	config    *configFollower
 	fleet     *fleet
+	admission *gate
 	claims    *claims
 	burn      *burn.Tracker
 	decisions *decision.Ring
@@ -87,6 +88,7 @@
 	)
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
+	d.admission = newGate(d)
 	d.claims = newClaims(d)
 	return d
 }
@@ -116,6 +118,7 @@
 	d.tomb.Go(d.config.run)
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
+	d.tomb.Go(d.admission.run)
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
 		zap.String("caller-address", d.settings.Listen.Caller),
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -44,6 +44,7 @@
 		f.daemon.log.Debug("VM list is unavailable", zap.Error(err))
 		return
 	}
+	f.daemon.admission.observeVMs(snapshot.VMs)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	upstreams := make(map[string]*routing.Upstream, len(snapshot.VMs))
--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -31,6 +31,7 @@
 	maxTokens int
 	out       *responder
 
+	permit     *permit
 	assembler  answer.Assembler
 	excluded   map[string]bool
 	firstToken time.Time
@@ -40,7 +41,13 @@
 // generate runs a request until its answer is whole.
 func (d *Daemon) generate(ctx context.Context, g *generation) error {
 	g.excluded = map[string]bool{}
-	err := d.attempts(ctx, g)
+	var err error
+	if g.permit, err = d.admission.acquire(ctx, g); err != nil {
+		d.account(g, err)
+		return err
+	}
+	defer g.permit.release(g)
+	err = d.attempts(ctx, g)
 	if err == nil {
 		err = g.out.Finish(g.last)
 	}
@@ -85,12 +92,7 @@
 }
 
 func (d *Daemon) route(g *generation, attempt int) *routing.Upstream {
-	u := d.fleet.Table().Pick(routing.Request{
-		Pool:       g.profile.Pool,
-		Model:      g.profile.Model,
-		DataCentre: d.settings.DataCentre,
-		Excluded:   g.excluded,
-	})
+	u := d.fleet.Table().Pick(d.admission.request(g))
 	verdict := "none"
 	if u != nil {
 		verdict = u.VM.ID
@@ -112,7 +114,7 @@
 
 // attempt runs one attempt at an engine from the position reached.
 func (d *Daemon) attempt(ctx context.Context, g *generation, u *routing.Upstream, number int) error {
-	defer u.Begin()()
+	defer g.permit.begin(u)()
 	d.metrics.Attempts.Add(1)
 	if number > 1 {
 		d.metrics.Resumed.Add(1)
@@ -157,6 +159,7 @@
 }
 
 func (g *generation) deliver(chunk port.Chunk) error {
+	g.permit.progress(g.assembler.Next())
 	if g.firstToken.IsZero() {
 		g.firstToken = time.Now()
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -19,6 +19,11 @@
 	// Attempts counts attempts at engines; Resumed counts those after the first.
 	Attempts expvar.Int
 	Resumed  expvar.Int
+	// Admitted counts requests that were admitted to the data centre's engines,
+	// Spilled those that were sent to another one; Waiting is the queue's length.
+	Admitted expvar.Int
+	Spilled  expvar.Int
+	Waiting  expvar.Int
 	// ChunksDropped counts late and repeated chunks.
 	ChunksDropped expvar.Int
 	// LogErrors counts failed operations on the log service.
@@ -35,6 +40,9 @@
 	m.vars.Set("refused", &m.Refused)
 	m.vars.Set("attempts", &m.Attempts)
 	m.vars.Set("resumed", &m.Resumed)
+	m.vars.Set("admitted", &m.Admitted)
+	m.vars.Set("spilled", &m.Spilled)
+	m.vars.Set("waiting", &m.Waiting)
 	m.vars.Set("chunks_dropped", &m.ChunksDropped)
 	m.vars.Set("log_errors", &m.LogErrors)
 	m.vars.Set("revision", &m.Revision)
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -94,10 +94,18 @@
 
 // usable tells whether the upstream may get new work of the request.
 func (u *Upstream) usable(r *Request) bool {
-	if u.VM.State == port.VMLeaving || u.draining.Load() {
+	if len(r.Excluded) > 0 && r.Excluded[u.VM.ID] {
 		return false
 	}
-	if len(r.Excluded) > 0 && r.Excluded[u.VM.ID] {
+	if !u.Serving() {
+		return false
+	}
+	return u.VM.Kind != port.KindEngine || u.Report().Status.Model == r.Model
+}
+
+// Serving tells whether the upstream takes new work.
+func (u *Upstream) Serving() bool {
+	if u.VM.State == port.VMLeaving || u.draining.Load() {
 		return false
 	}
 	if u.VM.Kind != port.KindEngine {
@@ -107,8 +115,7 @@
 	if report == nil || report.Failed {
 		return false
 	}
-	s := &report.Status
-	return s.Phase == port.PhaseServing && !s.Leaving && s.Model == r.Model
+	return report.Status.Phase == port.PhaseServing && !report.Status.Leaving
 }
 
 // load is what an upstream is predicted to have to do.
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -65,7 +65,7 @@
 	down        chan struct{}
 	downUntil   time.Time
 	silenced    chan struct{}
-	prefill     chan struct{}
+	prefill     prefillQueue
 	orders      []port.Order
 	runs        map[string]int
 	cancels     map[string]context.CancelFunc
@@ -78,7 +78,6 @@
 		opts:     opts,
 		down:     make(chan struct{}),
 		silenced: make(chan struct{}),
-		prefill:  make(chan struct{}, 1),
 		runs:     map[string]int{},
 		cancels:  map[string]context.CancelFunc{},
 	}
@@ -276,14 +275,15 @@
 	if e.opts.PrefillRate <= 0 {
 		return
 	}
+	turn := e.prefill.enter(r.req.Priority)
+	defer e.prefill.leave(turn)
 	select {
-	case e.prefill <- struct{}{}:
+	case <-turn:
 	case <-r.ctx.Done():
 		return
 	case <-r.down:
 		panic(http.ErrAbortHandler)
 	}
-	defer func() { <-e.prefill }()
 	seconds := float64(PromptTokens(r.req.Prompt)) / e.opts.PrefillRate
 	e.wait(r, time.Duration(seconds*float64(time.Second)))
 }
