--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -21,37 +21,21 @@
 	limitFloor = 0.1
 )
 
-// LimitOptions configures a Limit. Both values are in tokens of prompt and output.
+// LimitOptions configures a Limit. Both values are in tokens.
 type LimitOptions struct {
 	Initial float64
-	// Max is the most that the engine can hold, its KV cache.
-	Max float64
+	Max     float64
 }
 
-// Sample is what one answer of an engine showed.
+// Sample is one delay that an answer of an engine showed.
 type Sample struct {
 	// Sent is when the request was sent to the engine.
 	Sent time.Time
-	// Queued is the time that the request waited in the engine before its prefill,
-	// QueuedTarget the longest wait that the strictest profile allows.
-	Queued, QueuedTarget time.Duration
-	// Token is the mean time between tokens, TokenTarget the profile's target.
-	Token, TokenTarget time.Duration
+	// Delay is what was measured, Target the longest delay allowed.
+	Delay, Target time.Duration
 }
 
-// pressure returns how far the sample used its targets, 1 for the whole target.
-func (s Sample) pressure() float64 {
-	p := 0.0
-	if s.QueuedTarget > 0 {
-		p = max(p, float64(s.Queued)/float64(s.QueuedTarget))
-	}
-	if s.TokenTarget > 0 {
-		p = max(p, float64(s.Token)/float64(s.TokenTarget))
-	}
-	return p
-}
-
-// Limit is the adaptive concurrency limit of one engine: it grows slowly while
+// Limit is an adaptive limit on the work inside one engine: it grows slowly while
 // answers stay well within their targets and requests wait, and shrinks with the
 // excess over the targets.
 type Limit struct {
@@ -64,17 +48,17 @@
 // NewLimit returns a limit with its initial value.
 func NewLimit(o LimitOptions) *Limit { return &Limit{opts: o, value: min(o.Initial, o.Max)} }
 
-// Tokens returns the work, in tokens, that the engine may hold.
+// Tokens returns the limit in tokens.
 func (l *Limit) Tokens() float64 { return l.value }
 
 // Observe adapts the limit to one answer. Waiting tells whether requests wait
 // for capacity: a limit that is not reached has no reason to grow. Answers to
 // requests that were sent before the last change do not show its effect yet.
 func (l *Limit) Observe(now time.Time, s Sample, waiting bool) {
-	if now.Sub(l.changed) < limitInterval || s.Sent.Before(l.changed) {
+	if now.Sub(l.changed) < limitInterval || s.Sent.Before(l.changed) || s.Target <= 0 {
 		return
 	}
-	switch p := s.pressure(); {
+	switch p := float64(s.Delay) / float64(s.Target); {
 	case p > pressureHigh:
 		l.settled = true
 		l.set(now, l.value*max(limitDecreaseMin, min(pressureHigh/p, limitDecreaseMax)))
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -50,6 +50,10 @@
 	// PrefillPerSecond is the speed at which one engine reads a prompt, in tokens
 	// per second; 0 when it is not known.
 	PrefillPerSecond float64
+	// Reading is the prompt tokens that all engines may have to read at once,
+	// before the first token of their requests; 0 means no limit. It keeps the
+	// wait inside engines short, so that the order of this queue counts.
+	Reading float64
 	// InFlight is the work, in tokens, that all engines may hold at once.
 	InFlight float64
 	// Largest is the most, in tokens, that one engine can ever hold; 0 when it is
@@ -66,6 +70,8 @@
 	// waiting and running are predicted costs in tokens.
 	waiting float64
 	running float64
+	// reading is the prompt tokens of requests without a first token.
+	reading float64
 	// credit is the guaranteed service, in tokens, that the rank has not had yet.
 	credit float64
 	// dispatched counts tokens in the current window; rate is in tokens per second.
@@ -250,8 +256,26 @@
 }
 
 func (q *Queue) fits(r int) bool {
-	cost := q.ranks[r].profiles.head().cost
-	return q.Running() == 0 || q.Running()+cost <= q.limit() || q.fitsMinimum(r)
+	return q.Running() == 0 || q.fitsTotal(q.ranks[r].profiles.head()) || q.fitsMinimum(r)
+}
+
+// fitsTotal tells whether a request fits beside all that is in flight.
+func (q *Queue) fitsTotal(t *Ticket) bool {
+	if q.Running()+t.cost > q.limit() {
+		return false
+	}
+	reading := 0.0
+	for i := range q.ranks {
+		reading += q.ranks[i].reading
+	}
+	return q.fitsReading(reading, t, 1)
+}
+
+// fitsReading tells whether a prompt fits beside reading tokens of others in a
+// share of the limit. One prompt always fits, however long it is.
+func (q *Queue) fitsReading(reading float64, t *Ticket, share float64) bool {
+	limit := q.capacity.Reading * q.capacity.Share * share
+	return limit <= 0 || reading == 0 || reading+float64(t.PromptTokens) <= limit
 }
 
 // fitsMinimum tells whether the next request of a rank fits in the rank's own
@@ -263,7 +287,8 @@
 		return false
 	}
 	state := &q.ranks[r]
-	return state.running == 0 || state.running+state.profiles.head().cost <= share*q.limit()
+	head := state.profiles.head()
+	return state.running == 0 || state.running+head.cost <= share*q.limit() && q.fitsReading(state.reading, head, share)
 }
 
 func (q *Queue) start(now time.Time, rank int) *Ticket {
@@ -272,6 +297,8 @@
 	r.count--
 	r.waiting = nonNegative(r.waiting - t.cost)
 	r.running += t.cost
+	r.reading += float64(t.PromptTokens)
+	t.reading = true
 	r.dispatched += t.cost
 	q.credit(rank, t.cost)
 	t.state = Running
@@ -305,6 +332,16 @@
 	return max(creditBurst, r.profiles.head().cost)
 }
 
+// FirstToken notes that a running request's prompt was read.
+func (q *Queue) FirstToken(t *Ticket) {
+	if !t.reading {
+		return
+	}
+	t.reading = false
+	r := &q.ranks[t.rank]
+	r.reading = nonNegative(r.reading - float64(t.PromptTokens))
+}
+
 // Progress corrects the predicted cost of a running request by the output tokens
 // that it has produced.
 func (q *Queue) Progress(t *Ticket, produced int) {
@@ -335,6 +372,7 @@
 		q.predictor.Observe(t.Profile.Name, u.OutputTokens)
 	}
 	actual := float64(u.PromptTokens + u.OutputTokens)
+	q.FirstToken(t)
 	q.refund(t, t.cost-actual)
 	q.ranks[t.rank].running = nonNegative(q.ranks[t.rank].running - t.cost)
 	t.state = Released
@@ -405,9 +443,12 @@
 	r := &q.ranks[t.rank]
 	room = max(room, q.opts.MinShares[t.rank]*q.limit()-r.running)
 	missing := ahead + t.cost - room
-	if missing <= 0 || (q.Running() == 0 || r.running == 0 && q.opts.MinShares[t.rank] > 0) && ahead == 0 {
+	if missing <= 0 && q.readable(t) || (q.Running() == 0 || r.running == 0 && q.opts.MinShares[t.rank] > 0) && ahead == 0 {
 		return 0
 	}
+	if missing <= 0 || !q.readable(t) {
+		missing = ahead + t.cost
+	}
 	rate := q.rankRate(t.rank)
 	if rate <= 0 {
 		return unknownWait
@@ -416,6 +457,13 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// readable tells whether the prompt of a new request fits now.
+func (q *Queue) readable(t *Ticket) bool {
+	r := &q.ranks[t.rank]
+	share := q.opts.MinShares[t.rank]
+	return r.waiting == 0 && (q.fitsTotal(t) || share > 0 && q.fitsReading(r.reading, t, share))
+}
+
 // ahead returns the work, in tokens, that starts before a new request: the more
 // urgent ranks, and in its own rank what its organisation's weight lets pass.
 func (q *Queue) ahead(t *Ticket) float64 {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -19,6 +19,7 @@
 
 const (
 	testLimit   = 10000.0
+	testReading = 6000.0
 	testWaiting = 8
 	testLargest = 8000
 )
@@ -57,7 +58,7 @@
 func newHarness() *harness {
 	h := &harness{now: time.Unix(1000, 0)}
 	h.q = NewQueue(Options{MinShares: testShares, MaxWaiting: testWaiting}, NewPredictor())
-	h.q.SetCapacity(Capacity{TokensPerSecond: 1000, InFlight: testLimit, Largest: testLargest, Share: 1})
+	h.q.SetCapacity(Capacity{TokensPerSecond: 1000, InFlight: testLimit, Reading: testReading, Largest: testLargest, Share: 1})
 	return h
 }
 
@@ -71,6 +72,17 @@
 	return total
 }
 
+// reading returns the prompt tokens of a rank's requests without a first token.
+func (h *harness) reading(rank int) float64 {
+	total := 0.0
+	for _, t := range h.running {
+		if t.rank == rank && t.reading {
+			total += float64(t.PromptTokens)
+		}
+	}
+	return total
+}
+
 func (h *harness) largest(rank int) float64 {
 	largest := 0.0
 	for _, t := range h.waiting {
@@ -102,6 +114,9 @@
 		if got, want := h.q.ranks[r].running, h.sum(running, r); math.Abs(got-want) > 1e-6 {
 			return fmt.Errorf("rank %d has %g tokens in flight, the model %g", r, got, want)
 		}
+		if got, want := h.q.ranks[r].reading, h.reading(r); math.Abs(got-want) > 1e-6 {
+			return fmt.Errorf("rank %d has %g tokens to read, the model %g", r, got, want)
+		}
 		if got, want := h.q.ranks[r].waiting, h.sum(waiting, r); math.Abs(got-want) > 1e-6 {
 			return fmt.Errorf("rank %d has %g tokens waiting, the model %g", r, got, want)
 		}
@@ -116,15 +131,23 @@
 		credit[r] = max(creditBurst, h.largest(r))
 	}
 	urgent, running := h.largest(0), h.q.Running()
+	reading := h.reading(0) + h.reading(1) + h.reading(2)
 	total, left := 0.0, h.sum(h.waiting, 0)
+	read := readingModel{total: reading, ranks: [3]float64{h.reading(0), h.reading(1), h.reading(2)}}
+	for r := range read.running {
+		read.running[r] = h.sum(h.running, r)
+	}
 	for _, t := range h.q.Grant(h.now) {
 		total += t.cost
+		if err := read.start(t); err != nil {
+			return err
+		}
 		if t.rank == 0 {
 			left -= t.cost
 			continue
 		}
 		credit[t.rank] -= t.cost
-		if left > 0 && running+total+urgent <= testLimit && credit[t.rank]+testShares[t.rank]*total < -1e-6 {
+		if left > 0 && running+total+urgent <= testLimit && reading+total+urgent <= testReading && credit[t.rank]+testShares[t.rank]*total < -1e-6 {
 			return fmt.Errorf("rank %d started before urgent work that fits", t.rank)
 		}
 	}
@@ -136,13 +159,34 @@
 	}
 	for r, share := range testShares {
 		cost := h.largest(r)
-		if cost > 0 && h.sum(h.running, r)+cost <= share*testLimit {
+		if cost > 0 && h.sum(h.running, r)+cost <= share*testLimit && h.reading(r)+cost <= share*testReading {
 			return fmt.Errorf("rank %d waits below its share: %g in flight", r, h.sum(h.running, r))
 		}
 	}
 	return nil
 }
 
+// readingModel counts the prompts that engines have to read.
+type readingModel struct {
+	total   float64
+	ranks   [3]float64
+	running [3]float64
+}
+
+// start checks that a prompt fits in total, in its rank's share, or as the only one.
+func (m *readingModel) start(t *Ticket) error {
+	prompt, rank := float64(t.PromptTokens), t.rank
+	fits := m.total == 0 || m.total+prompt <= testReading
+	fitsShare := m.ranks[rank] == 0 || m.running[rank] == 0 || m.ranks[rank]+prompt <= testShares[rank]*testReading
+	if !fits && !fitsShare && m.running != [3]float64{} {
+		return fmt.Errorf("a prompt of %g tokens started beside %g", prompt, m.total)
+	}
+	m.total += prompt
+	m.ranks[rank] += prompt
+	m.running[rank] += t.cost
+	return nil
+}
+
 // step is one command; it returns an error when the queue and the model differ.
 func step(name string, run func(h *harness) error) commands.Command {
 	return &commands.ProtoCommand{
@@ -207,6 +251,7 @@
 			return nil
 		}
 		t := h.running[n%len(h.running)]
+		h.q.FirstToken(t)
 		h.q.Progress(t, n%200)
 		if t.cost < float64(t.PromptTokens+t.produced) {
 			return fmt.Errorf("cost %g is below the %d tokens produced", t.cost, t.produced)
@@ -298,6 +343,7 @@
 			f.served[t.rank] += t.cost
 			f.orgs[fmt.Sprint(t.rank, t.Organisation)] += t.cost
 			running = append(running, t)
+			h.q.FirstToken(t)
 		}
 		i := f.rng.IntN(len(running))
 		t := running[i]
@@ -386,6 +432,7 @@
 	}
 }
 
+// grantAll starts what fits on engines that read prompts at once.
 func (h *harness) grantAll() {
 	for i := 0; i < len(h.running); i++ {
 		if h.running[i].state != Running {
@@ -393,5 +440,8 @@
 			i--
 		}
 	}
-	h.running = append(h.running, h.q.Grant(h.now)...)
+	for _, t := range h.q.Grant(h.now) {
+		h.q.FirstToken(t)
+		h.running = append(h.running, t)
+	}
 }
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -47,9 +47,11 @@
 	rank     int
 	cost     float64
 	produced int
-	startBy  time.Time
-	started  time.Time
-	refusal  *refusal.Error
+	// reading is set from the start until the first token.
+	reading bool
+	startBy time.Time
+	started time.Time
+	refusal *refusal.Error
 }
 
 // State returns where the request stands.
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -17,9 +17,9 @@
 	// bytesPerToken is the usual mean for text; the engine reports the real count
 	// with the answer.
 	bytesPerToken = 4
-	// initialLimitSeconds is the work, in seconds of an engine's capacity, that it
-	// may hold before its limit has adapted.
-	initialLimitSeconds = 1
+	// defaultHeldSeconds is the work, in seconds of its capacity, that an engine of
+	// unknown cache size may hold.
+	defaultHeldSeconds = 60
 	// queuedShare is the part of the strictest target for the first token that a
 	// request may wait inside an engine.
 	queuedShare = 0.5
@@ -33,6 +33,14 @@
 	prefillDecay = 0.999
 )
 
+// engineLimits are the adaptive limits of one engine, in tokens.
+type engineLimits struct {
+	// reading limits prompts without a first token by the wait that it causes.
+	reading *admission.Limit
+	// held limits all work by the time between tokens that it causes.
+	held *admission.Limit
+}
+
 // queueKey identifies the engines that a queue stands for.
 type queueKey struct {
 	pool  string
@@ -50,39 +58,39 @@
 	queuedTarget time.Duration
 }
 
-// gate admits requests to engines.
-type gate struct {
+// admitter admits requests to engines.
+type admitter struct {
 	daemon  *Daemon
 	choices atomic.Uint64
 
 	mu        sync.Mutex
 	predictor *admission.Predictor
 	queues    map[queueKey]*engineQueue
-	// limits holds the adaptive limit of each engine by VM id.
-	limits map[string]*admission.Limit
+	// limits holds the adaptive limits of each engine by VM id.
+	limits map[string]*engineLimits
 	// peers is the demand, in tokens per second, that the other daemons of the
 	// data centre reported; daemons is their number with this one.
 	peers   []float64
 	daemons int
 }
 
-func newGate(d *Daemon) *gate {
-	return &gate{
+func newAdmitter(d *Daemon) *admitter {
+	return &admitter{
 		daemon:    d,
 		predictor: admission.NewPredictor(),
 		queues:    map[queueKey]*engineQueue{},
-		limits:    map[string]*admission.Limit{},
+		limits:    map[string]*engineLimits{},
 		daemons:   1,
 	}
 }
 
 // run keeps capacities up to date.
-func (a *gate) run() error {
+func (a *admitter) run() error {
 	every(a.daemon.context(), a.daemon.settings.Timing.StatusInterval.Std(), a.refresh)
 	return nil
 }
 
-func (a *gate) refresh(context.Context) {
+func (a *admitter) refresh(context.Context) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	waiting := 0
@@ -96,20 +104,20 @@
 
 // SetPeerDemand stores the demand, in tokens per second, that the other daemons of
 // the data centre reported.
-func (a *gate) SetPeerDemand(demand []float64) {
+func (a *admitter) SetPeerDemand(demand []float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.peers = demand
 }
 
 // Demand returns the work offered to this daemon, in tokens per second.
-func (a *gate) Demand() float64 {
+func (a *admitter) Demand() float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.demand()
 }
 
-func (a *gate) demand() float64 {
+func (a *admitter) demand() float64 {
 	total := 0.0
 	for _, e := range a.queues {
 		total += e.queue.Demand()
@@ -118,7 +126,7 @@
 }
 
 // observeVMs counts the daemons of the data centre.
-func (a *gate) observeVMs(vms []port.VM) {
+func (a *admitter) observeVMs(vms []port.VM) {
 	count := 0
 	for _, vm := range vms {
 		if vm.Kind == port.KindDaemon && vm.State == port.VMLive && vm.DataCentre == a.daemon.settings.DataCentre {
@@ -131,7 +139,7 @@
 }
 
 // queue returns the queue for a request, creating it when it is missing.
-func (a *gate) queue(g *generation) *engineQueue {
+func (a *admitter) queue(g *generation) *engineQueue {
 	key := queueKey{pool: g.profile.Pool, model: g.profile.Model}
 	e, ok := a.queues[key]
 	if !ok {
@@ -145,7 +153,7 @@
 	return e
 }
 
-func (a *gate) options() admission.Options {
+func (a *admitter) options() admission.Options {
 	o := admission.Options{MaxWaiting: a.daemon.settings.Limits.QueueRequests}
 	if s := a.daemon.config.Snapshot(); s != nil {
 		o.MinShares = admission.MinShares(s.Document)
@@ -154,7 +162,7 @@
 }
 
 // update takes over the configuration and what the engines report.
-func (a *gate) update(key queueKey, e *engineQueue) {
+func (a *admitter) update(key queueKey, e *engineQueue) {
 	table := a.daemon.fleet.Table()
 	if table == nil {
 		return
@@ -173,7 +181,7 @@
 
 // queuedTarget returns the longest wait inside an engine that the strictest profile
 // of the queue allows, or 0.
-func (a *gate) queuedTarget(key queueKey) time.Duration {
+func (a *admitter) queuedTarget(key queueKey) time.Duration {
 	snapshot := a.daemon.config.Snapshot()
 	if snapshot == nil {
 		return 0
@@ -189,47 +197,60 @@
 
 // addEngine adds what an engine of the data centre can do. Engines of other data
 // centres are the capacity of the daemons there.
-func (a *gate) addEngine(c *admission.Capacity, key queueKey, u *routing.Upstream) {
+func (a *admitter) addEngine(c *admission.Capacity, key queueKey, u *routing.Upstream) {
 	report := u.Report()
 	if report == nil || report.Status.Model != key.model {
 		return
 	}
 	c.Largest = max(c.Largest, float64(report.Status.KVCapacity))
-	limit := a.limit(u, report)
-	u.SetLimit(int64(limit.Tokens()))
+	limits := a.engineLimits(u, report, a.queues[key])
+	u.SetLimit(int64(limits.held.Tokens()))
 	if u.VM.DataCentre != a.daemon.settings.DataCentre || !u.Serving() {
 		return
 	}
 	c.TokensPerSecond += float64(report.Status.Capacity)
-	c.InFlight += limit.Tokens()
+	c.InFlight += limits.held.Tokens()
+	c.Reading += limits.reading.Tokens()
 }
 
-func (a *gate) limit(u *routing.Upstream, report *routing.Report) *admission.Limit {
+// engineLimits returns an engine's limits. They start with what the engine reports
+// and adapt from there.
+func (a *admitter) engineLimits(u *routing.Upstream, report *routing.Report, e *engineQueue) *engineLimits {
 	l, ok := a.limits[u.VM.ID]
-	if !ok {
-		l = admission.NewLimit(admission.LimitOptions{
-			Initial: initialLimitSeconds * float64(report.Status.Capacity),
-			Max:     float64(report.Status.KVCapacity),
-		})
-		a.limits[u.VM.ID] = l
+	if ok {
+		return l
 	}
+	held := float64(report.Status.KVCapacity)
+	if held <= 0 {
+		held = defaultHeldSeconds * float64(report.Status.Capacity)
+	}
+	reading := float64(report.Status.Capacity) * e.queuedTarget.Seconds()
+	l = &engineLimits{
+		reading: admission.NewLimit(admission.LimitOptions{Initial: reading, Max: held}),
+		held:    admission.NewLimit(admission.LimitOptions{Initial: held, Max: held}),
+	}
+	a.limits[u.VM.ID] = l
 	return l
 }
 
 // permit allows one request to run. A permit without a ticket is for engines of
 // another data centre, or for a data centre without engines.
 type permit struct {
-	gate     *gate
+	admitter *admitter
 	queue    *engineQueue
 	ticket   *admission.Ticket
 	request  admission.Request
 	output   int
 	upstream *routing.Upstream
 	sent     time.Time
+	// read is set after the first token; corrected is the output at the last
+	// correction. Only the request's own goroutine uses them.
+	read      bool
+	corrected int
 }
 
 // acquire waits until a request may start. The error is a refusal that did not run.
-func (a *gate) acquire(ctx context.Context, g *generation) (*permit, error) {
+func (a *admitter) acquire(ctx context.Context, g *generation) (*permit, error) {
 	a.mu.Lock()
 	p := a.newPermit(g)
 	if p.queue.queue.Unlimited() {
@@ -256,11 +277,11 @@
 	return p, nil
 }
 
-func (a *gate) newPermit(g *generation) *permit {
+func (a *admitter) newPermit(g *generation) *permit {
 	prompt := (len(g.prompt) + bytesPerToken - 1) / bytesPerToken
 	return &permit{
-		gate:  a,
-		queue: a.queue(g),
+		admitter: a,
+		queue:    a.queue(g),
 		request: admission.Request{
 			Profile:      g.profile,
 			Organisation: g.call.organisation,
@@ -274,7 +295,7 @@
 }
 
 // dispatch starts the requests that fit.
-func (a *gate) dispatch(e *engineQueue) {
+func (a *admitter) dispatch(e *engineQueue) {
 	for _, t := range e.queue.Grant(time.Now()) {
 		close(e.waiters[t])
 		delete(e.waiters, t)
@@ -298,13 +319,13 @@
 
 // giveUp takes the request out of the queue, unless it has just started.
 func (p *permit) giveUp(leave func(*admission.Queue) bool) error {
-	p.gate.mu.Lock()
-	defer p.gate.mu.Unlock()
+	p.admitter.mu.Lock()
+	defer p.admitter.mu.Unlock()
 	if !leave(p.queue.queue) {
 		return nil
 	}
 	delete(p.queue.waiters, p.ticket)
-	p.gate.dispatch(p.queue)
+	p.admitter.dispatch(p.queue)
 	if r := p.ticket.Refusal(); r != nil {
 		return r
 	}
@@ -313,7 +334,7 @@
 
 // spill admits a refused request to another data centre that can still meet the
 // target, within a small part of the engines there.
-func (a *gate) spill(g *generation, p *permit, refused *refusal.Error) (*permit, error) {
+func (a *admitter) spill(g *generation, p *permit, refused *refusal.Error) (*permit, error) {
 	if refused.Code != refusal.Overloaded {
 		return nil, refused
 	}
@@ -324,8 +345,8 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	limit, ok := a.limits[choice.Upstream.VM.ID]
-	if !ok || float64(choice.Upstream.Tokens()+p.tokens()) > spillShare*limit.Tokens() {
+	limits, ok := a.limits[choice.Upstream.VM.ID]
+	if !ok || float64(choice.Upstream.Tokens()+p.tokens()) > spillShare*limits.held.Tokens() {
 		return nil, refused
 	}
 	a.daemon.metrics.Spilled.Add(1)
@@ -341,7 +362,7 @@
 }
 
 // request describes a generation to routing.
-func (a *gate) request(g *generation) routing.Request {
+func (a *admitter) request(g *generation) routing.Request {
 	now := time.Now()
 	prefix, prefixTokens := routing.PrefixOf(g.prompt)
 	r := routing.Request{
@@ -372,11 +393,18 @@
 
 // progress corrects the predicted output of a running request.
 func (p *permit) progress(produced int) {
-	if p.ticket == nil || produced%progressTokens != 0 {
+	first := !p.read && produced > 0
+	if p.ticket == nil || !first && produced < p.corrected+progressTokens {
 		return
 	}
-	p.gate.mu.Lock()
-	defer p.gate.mu.Unlock()
+	p.corrected = produced
+	p.admitter.mu.Lock()
+	defer p.admitter.mu.Unlock()
+	if first {
+		p.read = true
+		p.queue.queue.FirstToken(p.ticket)
+		p.admitter.dispatch(p.queue)
+	}
 	p.queue.queue.Progress(p.ticket, produced)
 }
 
@@ -386,14 +414,14 @@
 // release ends a request with its real token counts.
 func (p *permit) release(g *generation) {
 	now := time.Now()
-	p.gate.mu.Lock()
-	defer p.gate.mu.Unlock()
+	p.admitter.mu.Lock()
+	defer p.admitter.mu.Unlock()
 	p.observe(now, g)
 	if p.ticket == nil {
 		return
 	}
 	p.queue.queue.Release(now, p.ticket, p.usage(g))
-	p.gate.dispatch(p.queue)
+	p.admitter.dispatch(p.queue)
 }
 
 func (p *permit) usage(g *generation) admission.Usage {
@@ -414,16 +442,18 @@
 	if first > 0 {
 		p.queue.prefill = max(p.queue.prefill*prefillDecay, float64(g.last.PromptTokens)/first.Seconds())
 	}
-	limit, ok := p.gate.limits[p.upstream.VM.ID]
+	limits, ok := p.admitter.limits[p.upstream.VM.ID]
 	if !ok {
 		return
 	}
-	sample := admission.Sample{Sent: p.sent, Queued: first - p.prefillTime(g), QueuedTarget: p.queue.queuedTarget}
+	waiting := p.queue.queue.Waiting() > 0
+	queued := admission.Sample{Sent: p.sent, Delay: first - p.prefillTime(g), Target: p.queue.queuedTarget}
+	limits.reading.Observe(now, queued, waiting)
 	if n := g.last.OutputTokens - 1; n > 0 {
-		sample.Token = now.Sub(g.firstToken) / time.Duration(n)
-		sample.TokenTarget = time.Duration(g.profile.TokenMS) * time.Millisecond
+		interval := now.Sub(g.firstToken) / time.Duration(n)
+		target := time.Duration(g.profile.TokenMS) * time.Millisecond
+		limits.held.Observe(now, admission.Sample{Sent: p.sent, Delay: interval, Target: target}, waiting)
 	}
-	limit.Observe(now, sample, p.queue.queue.Waiting() > 0)
 }
 
 // prefillTime returns the time that the prompt takes on an idle engine.
--- a/internal/daemon/admission_test.go
+++ b/internal/daemon/admission_test.go
@@ -105,12 +105,12 @@
 		if refused == 0 {
 			c.t.Errorf("nothing was refused of a flood above capacity")
 		}
-		c.checkGatesEmpty()
+		c.checkAdmittersEmpty()
 	})
 }
 
-// checkGatesEmpty checks that no daemon counts work in flight or waiting.
-func (c *cluster) checkGatesEmpty() {
+// checkAdmittersEmpty checks that no daemon counts work in flight or waiting.
+func (c *cluster) checkAdmittersEmpty() {
 	for name, d := range c.daemons {
 		d.admission.mu.Lock()
 		for key, e := range d.admission.queues {
