--- /dev/null
+++ b/internal/admission/limit.go
@@ -0,0 +1,75 @@
+package admission
+
+import "time"
+
+const (
+	// pressureHigh is the part of a target above which the limit shrinks. It
+	// leaves room for the delay until a smaller limit shows.
+	pressureHigh = 0.9
+	// pressureLow is the part of a target below which a limit in use may grow.
+	pressureLow = 0.7
+	// limitDecreaseMin and limitDecreaseMax bound the factor of one decrease.
+	limitDecreaseMin = 0.7
+	limitDecreaseMax = 0.95
+	// limitIncrease is the factor of one increase, limitStart the factor until the
+	// first decrease, when the right limit may still be far away.
+	limitIncrease = 1.05
+	limitStart    = 1.25
+	// limitInterval is the shortest time between two changes.
+	limitInterval = 500 * time.Millisecond
+	// limitFloor is the smallest part of the initial limit.
+	limitFloor = 0.1
+)
+
+// LimitOptions configures a Limit. Both values are in tokens.
+type LimitOptions struct {
+	Initial float64
+	Max     float64
+}
+
+// Sample is one delay that an answer of an engine showed.
+type Sample struct {
+	// Sent is when the request was sent to the engine.
+	Sent time.Time
+	// Delay is what was measured, Target the longest delay allowed.
+	Delay, Target time.Duration
+}
+
+// Limit is an adaptive limit on the work inside one engine: it grows slowly while
+// answers stay well within their targets and requests wait, and shrinks with the
+// excess over the targets.
+type Limit struct {
+	opts    LimitOptions
+	value   float64
+	settled bool
+	changed time.Time
+}
+
+// NewLimit returns a limit with its initial value.
+func NewLimit(o LimitOptions) *Limit { return &Limit{opts: o, value: min(o.Initial, o.Max)} }
+
+// Tokens returns the limit in tokens.
+func (l *Limit) Tokens() float64 { return l.value }
+
+// Observe adapts the limit to one answer. Waiting tells whether requests wait
+// for capacity: a limit that is not reached has no reason to grow. Answers to
+// requests that were sent before the last change do not show its effect yet.
+func (l *Limit) Observe(now time.Time, s Sample, waiting bool) {
+	if now.Sub(l.changed) < limitInterval || s.Sent.Before(l.changed) || s.Target <= 0 {
+		return
+	}
+	switch p := float64(s.Delay) / float64(s.Target); {
+	case p > pressureHigh:
+		l.settled = true
+		l.set(now, l.value*max(limitDecreaseMin, min(pressureHigh/p, limitDecreaseMax)))
+	case p < pressureLow && waiting && l.settled:
+		l.set(now, l.value*limitIncrease)
+	case p < pressureLow && waiting:
+		l.set(now, l.value*limitStart)
+	}
+}
+
+func (l *Limit) set(now time.Time, value float64) {
+	l.changed = now
+	l.value = max(l.opts.Initial*limitFloor, min(value, l.opts.Max))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	tomb      tomb.Tomb
 	config    *configFollower
 	fleet     *fleet
+	admission *admitter
 	gossip    *gossip
 	claims    *claims
 	burn      *burn.Tracker
@@ -88,6 +89,7 @@
 	)
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
+	d.admission = newAdmitter(d)
 	d.gossip = newGossip(d)
 	d.claims = newClaims(d)
 	return d
@@ -119,6 +121,7 @@
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
 	d.tomb.Go(d.runBurn)
+	d.tomb.Go(d.admission.run)
 	d.tomb.Go(d.gossip.run)
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
