--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"time"
@@ -116,7 +118,9 @@
 func newConn(raw net.Conn, handle handlerFunc) *jsonrpc2.Conn {
 	stream := jsonrpc2.NewPlainObjectStream(raw)
 	handler := jsonrpc2.HandlerWithError(handle).SuppressErrClosed()
-	return jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(handler))
+	// The library logs answers that come after their call was given up.
+	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+	return jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(handler), quiet)
 }
 
 type handlerFunc = func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error)
--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -42,33 +42,46 @@
 // do sends one request and decodes the response into out when the status is 2xx
 // or 410. It returns the status, or 0 when no response arrived.
 func (c client) do(ctx context.Context, method, path string, in, out any) (int, error) {
+	status, _, err := c.doTagged(ctx, method, path, "", in, out)
+	return status, err
+}
+
+// doTagged is do with the entity tag that the client holds already; with status
+// 304 out is left alone. It returns the tag of the response.
+func (c client) doTagged(ctx context.Context, method, path, tag string, in, out any) (int, string, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
-			return 0, trace.Wrap(err)
+			return 0, "", trace.Wrap(err)
 		}
 		body = bytes.NewReader(data)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
-		return 0, trace.Wrap(err)
+		return 0, "", trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return 0, trace.Wrap(err)
+		return 0, "", trace.Wrap(err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return resp.StatusCode, tag, nil
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	if err != nil {
-		return 0, trace.Wrap(err)
+		return 0, "", trace.Wrap(err)
 	}
 	if resp.StatusCode >= 300 && resp.StatusCode != http.StatusGone {
-		return resp.StatusCode, fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, bytes.TrimSpace(data))
+		return resp.StatusCode, "", fmt.Errorf("%s %s: %s: %s", method, path, resp.Status, bytes.TrimSpace(data))
 	}
 	if err := json.Unmarshal(data, out); err != nil {
-		return resp.StatusCode, trace.Wrap(err, "%s %s", method, path)
+		return resp.StatusCode, "", trace.Wrap(err, "%s %s", method, path)
 	}
-	return resp.StatusCode, nil
+	return resp.StatusCode, resp.Header.Get("ETag"), nil
 }
--- a/internal/adapter/platform/vmlist.go
+++ b/internal/adapter/platform/vmlist.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"sync"
+	"time"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -14,21 +16,42 @@
 	WeightsPath = "/v1/weights"
 )
 
-// VMList is the client of the VM list. It implements port.VMList.
-type VMList struct{ client client }
+// VMList is the client of the VM list. It implements port.VMList. It asks with an
+// entity tag, so that an unchanged list costs a short answer.
+type VMList struct {
+	client client
+
+	mu   sync.Mutex
+	tag  string
+	last port.VMSnapshot
+	// read is when last was read on the local clock.
+	read time.Time
+}
 
 // NewVMList returns a client for the VM list at base.
 func NewVMList(base string, nw network.Network) *VMList {
 	return &VMList{client: newClient(base, nw)}
 }
 
-// List implements port.VMList.
+// List implements port.VMList. The time of an unchanged list is the one of the
+// platform, moved on by the time that has passed here.
 func (l *VMList) List(ctx context.Context) (port.VMSnapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var out port.VMSnapshot
-	_, err := l.client.do(ctx, http.MethodGet, VMsPath, nil, &out)
-	return out, err
+	asked := time.Now()
+	status, tag, err := l.client.doTagged(ctx, http.MethodGet, VMsPath, l.tag, nil, &out)
+	if err != nil {
+		return port.VMSnapshot{}, err
+	}
+	if status == http.StatusNotModified {
+		out = l.last
+		out.Time = out.Time.Add(asked.Sub(l.read))
+	}
+	l.tag, l.last, l.read = tag, out, asked
+	return out, nil
 }
 
 // WeightStore is the client of the weight store. It implements port.WeightStore.
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -89,17 +89,21 @@
 	f.mu.Lock()
 	stale := time.Since(f.confirmed) > vmListStale*f.daemon.settings.Timing.VMListInterval.Std()
 	f.mu.Unlock()
-	return stale || f.chosen(vmListKey, f.daemon.settings.DataCentre)
+	return stale || f.chosen(vmListKey, f.watchersIn(f.daemon.settings.DataCentre))
 }
 
-// chosen tells whether this daemon is one of the watchers for a key.
-func (f *fleet) chosen(key, dataCentre string) bool {
-	live := f.daemon.gossip.liveIn(dataCentre)
-	if len(live) == 0 {
-		// No daemon is left in that data centre, so that the others take over.
-		live = f.daemon.gossip.liveIn("")
+// watchersIn returns the daemons that may watch what is in a data centre.
+func (f *fleet) watchersIn(dataCentre string) []string {
+	if live := f.daemon.gossip.liveIn(dataCentre); len(live) > 0 {
+		return live
 	}
-	top := rendezvous.Top(key, live, watchers)
+	// No daemon is left in that data centre, so that the others take over.
+	return f.daemon.gossip.liveIn("")
+}
+
+// chosen tells whether this daemon is one of the watchers for a key.
+func (f *fleet) chosen(key string, candidates []string) bool {
+	top := rendezvous.Top(key, candidates, watchers)
 	return slices.Contains(top, f.daemon.settings.Listen.Peer)
 }
 
@@ -238,8 +242,13 @@
 		return w.engines
 	}
 	*w = watchList{hash: hash, generation: generation, engines: []*routing.Upstream{}}
+	candidates := map[string][]string{}
 	for _, u := range f.engines() {
-		if f.chosen(u.VM.ID, u.VM.DataCentre) {
+		dc := u.VM.DataCentre
+		if candidates[dc] == nil {
+			candidates[dc] = f.watchersIn(dc)
+		}
+		if f.chosen(u.VM.ID, candidates[dc]) {
 			w.engines = append(w.engines, u)
 		}
 	}
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -28,7 +28,7 @@
 	// maxMemberUpdates, maxEngineChanges and maxLoads bound one message.
 	maxMemberUpdates = 4
 	maxEngineChanges = 2
-	maxLoads         = 24
+	maxLoads         = 16
 	// changeSends is how often a change of an engine is passed on: three times
 	// log2 of 380 daemons.
 	changeSends = 26
@@ -74,12 +74,12 @@
 // on it.
 func (g *gossip) addVMs(vms []port.VM) {
 	now := time.Now()
-	keep := make([]string, 0, len(vms))
+	keep := make([]port.VM, 0, len(vms))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, vm := range vms {
 		if vm.Kind != port.KindService {
-			keep = append(keep, vm.ID)
+			keep = append(keep, vm)
 		}
 		if vm.Kind == port.KindDaemon && vm.PeerAddress != "" {
 			g.members.Add(membership.Member{Address: vm.PeerAddress, Name: vm.ID, DataCentre: vm.DataCentre}, now)
@@ -139,7 +139,7 @@
 			relays = g.members.Relays(target.Address, relayCount)
 		}
 	})
-	if !ok || g.probe(ctx, target.Address) == nil || g.relayed(ctx, target.Address, relays) {
+	if !ok || g.probe(ctx, target) == nil || g.relayed(ctx, target.Address, relays) {
 		return
 	}
 	if ctx.Err() == nil {
@@ -149,11 +149,12 @@
 }
 
 // probe exchanges news with one member.
-func (g *gossip) probe(ctx context.Context, address string) error {
+func (g *gossip) probe(ctx context.Context, target membership.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var answer membership.Message
-	if err := g.daemon.deps.Peers(address).Call(ctx, membership.MethodProbe, g.message(), &answer); err != nil {
+	peer := g.daemon.deps.Peers(target.Address)
+	if err := peer.Call(ctx, membership.MethodProbe, g.message(target), &answer); err != nil {
 		return err
 	}
 	g.receive(answer)
@@ -179,8 +180,8 @@
 	return false
 }
 
-// message returns the news for the next probe or answer.
-func (g *gossip) message() membership.Message {
+// message returns the news for a probe or an answer to a daemon.
+func (g *gossip) message(to membership.Member) membership.Message {
 	hash, at := g.daemon.fleet.version()
 	m := membership.Message{VMsHash: hash, VMsTime: at.UnixMilli()}
 	if s := g.daemon.config.Snapshot(); s != nil {
@@ -190,9 +191,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.From = g.members.Self()
-	m.Members = g.members.Outgoing()
+	m.Members = g.members.Outgoing(to.Address)
 	m.Engines = g.engines.Changes(maxEngineChanges, now)
-	m.Loads = g.engines.Loads(maxLoads, now)
+	m.Loads = g.engines.Loads(to.DataCentre, maxLoads, now)
 	return m
 }
 
@@ -216,7 +217,7 @@
 		return nil, trace.BadParameter("params: %v", err)
 	}
 	g.receive(in)
-	return g.message(), nil
+	return g.message(in.From), nil
 }
 
 func (g *gossip) handleRelay(ctx context.Context, params json.RawMessage) (any, error) {
@@ -224,7 +225,7 @@
 	if err := json.Unmarshal(params, &in); err != nil {
 		return nil, trace.BadParameter("params: %v", err)
 	}
-	return struct{}{}, g.probe(ctx, in.Address)
+	return struct{}{}, g.probe(ctx, membership.Member{Address: in.Address})
 }
 
 func (g *gossip) handleView(context.Context, json.RawMessage) (any, error) {
@@ -272,7 +273,7 @@
 		targets = g.members.Relays("", relayCount)
 	})
 	for _, m := range targets {
-		if err := g.probe(ctx, m.Address); err != nil {
+		if err := g.probe(ctx, m); err != nil {
 			g.daemon.log.Debug("leave not announced", zap.String("peer-address", m.Address), zap.Error(err))
 		}
 	}
--- a/internal/daemon/scale_test.go
+++ b/internal/daemon/scale_test.go
@@ -19,8 +19,12 @@
 const (
 	// scaleWindow is the virtual time over which control work is measured.
 	scaleWindow = 30 * time.Second
-	// scaleProbeInterval is the probe interval at the target size.
-	scaleProbeInterval = time.Second
+	// scaleWarmUp is the virtual time until the news of the start have spread.
+	scaleWarmUp = 2 * time.Minute
+	// Intervals at the target size; docs/CAPACITY.md gives their reasons.
+	scaleProbeInterval  = time.Second
+	scaleStatusInterval = 2 * time.Second
+	scaleVMListInterval = 5 * time.Second
 	// scaleDataCentres is the number of data centres; each has two daemons or more,
 	// since the death of the only daemon of a data centre looks like a cut.
 	scaleDataCentres = 7
@@ -34,7 +38,7 @@
 	if sizes == "" {
 		sizes = "6"
 	}
-	fmt.Println("daemons engines bytes/s messages/s cpu-ms/s heap-MB config-s death-s appends/s")
+	fmt.Println("daemons engines sent-B/s from-platform-B/s from-engines-B/s writes/s cpu-ms/s heap-MB load-age-s config-s death-s appends/s")
 	for field := range strings.SplitSeq(sizes, ",") {
 		n, err := strconv.Atoi(field)
 		if err != nil {
@@ -47,7 +51,11 @@
 func measureScale(t *testing.T, daemons int) {
 	c := newCluster(t, 1)
 	defer c.close()
-	c.adjust = func(s *settings.Settings) { s.Timing.ProbeInterval = settings.Duration(scaleProbeInterval) }
+	c.adjust = func(s *settings.Settings) {
+		s.Timing.ProbeInterval = settings.Duration(scaleProbeInterval)
+		s.Timing.StatusInterval = settings.Duration(scaleStatusInterval)
+		s.Timing.VMListInterval = settings.Duration(scaleVMListInterval)
+	}
 	engines := daemons * 600 / 380
 	dataCentres := min(scaleDataCentres, daemons/2)
 	dataCentre := func(i int) string { return fmt.Sprintf("dc-%d", i%dataCentres) }
@@ -59,27 +67,30 @@
 	}
 	c.publish("r1", 0, document())
 	c.awaitReady()
-	time.Sleep(scaleWindow)
+	time.Sleep(scaleWarmUp)
 	before := c.sample()
 	time.Sleep(scaleWindow)
 	after := c.sample()
 	perDaemon := 1 / float64(daemons) / scaleWindow.Seconds()
+	loadAge := c.meanLoadAge()
 	config := c.timeToConfigure()
 	death := c.timeToKnowDeath()
-	fmt.Printf("%d %d %.0f %.1f %.2f %.2f %.2f %.2f %.2f\n", daemons, engines,
+	fmt.Printf("%d %d %.0f %.0f %.0f %.1f %.2f %.2f %.2f %.2f %.2f %.2f\n", daemons, engines,
 		float64(after.bytes-before.bytes)*perDaemon,
+		float64(after.platform-before.platform)*perDaemon,
+		float64(after.engines-before.engines)*perDaemon,
 		float64(after.writes-before.writes)*perDaemon,
 		float64((after.cpu-before.cpu).Microseconds())/1000*perDaemon,
 		float64(after.memory)/(1<<20)/float64(daemons),
-		config.Seconds(), death.Seconds(),
+		loadAge.Seconds(), config.Seconds(), death.Seconds(),
 		float64(after.appends-before.appends)/scaleWindow.Seconds())
 }
 
 // controlUsage is a sample of what all daemons, and the fakes beside them, have used.
 type controlUsage struct {
-	bytes, writes, appends int64
-	cpu                    time.Duration
-	memory                 uint64
+	bytes, platform, engines, writes, appends int64
+	cpu                                       time.Duration
+	memory                                    uint64
 }
 
 func (c *cluster) sample() controlUsage {
@@ -88,6 +99,10 @@
 		u.bytes += c.net.Sent(name).Bytes.Load()
 		u.writes += c.net.Sent(name).Writes.Load()
 	}
+	u.platform = c.net.Sent(platformHost).Bytes.Load()
+	for name := range c.engines {
+		u.engines += c.net.Sent(name).Bytes.Load()
+	}
 	u.appends = c.platform.Log.Appends()
 	var r syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
@@ -101,6 +116,21 @@
 	return u
 }
 
+// meanLoadAge returns the mean age of what daemons know of the load of engines in
+// their data centre.
+func (c *cluster) meanLoadAge() time.Duration {
+	total, n := time.Duration(0), 0
+	for _, d := range c.daemons {
+		for _, u := range d.fleet.all() {
+			if r := u.Report(); r != nil && u.VM.DataCentre == d.settings.DataCentre {
+				total += time.Since(r.Received)
+				n++
+			}
+		}
+	}
+	return total / time.Duration(max(1, n))
+}
+
 // timeToConfigure publishes a revision and returns when it is in force everywhere.
 func (c *cluster) timeToConfigure() time.Duration {
 	start := time.Now()
--- a/internal/engineview/load.go
+++ b/internal/engineview/load.go
@@ -22,11 +22,11 @@
 	tokenUnit = 64
 )
 
-// Loads packs the load of up to limit engines, the newest first.
-func (v *View) Loads(limit int, now time.Time) []byte {
+// Loads packs the load of up to limit engines of a data centre, the newest first.
+func (v *View) Loads(dataCentre string, limit int, now time.Time) []byte {
 	fresh := make([]*record, 0, len(v.records))
 	for _, r := range v.records {
-		if !r.load.IsZero() && now.Sub(r.load) < maxAge {
+		if r.dataCentre == dataCentre && !r.load.IsZero() && now.Sub(r.load) < maxAge {
 			fresh = append(fresh, r)
 		}
 	}
--- a/internal/engineview/view.go
+++ b/internal/engineview/view.go
@@ -39,10 +39,15 @@
 	AgeMS int64 `json:"a"`
 }
 
+// feedback is how many sends a change counts for when another daemon sends it too
+// (Demers et al., "Epidemic algorithms for replicated database maintenance", 1987).
+const feedback = 3
+
 // record is what the view holds of one engine.
 type record struct {
-	vm  string
-	key uint32
+	vm         string
+	dataCentre string
+	key        uint32
 	// state is the newest observation, load the newest observation of the load.
 	state Observation
 	load  time.Time
@@ -63,12 +68,12 @@
 	return &View{records: map[string]*record{}, byKey: map[uint32]*record{}, maxSends: maxSends}
 }
 
-// Retain forgets all engines but the named ones.
-func (v *View) Retain(vms []string) {
+// Retain forgets all engines but the given ones, and takes in their data centres.
+func (v *View) Retain(vms []port.VM) {
 	keep := make(map[string]bool, len(vms))
 	for _, vm := range vms {
-		keep[vm] = true
-		v.record(vm)
+		keep[vm.ID] = true
+		v.record(vm.ID).dataCentre = vm.DataCentre
 	}
 	for vm, r := range v.records {
 		if !keep[vm] {
@@ -174,6 +179,9 @@
 	}
 	o := Observation{Failed: c.Failed, At: now.Add(-time.Duration(c.AgeMS) * time.Millisecond)}
 	o.Status = withLoad(c.Status, r.state.Status)
+	if !r.state.At.IsZero() && o.slow() == r.state.slow() && o.Failed == r.state.Failed {
+		r.sends = min(r.sends+feedback, v.maxSends)
+	}
 	load := r.load
 	v.Observe(c.VM, o)
 	// A change carries no load, so the age of the known load stays.
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -23,6 +23,10 @@
 // enough to reach everybody with high probability (SWIM, section 4.1).
 const retransmitFactor = 3
 
+// feedback is how many sends a change counts for when it comes back from another
+// daemon.
+const feedback = 3
+
 // State is one daemon's view of the others. It is not safe for concurrent use.
 type State struct {
 	opts    Options
@@ -31,8 +35,16 @@
 	members map[string]*entry
 	// generation grows whenever the set of members or a status changes.
 	generation uint64
-	// order is a random permutation of addresses that probes go through.
-	order []string
+	// local and all are random permutations of addresses that probes go through.
+	local, all probeOrder
+	probes     int
+}
+
+// probeOrder holds the addresses that are still to be probed in this round.
+type probeOrder struct {
+	// dataCentre limits the order to one data centre; empty means all.
+	dataCentre string
+	addresses  []string
 }
 
 // entry is what is known of one member.
@@ -49,7 +61,13 @@
 // New returns a State that knows only the daemon itself.
 func New(self Member, opts Options, rng *rand.Rand) *State {
 	self.Status = Alive
-	return &State{opts: opts, rng: rng, self: self, members: map[string]*entry{}}
+	return &State{
+		opts:    opts,
+		rng:     rng,
+		self:    self,
+		members: map[string]*entry{},
+		local:   probeOrder{dataCentre: self.DataCentre},
+	}
 }
 
 // Self returns the daemon's own statement.
@@ -94,29 +112,43 @@
 	return e.member, true
 }
 
-// NextTarget returns the member to probe next. It goes through all members in a
-// random order, so that each is probed within one round. Dead members are probed
-// too: a daemon may have been paused for long.
+// NextTarget returns the member to probe next: in turn one of the own data centre,
+// because loads of engines travel within it, and one of all. Each goes through
+// its members in a random order, so that every member is probed in each round.
+// Dead members are probed too: a daemon may have been paused for long.
 func (s *State) NextTarget() (Member, bool) {
+	s.probes++
+	if s.probes%2 == 0 {
+		if m, ok := s.next(&s.local); ok {
+			return m, true
+		}
+	}
+	return s.next(&s.all)
+}
+
+func (s *State) next(o *probeOrder) (Member, bool) {
 	for range 2 {
-		for len(s.order) > 0 {
-			address := s.order[0]
-			s.order = s.order[1:]
+		for len(o.addresses) > 0 {
+			address := o.addresses[0]
+			o.addresses = o.addresses[1:]
 			if e, ok := s.members[address]; ok && e.member.Status != Left {
 				return e.member, true
 			}
 		}
-		s.shuffle()
+		s.refill(o)
 	}
 	return Member{}, false
 }
 
-func (s *State) shuffle() {
-	s.order = s.order[:0]
+func (s *State) refill(o *probeOrder) {
 	for _, m := range s.Members() {
-		s.order = append(s.order, m.Address)
+		if o.dataCentre == "" || m.DataCentre == o.dataCentre {
+			o.addresses = append(o.addresses, m.Address)
+		}
 	}
-	s.rng.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
+	s.rng.Shuffle(len(o.addresses), func(i, j int) {
+		o.addresses[i], o.addresses[j] = o.addresses[j], o.addresses[i]
+	})
 }
 
 // Relays returns up to k live members, other than target, that are asked to probe
@@ -166,6 +198,12 @@
 		s.members[m.Address] = &entry{member: m, since: now, heard: now}
 		return true
 	}
+	if m == e.member {
+		// Others know this change already (Demers et al., "Epidemic algorithms for
+		// replicated database maintenance", 1987: feedback).
+		e.sends = min(e.sends, math.MaxInt-feedback) + feedback
+		return false
+	}
 	if !m.newer(e.member) {
 		return false
 	}
@@ -244,9 +282,10 @@
 // centre has enough daemons that one of them was heard within it.
 func (s *State) round() time.Duration { return s.opts.SuspectFor }
 
-// Outgoing returns the changes to put on the next message, the least often sent
-// first.
-func (s *State) Outgoing() []Member {
+// Outgoing returns the changes to put on the next message to an address, the least
+// often sent first. When the receiver does not count as alive the message says so,
+// however often that was sent, so that it can refute.
+func (s *State) Outgoing(to string) []Member {
 	limit := retransmitFactor * int(math.Ceil(math.Log2(float64(len(s.members)+2))))
 	var pending []*entry
 	for _, e := range s.members {
@@ -258,7 +297,10 @@
 		return cmp.Or(cmp.Compare(a.sends, b.sends), cmp.Compare(a.member.Address, b.member.Address))
 	})
 	pending = pending[:min(len(pending), s.opts.MaxUpdates)]
-	out := make([]Member, 0, len(pending))
+	out := make([]Member, 0, len(pending)+1)
+	if e, ok := s.members[to]; ok && e.member.Status != Alive {
+		out = append(out, e.member)
+	}
 	for _, e := range pending {
 		e.sends++
 		out = append(out, e.member)
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -22,22 +22,30 @@
 	return d.Sum64()
 }
 
+// weighted is a node with its weight for some key.
+type weighted struct {
+	node   string
+	weight uint64
+}
+
 // Top returns up to k nodes for a key, the first choice first.
 func Top(key string, nodes []string, k int) []string {
-	type weighted struct {
-		node   string
-		weight uint64
+	best := make([]weighted, 0, k+1)
+	for _, n := range nodes {
+		best = insert(best, weighted{node: n, weight: Weight(key, n)}, k)
 	}
-	ranked := make([]weighted, len(nodes))
-	for i, n := range nodes {
-		ranked[i] = weighted{node: n, weight: Weight(key, n)}
+	out := make([]string, len(best))
+	for i, w := range best {
+		out[i] = w.node
 	}
-	slices.SortFunc(ranked, func(a, b weighted) int {
+	return out
+}
+
+// insert keeps the k nodes of the highest weight in order.
+func insert(best []weighted, w weighted, k int) []weighted {
+	i, _ := slices.BinarySearchFunc(best, w, func(a, b weighted) int {
 		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.node, b.node))
 	})
-	out := make([]string, 0, min(k, len(ranked)))
-	for _, r := range ranked[:min(k, len(ranked))] {
-		out = append(out, r.node)
-	}
-	return out
+	best = slices.Insert(best, i, w)
+	return best[:min(k, len(best))]
 }
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotsill.example/bergamotsill/internal/adapter/platform"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -104,9 +108,21 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	tag := entityTag(snapshot.VMs)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
 	writeJSON(w, http.StatusOK, snapshot)
 }
 
+func entityTag(vms []port.VM) string {
+	// A VM holds only strings, so that it can always be encoded.
+	data, _ := json.Marshal(vms)
+	return fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+}
+
 func (p *Platform) replaceVMs(w http.ResponseWriter, r *http.Request) {
 	var in port.VMSnapshot
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
