--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -91,6 +91,7 @@
 }
 
 func (a *admitter) refresh(context.Context) {
+	a.SetPeerDemand(a.daemon.gossip.exchangeDemand(a.Demand()))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	waiting := 0
@@ -117,6 +118,18 @@
 	return a.demand()
 }
 
+// share returns the part, 0 to 1, of the data centre's capacity that this daemon
+// works from.
+func (a *admitter) share() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.shareLocked()
+}
+
+func (a *admitter) shareLocked() float64 {
+	return admission.Share(a.demand(), a.peers, a.daemons)
+}
+
 func (a *admitter) demand() float64 {
 	total := 0.0
 	for _, e := range a.queues {
@@ -171,7 +184,7 @@
 	e.queuedTarget = a.queuedTarget(key)
 	capacity := admission.Capacity{
 		PrefillPerSecond: e.prefill,
-		Share:            admission.Share(a.demand(), a.peers, a.daemons),
+		Share:            a.shareLocked(),
 	}
 	for _, u := range table.Pool(key.pool) {
 		a.addEngine(&capacity, key, u)
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -296,6 +296,19 @@
 	}
 }
 
+// daemonsIn returns the listed daemons of a data centre.
+func (f *fleet) daemonsIn(dataCentre string) []port.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []port.VM
+	for _, vm := range f.vms {
+		if vm.Kind == port.KindDaemon && vm.DataCentre == dataCentre {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
 // all returns every upstream, for the status report.
 func (f *fleet) all() []*routing.Upstream {
 	f.mu.Lock()
--- a/internal/engineview/load.go
+++ b/internal/engineview/load.go
@@ -22,6 +22,25 @@
 	tokenUnit = 64
 )
 
+// ObserveLoad takes in a load figure alone, without a state. Daemons spread their
+// own demand this way, as running tokens.
+func (v *View) ObserveLoad(vm string, load port.EngineStatus, at time.Time) {
+	r := v.record(vm)
+	if at.After(r.load) {
+		r.load = at
+		r.state.Status = withLoad(r.state.Status, load)
+	}
+}
+
+// Load returns the newest load figures of a VM and when they were seen.
+func (v *View) Load(vm string) (port.EngineStatus, time.Time) {
+	r, ok := v.records[vm]
+	if !ok {
+		return port.EngineStatus{}, time.Time{}
+	}
+	return r.state.Status, r.load
+}
+
 // Loads packs the load of up to limit engines of a data centre, the newest first.
 func (v *View) Loads(dataCentre string, limit int, now time.Time) []byte {
 	fresh := make([]*record, 0, len(v.records))
