--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -125,6 +125,8 @@
 	}
 	c.client.CloseIdleConnections()
 	c.net.CloseAll()
+	// net/http lingers on connections that it closed after a body too large.
+	time.Sleep(time.Second)
 }
 
 // addEngine starts an engine and lists its VM. Its host has the same name.
