Check every limit of the settings and generate the reference pages

Limits were only checked to be above 0, relations between them not at all, and no page listed the fields.

`go run ./tools/gendocs` writes docs/settings.md, docs/configuration.md and docs/metrics.md from the comments on the structs, so that the text has one place. Comments were added to fields of the configuration document that had none. docs/refusals.md is written by hand.

Proofs, each seen to fail without its guard: a range that is missing, one checked one too far, a password in a URL, a wrong status and a wrong metric name on the pages, a field without a comment, a changed default.

--- a/cmd/bergamotd/main.go
+++ b/cmd/bergamotd/main.go
@@ -27,7 +27,15 @@
 	path := root.Flags().String("settings", "", "settings file in JSON")
 	// The flag exists, so marking it cannot fail.
 	_ = root.MarkFlagRequired("settings")
+	check := root.Flags().Bool("check", false, "check the settings and the files that they name, and exit")
 	root.RunE = func(cmd *cobra.Command, _ []string) error {
+		if *check {
+			if err := daemon.Check(*path); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: valid settings\n", *path)
+			return err
+		}
 		return daemon.Main(cmd.Context(), *path, version.String())
 	}
 	err := root.Execute()
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -7,6 +7,17 @@
 	"bergamotsill.example/bergamotsill/internal/settings"
 )
 
+// Check reads the settings file at path and the files that it names, without
+// starting a daemon.
+func Check(path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	_, err = loadKeys(s.TLS, zap.NewNop())
+	return err
+}
+
 // loadKeys reads the files that the settings name, or returns nil without TLS.
 func loadKeys(t settings.TLS, logger *zap.Logger) (*network.Keys, error) {
 	if !t.Enabled() {
--- a/internal/profile/document.go
+++ b/internal/profile/document.go
@@ -30,6 +30,7 @@
 
 // RankPolicy configures one rank.
 type RankPolicy struct {
+	// Name is urgent, standard or background.
 	Name Rank `json:"name"`
 	// MinShare is the share of a data centre's capacity, 0 to 1, that the rank
 	// keeps while it has work.
@@ -38,6 +39,7 @@
 
 // Pool describes the engines, or the services, of one pool.
 type Pool struct {
+	// Name is the pool's name on the VM list.
 	Name string `json:"name"`
 	// Models are the models that the pool's engines may load.
 	Models []string `json:"models,omitempty"`
@@ -53,9 +55,13 @@
 
 // Profile describes one kind of work and how it is treated.
 type Profile struct {
-	Name  string `json:"name"`
-	Rank  Rank   `json:"rank"`
-	Pool  string `json:"pool"`
+	// Name is what callers put into the field model of a request.
+	Name string `json:"name"`
+	// Rank is urgent, standard or background.
+	Rank Rank `json:"rank"`
+	// Pool names the pool whose engines serve the profile.
+	Pool string `json:"pool"`
+	// Model is the model that serves the profile; the pool must list it.
 	Model string `json:"model"`
 	// FirstTokenMS, TokenMS and TotalMS are targets in milliseconds: until the
 	// first token, between tokens, and for the whole answer.
@@ -63,24 +69,30 @@
 	TokenMS      int64 `json:"token_ms"`
 	TotalMS      int64 `json:"total_ms"`
 	// Worth weighs an answer within its target.
-	Worth           float64 `json:"worth"`
-	MaxOutputTokens int     `json:"max_output_tokens"`
-	MaxPromptTokens int     `json:"max_prompt_tokens"`
+	Worth float64 `json:"worth"`
+	// MaxOutputTokens bounds the answer, MaxPromptTokens the prompt.
+	MaxOutputTokens int `json:"max_output_tokens"`
+	MaxPromptTokens int `json:"max_prompt_tokens"`
 	// RetryShare bounds retries as a share, 0 to 1, of first attempts.
 	RetryShare float64 `json:"retry_share"`
 }
 
 // CallPattern matches calls by method and path.
 type CallPattern struct {
+	// Method is POST, PUT, PATCH or DELETE.
 	Method string `json:"method"`
-	Path   string `json:"path"`
+	// Path is the whole path, without a query.
+	Path string `json:"path"`
 }
 
 // ServiceRoute maps a path prefix to a pool of plain services.
 type ServiceRoute struct {
-	Name       string `json:"name"`
+	// Name identifies the route in logs and refusals.
+	Name string `json:"name"`
+	// PathPrefix selects the calls of the route; the longest prefix wins.
 	PathPrefix string `json:"path_prefix"`
-	Pool       string `json:"pool"`
+	// Pool names the pool of services that serve the route.
+	Pool string `json:"pool"`
 	// ClaimWindowS is how long, in seconds, an idempotency key is remembered.
 	ClaimWindowS int64 `json:"claim_window_s"`
 	// NonRepeatable lists the calls that run at most once per key.
@@ -94,16 +106,24 @@
 
 // Organisation sets an organisation's weight within a rank.
 type Organisation struct {
-	Name   string  `json:"name"`
+	// Name is what callers send in the header Bergamot-Organisation.
+	Name string `json:"name"`
+	// Weight is the organisation's share in relation to others; unlisted ones have
+	// weight 1.
 	Weight float64 `json:"weight"`
 }
 
 // Document is one whole configuration.
 type Document struct {
-	Ranks         []RankPolicy   `json:"ranks"`
-	Pools         []Pool         `json:"pools"`
-	Profiles      []Profile      `json:"profiles"`
-	Services      []ServiceRoute `json:"services,omitempty"`
+	// Ranks are the policies of the ranks; one without a policy has no minimum share.
+	Ranks []RankPolicy `json:"ranks"`
+	// Pools are the pools of engines and of services.
+	Pools []Pool `json:"pools"`
+	// Profiles are the kinds of work that callers may name.
+	Profiles []Profile `json:"profiles"`
+	// Services are the routes to plain services.
+	Services []ServiceRoute `json:"services,omitempty"`
+	// Organisations are those with a weight other than 1.
 	Organisations []Organisation `json:"organisations,omitempty"`
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -44,31 +44,39 @@
 // Settings configures one daemon. They are read once at start.
 type Settings struct {
 	// Name is unique among daemons.
-	Name       string `json:"name"`
+	Name string `json:"name"`
+	// DataCentre is the data centre of the daemon's VM.
 	DataCentre string `json:"data_centre"`
-	Region     string `json:"region"`
+	// Region is the region of the data centre.
+	Region string `json:"region"`
 
 	Listen   Listen   `json:"listen"`
 	Platform Platform `json:"platform"`
-	// Peers are host:port peer addresses to start from, beside the VM list.
-	Peers    []string `json:"peers"`
-	TLS      TLS      `json:"tls"`
-	Limits   Limits   `json:"limits"`
-	Timing   Timing   `json:"timing"`
-	Claims   Claims   `json:"claims"`
-	LogLevel string   `json:"log_level"`
+	// Peers are IP:port peer addresses to start from, beside the VM list.
+	Peers  []string `json:"peers"`
+	TLS    TLS      `json:"tls"`
+	Limits Limits   `json:"limits"`
+	Timing Timing   `json:"timing"`
+	Claims Claims   `json:"claims"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
 }
 
-// Listen holds host:port addresses with a numeric IP.
+// Listen holds IP:port addresses.
 type Listen struct {
+	// Caller is the address for callers.
 	Caller string `json:"caller"`
-	Peer   string `json:"peer"`
+	// Peer is the address for other daemons and for operators.
+	Peer string `json:"peer"`
 }
 
 // Platform holds the base URLs of the platform's services.
 type Platform struct {
-	Log         string `json:"log"`
-	VMList      string `json:"vm_list"`
+	// Log is the base URL of the log service.
+	Log string `json:"log"`
+	// VMList is the base URL of the VM list.
+	VMList string `json:"vm_list"`
+	// WeightStore is the base URL of the weight store.
 	WeightStore string `json:"weight_store"`
 }
 
@@ -108,11 +116,15 @@
 
 // Timing holds intervals and deadlines.
 type Timing struct {
+	// Lease is how long a daemon may issue engine orders without renewing.
 	Lease Duration `json:"lease"`
 	// ClockDrift is the margin that a challenger adds to the lease.
-	ClockDrift     Duration `json:"clock_drift"`
-	ProbeInterval  Duration `json:"probe_interval"`
+	ClockDrift Duration `json:"clock_drift"`
+	// ProbeInterval is the time between two probes of peers.
+	ProbeInterval Duration `json:"probe_interval"`
+	// StatusInterval is the time between two reads of an engine's status.
 	StatusInterval Duration `json:"status_interval"`
+	// VMListInterval is the time between two reads of the VM list.
 	VMListInterval Duration `json:"vm_list_interval"`
 	// Progress is the longest silence allowed on an answer stream.
 	Progress Duration `json:"progress"`
@@ -182,9 +194,9 @@
 }
 
 func (s *Settings) check(list *findings.List) {
-	required(list, "name", s.Name)
-	required(list, "data_centre", s.DataCentre)
-	required(list, "region", s.Region)
+	checkName(list, "name", s.Name)
+	checkName(list, "data_centre", s.DataCentre)
+	checkName(list, "region", s.Region)
 	address(list, "listen.caller", s.Listen.Caller)
 	address(list, "listen.peer", s.Listen.Peer)
 	baseURL(list, "platform.log", s.Platform.Log)
@@ -192,8 +204,8 @@
 	baseURL(list, "platform.weight_store", s.Platform.WeightStore)
 	s.checkPeers(list)
 	s.checkTLS(list)
-	s.checkLimits(list)
-	s.checkTiming(list)
+	checkRanges(list, s)
+	s.checkRelations(list)
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
@@ -242,42 +254,12 @@
 	}
 }
 
-func (s *Settings) checkLimits(list *findings.List) {
-	positive(list, "limits.body_bytes", s.Limits.BodyBytes)
-	positive(list, "limits.queue_requests", int64(s.Limits.QueueRequests))
-	positive(list, "limits.quarantine_entries", int64(s.Limits.QuarantineEntries))
-	positive(list, "limits.decision_records", int64(s.Limits.DecisionRecords))
-	positive(list, "claims.partitions", int64(s.Claims.Partitions))
-	positive(list, "claims.answer_bytes", s.Claims.AnswerBytes)
-}
-
-func (s *Settings) checkTiming(list *findings.List) {
-	t := s.Timing
-	positive(list, "timing.lease", int64(t.Lease))
-	positive(list, "timing.clock_drift", int64(t.ClockDrift))
-	positive(list, "timing.probe_interval", int64(t.ProbeInterval))
-	positive(list, "timing.status_interval", int64(t.StatusInterval))
-	positive(list, "timing.vm_list_interval", int64(t.VMListInterval))
-	positive(list, "timing.progress", int64(t.Progress))
-	positive(list, "timing.unfenced_settle", int64(t.UnfencedSettle))
-	positive(list, "timing.quarantine_hold", int64(t.QuarantineHold))
-	if t.BalancerDelay < 0 {
-		list.Add("timing.balancer_delay", "must not be negative")
-	}
-}
-
 func required(list *findings.List, path, value string) {
 	if value == "" {
 		list.Add(path, "is required")
 	}
 }
 
-func positive(list *findings.List, path string, value int64) {
-	if value <= 0 {
-		list.Add(path, "must be greater than 0")
-	}
-}
-
 func address(list *findings.List, path, value string) {
 	host, port, err := net.SplitHostPort(value)
 	if err != nil {
--- /dev/null
+++ b/tools/gendocs/main.go
@@ -0,0 +1,28 @@
+// Command gendocs writes the reference pages whose source is the code: settings,
+// configuration document and metrics. Run it from the root of the repository.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// pageMode is the mode of a page that did not exist.
+const pageMode = 0o644
+
+func main() {
+	root := flag.String("root", ".", "root of the repository")
+	flag.Parse()
+	for _, p := range pages {
+		content, err := p.write(*root)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(*root, p.path), []byte(content), pageMode)
+		}
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "gendocs: %s: %v\n", p.path, err)
+			os.Exit(1)
+		}
+	}
+}
