--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -131,6 +131,7 @@
 	f.vms = snapshot.VMs
 	f.rebuild()
 	f.daemon.gossip.addVMs(snapshot.VMs)
+	f.daemon.admission.observeVMs(snapshot.VMs)
 }
 
 func hashVMs(vms []port.VM) uint64 {
