Log the request id in the engine and service fakes

A request could be followed through the daemon's log only, and the logs of the fakes were empty. The fakes now log each request with its id as JSON lines; the logger of all programs comes from one package.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -6,15 +6,14 @@
 	"syscall"
 	"time"
 
-	"github.com/gravitational/trace"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/engine"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 	"bergamotsill.example/bergamotsill/internal/adapter/platform"
 	"bergamotsill.example/bergamotsill/internal/adapter/service"
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/settings"
 )
 
@@ -24,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(s.LogLevel)
+	logger, err := jsonlog.New(s.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -74,17 +73,3 @@
 		Version:  version,
 	}
 }
-
-// newLogger returns a logger that writes JSON lines to standard error.
-func newLogger(level string) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	if err := cfg.Level.UnmarshalText([]byte(level)); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	cfg.Sampling = nil
-	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.TimeKey = "time"
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	logger, err := cfg.Build()
-	return logger, trace.Wrap(err)
-}
--- /dev/null
+++ b/internal/jsonlog/logger.go
@@ -0,0 +1,27 @@
+// Package jsonlog creates the loggers of all programs: one JSON object a line on
+// standard error, with field names in kebab-case.
+package jsonlog
+
+import (
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// FieldRequestID is the field that holds a request's id in the logs of every
+// process that the request passes.
+const FieldRequestID = "request-id"
+
+// New returns a logger for a level: debug, info, warn or error.
+func New(level string) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	if err := cfg.Level.UnmarshalText([]byte(level)); err != nil {
+		return nil, trace.BadParameter("log level %q: %v", level, err)
+	}
+	cfg.Sampling = nil
+	cfg.DisableStacktrace = true
+	cfg.EncoderConfig.TimeKey = "time"
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	logger, err := cfg.Build()
+	return logger, trace.Wrap(err)
+}
--- a/internal/standin/root.go
+++ b/internal/standin/root.go
@@ -8,13 +8,18 @@
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
 // crashExitCode is the exit code of an engine process that a request crashed.
 const crashExitCode = 70
 
+// logLevelFlag names the flag of the level of all commands that serve.
+const logLevelFlag = "log-level"
+
 // NewRoot returns the root command of bergamot-standin.
 func NewRoot(version string) *cobra.Command {
 	root := &cobra.Command{
@@ -24,6 +29,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.PersistentFlags().String(logLevelFlag, "info", "debug, info, warn or error")
 	root.AddCommand(
 		newPlatformCommand(),
 		newEngineCommand(),
@@ -35,6 +41,21 @@
 	return root
 }
 
+// serve answers requests at an address and logs them under the process's name.
+func serve(cmd *cobra.Command, listen, name string, h http.Handler) error {
+	level, err := cmd.Flags().GetString(logLevelFlag)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	logger, err := jsonlog.New(level)
+	if err != nil {
+		return err
+	}
+	logger = logger.With(zap.String("process", name))
+	logger.Info("serving", zap.String("address", listen))
+	return trace.Wrap(http.ListenAndServe(listen, LogRequests(h, logger)))
+}
+
 func newPlatformCommand() *cobra.Command {
 	var listen, vms string
 	var retention int
@@ -42,13 +63,13 @@
 	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Serve the log service, the VM list and the weight store",
-		RunE: func(*cobra.Command, []string) error {
+		RunE: func(cmd *cobra.Command, _ []string) error {
 			list, err := ReadVMs(vms)
 			if err != nil {
 				return err
 			}
 			p := NewPlatform(NewLog(retention), NewVMList(lag, list))
-			return http.ListenAndServe(listen, p.Handler())
+			return serve(cmd, listen, "platform", p.Handler())
 		},
 	}
 	flags := cmd.Flags()
@@ -81,10 +102,10 @@
 	cmd := &cobra.Command{
 		Use:   "engine",
 		Short: "Serve a fake model engine",
-		RunE: func(*cobra.Command, []string) error {
+		RunE: func(cmd *cobra.Command, _ []string) error {
 			opts.Role = port.Role(role)
 			opts.Crash = func() { os.Exit(crashExitCode) }
-			return http.ListenAndServe(listen, NewEngine(opts).Handler())
+			return serve(cmd, listen, opts.Name, NewEngine(opts).Handler())
 		},
 	}
 	flags := cmd.Flags()
@@ -105,8 +126,8 @@
 	cmd := &cobra.Command{
 		Use:   "service",
 		Short: "Serve a fake plain service",
-		RunE: func(*cobra.Command, []string) error {
-			return http.ListenAndServe(listen, NewService(name).Handler())
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return serve(cmd, listen, name, NewService(name).Handler())
 		},
 	}
 	flags := cmd.Flags()
