Add benchmark of the decision packages before fake engines

Compares this system with four simpler policies and an upper bound under the same seeded load: mix of long prompts and short exchanges, floods, loss of engines with late reports, and a data centre that is cut off.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 GO ?= go
 SEEDS ?= 20
+SEED ?= 1
 
-.PHONY: build test lint fuzz
+.PHONY: build test lint fuzz bench
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -18,3 +19,7 @@
 # Runs the seeded tests with SEEDS seeds each.
 fuzz:
 	BERGAMOT_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m ./...
+
+# Compares the policies under seeded loads; writes out/bench.json and out/bench.svg.
+bench:
+	$(GO) run ./internal/bench/cmd -seed $(SEED) -out out
--- /dev/null
+++ b/internal/bench/baseline.go
@@ -0,0 +1,125 @@
+package bench
+
+import (
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/routing"
+)
+
+// baselineNode sends every request at once to the engine with the fewest
+// connections that it knows of, in its own data centre if it can.
+type baselineNode struct {
+	*node
+	ranks    bool
+	inFlight map[*engine]int
+	reported map[*engine]port.EngineStatus
+	failed   map[*engine]bool
+}
+
+func newBaseline(ranks bool) func(n *node) decider {
+	return func(n *node) decider {
+		return &baselineNode{
+			node: n, ranks: ranks, inFlight: map[*engine]int{},
+			reported: map[*engine]port.EngineStatus{}, failed: map[*engine]bool{},
+		}
+	}
+}
+
+func (b *baselineNode) arrive(r *request) {
+	best := b.pick(r)
+	if best == nil {
+		r.state = lost
+		return
+	}
+	priority := 1
+	if b.ranks {
+		priority = r.rank
+	}
+	b.inFlight[best]++
+	b.send(r, best, priority)
+}
+
+func (b *baselineNode) pick(r *request) *engine {
+	var best *engine
+	for _, e := range b.w.engines {
+		if e.draining || !e.serving() || !b.reaches(e) {
+			continue
+		}
+		if best == nil || b.score(r, e) < b.score(r, best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// score counts connections. Another data centre and an engine with a role for the
+// other kind of work come after all others.
+func (b *baselineNode) score(r *request, e *engine) int {
+	const last = 1 << 30
+	s := b.reported[e]
+	load := max(b.inFlight[e], s.Running+s.Queued)
+	if e.dc != b.dc {
+		load += last
+	}
+	heavy := routing.PrefillHeavy(r.prompt, r.output)
+	if e.role == port.RolePrefill && !heavy || e.role == port.RoleDecode && heavy {
+		load += last / 2
+	}
+	return load
+}
+
+func (b *baselineNode) report(e *engine, s port.EngineStatus, _ time.Duration) { b.reported[e] = s }
+func (b *baselineNode) tick()                                                  {}
+func (b *baselineNode) firstToken(*job)                                        {}
+func (b *baselineNode) ended(j *job, _ bool) {
+	b.inFlight[j.engine]--
+}
+
+const (
+	// thresholdInterval is the time between two looks of the threshold rule, and
+	// thresholdRatio the ratio of load per engine of one role over the other from
+	// which it changes an engine.
+	thresholdInterval = 5 * time.Second
+	thresholdRatio    = 1.2
+)
+
+// thresholdRoles changes an engine whenever one role has more work per engine than
+// the other, without hysteresis.
+func thresholdRoles(w *world) {
+	w.repeat(thresholdInterval, func() {
+		for dc := range w.fleet.engines {
+			w.thresholdCentre(dc)
+		}
+	})
+}
+
+func (w *world) thresholdCentre(dc int) {
+	var engines, work [2]float64
+	var idle [2]*engine
+	for _, e := range w.engines {
+		if e.dc != dc || !e.serving() || e.draining {
+			continue
+		}
+		i := 0
+		if e.role == port.RoleDecode {
+			i = 1
+		}
+		s := e.status()
+		engines[i]++
+		work[0] += float64(s.QueuedPrefillTokens) * stepPerPrompt.Seconds()
+		work[1] += float64(s.Running) * typicalOutput * (stepPerAnswer + stepBase/typicalBatch).Seconds()
+		idle[i] = e
+	}
+	for i, role := range []port.Role{port.RolePrefill, port.RoleDecode} {
+		other := 1 - i
+		if engines[other] > 1 && work[i]*max(engines[other], 1) > thresholdRatio*work[other]*max(engines[i], 1) {
+			w.roleChanges++
+			idle[other].change(role, func() {})
+			return
+		}
+	}
+}
+
+// typicalOutput is the output that the threshold rule expects of running answers.
+const typicalOutput = 100
--- /dev/null
+++ b/internal/bench/bench_test.go
@@ -0,0 +1,79 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+func testSeeds() []uint64 {
+	count := 3
+	if v, err := strconv.Atoi(os.Getenv("BERGAMOT_SEEDS")); err == nil {
+		count = v
+	}
+	out := make([]uint64, count)
+	for i := range out {
+		out[i] = uint64(i + 1)
+	}
+	return out
+}
+
+// shortScenario is a flood that is short enough for a test.
+func shortScenario() scenario {
+	sc := flood("short", 2, 3)
+	for i := range sc.phases {
+		sc.phases[i].length /= 5
+	}
+	return sc
+}
+
+// Guards against results that depend on anything but the seed, requests that are
+// lost without an outcome, and engine work that is counted for nobody.
+func TestRunsAreRepeatable(t *testing.T) {
+	sc := shortScenario()
+	for _, seed := range testSeeds() {
+		for _, p := range policies() {
+			c := cell{fleet: fleets()[0], policy: p}
+			first, second := c.play(&sc, seed), c.play(&sc, seed)
+			if first != second {
+				t.Errorf("seed %d, %s: two runs gave %+v and %+v", seed, p.name, first, second)
+			}
+		}
+	}
+}
+
+// Guards against a fake engine that runs ahead of its speed, keeps more in its
+// cache or memory than it has, or forgets an attempt.
+func TestEngineKeepsItsLimits(t *testing.T) {
+	for _, seed := range testSeeds() {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		f := fleets()[0]
+		c := &clock{}
+		e := newEngine(c, "engine", 0)
+		requests := generate(&f, []phase{{20 * time.Second, [3]float64{0.5, 0.5, 0.5}}}, []float64{1}, rng)
+		ended, tokens := 0, 0
+		for _, r := range requests {
+			j := &job{request: r, priority: r.rank, engine: e, firsts: func() {}, ended: func(bool) { ended++ }}
+			c.after(r.arrived, func() { e.submit(j) })
+		}
+		for c.now < time.Hour && ended < len(requests) {
+			c.runUntil(c.now + time.Second)
+			if e.held > engineKVTokens || e.inCache > cacheTokens || len(e.running)+len(e.reading) > maxBatch {
+				t.Fatalf("seed %d: %d tokens held, %d cached, %d in the batch", seed, e.held, e.inCache, len(e.running)+len(e.reading))
+			}
+		}
+		var work time.Duration
+		for _, r := range requests {
+			tokens += r.tokens
+			work += r.work
+		}
+		if ended != len(requests) || e.work() != 0 || e.held != 0 {
+			t.Errorf("seed %d: %d of %d attempts ended, %d tokens held", seed, ended, len(requests), e.held)
+		}
+		if work > c.now {
+			t.Errorf("seed %d: %s of work in %s", seed, work, c.now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/clock.go
@@ -0,0 +1,56 @@
+package bench
+
+import (
+	"container/heap"
+	"time"
+)
+
+// epoch is the virtual time at which every run starts.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// clock runs events in the order of their virtual time.
+type clock struct {
+	now    time.Duration
+	next   int
+	events eventHeap
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// Time returns the virtual time as the decision packages see it.
+func (c *clock) Time() time.Time { return epoch.Add(c.now) }
+
+// after runs f after d.
+func (c *clock) after(d time.Duration, f func()) {
+	c.next++
+	heap.Push(&c.events, event{at: c.now + max(0, d), seq: c.next, run: f})
+}
+
+// runUntil runs all events up to end.
+func (c *clock) runUntil(end time.Duration) {
+	for len(c.events) > 0 && c.events[0].at <= end {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.run()
+	}
+	c.now = end
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,192 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/profile"
+)
+
+// Names in the benchmark's configuration.
+const (
+	model = "model"
+	pool  = "engines"
+)
+
+// kind is the work of one rank of a user. Sizes are in tokens.
+type kind struct {
+	profile              profile.Profile
+	promptMin, promptMax int
+	outputMin, outputMax int
+	// prefixShare is the part of a prompt that requests of one subject share.
+	prefixShare float64
+	subjects    int
+}
+
+// fleet is one user's data centres and work.
+type fleet struct {
+	name string
+	// engines and daemons are counts per data centre.
+	engines, daemons []int
+	distance         time.Duration
+	shares           [3]float64
+	kinds            [3]kind
+}
+
+func newProfile(name string, rank profile.Rank, first, total time.Duration, worth float64, maxOutput int) profile.Profile {
+	return profile.Profile{
+		Name: name, Rank: rank, Pool: pool, Model: model, Worth: worth, MaxOutputTokens: maxOutput,
+		FirstTokenMS: first.Milliseconds(), TokenMS: 62, TotalMS: total.Milliseconds(),
+	}
+}
+
+// fleets are the users of docs/design.md, section 1.6.
+func fleets() []fleet {
+	return []fleet{
+		{
+			name: "feed-board", engines: []int{3, 3, 3}, daemons: []int{3, 2, 2}, distance: 5 * time.Millisecond,
+			shares: [3]float64{0.3, 0.3, 0.15},
+			kinds: [3]kind{
+				{newProfile("slot-query", profile.Urgent, 910*time.Millisecond, 6*time.Second, 3, 200), 200, 400, 30, 80, 0.5, 40},
+				{newProfile("feed-history", profile.Standard, 5*time.Second, 45*time.Second, 6, 800), 3000, 9000, 200, 500, 0.6, 120},
+				{newProfile("reindex", profile.Background, 30*time.Second, 120*time.Second, 1, 500), 800, 2000, 150, 300, 0, 1},
+			},
+		},
+		{
+			name: "cooperative", engines: []int{4, 4, 4}, daemons: []int{2, 2, 2}, distance: 4 * time.Millisecond,
+			shares: [3]float64{0.25, 0.35, 0.2},
+			kinds: [3]kind{
+				{newProfile("counter-question", profile.Urgent, 910*time.Millisecond, 12*time.Second, 2, 300), 300, 700, 60, 150, 0.5, 60},
+				{newProfile("restoration-brief", profile.Standard, 6*time.Second, 60*time.Second, 6, 1200), 4000, 10000, 400, 800, 0.6, 150},
+				{newProfile("photo-tag", profile.Background, 30*time.Second, 120*time.Second, 0.5, 100), 600, 1000, 10, 40, 0, 1},
+			},
+		},
+	}
+}
+
+func (f *fleet) engineCount() int {
+	total := 0
+	for _, n := range f.engines {
+		total += n
+	}
+	return total
+}
+
+// request is one call of the load and what became of it.
+type request struct {
+	id           int
+	rank         int
+	kind         *kind
+	organisation int
+	daemon       int
+	arrived      time.Duration
+	prompt       int
+	output       int
+	prefix       int
+	prefixTokens int
+
+	// work is the engine time and tokens the number of tokens spent on it.
+	work    time.Duration
+	tokens  int
+	state   outcome
+	first   time.Duration
+	retries int
+}
+
+// outcome is the end of a request.
+type outcome int
+
+const (
+	unfinished outcome = iota
+	within
+	late
+	refused
+	lost
+)
+
+// prefillTime and outputTime estimate the engine time of a request in a full batch.
+func (k *kind) meanCost() time.Duration {
+	prompt := float64(k.promptMin+k.promptMax) / 2
+	output := float64(k.outputMin+k.outputMax) / 2
+	return engineTime(prompt, output)
+}
+
+// typicalBatch is the batch over which the fixed time of a step is shared.
+const typicalBatch = 32
+
+func engineTime(prompt, output float64) time.Duration {
+	perAnswer := stepPerAnswer + stepBase/typicalBatch
+	return time.Duration(prompt*float64(stepPerPrompt) + output*float64(perAnswer))
+}
+
+// phase is a part of a scenario with constant rates. Load is the work offered per
+// rank as a share of the fleet's engine time.
+type phase struct {
+	length time.Duration
+	load   [3]float64
+}
+
+// generate returns the requests of the phases in the order of their arrival.
+func generate(f *fleet, phases []phase, weights []float64, rng *rand.Rand) []*request {
+	var out []*request
+	start := time.Duration(0)
+	for _, p := range phases {
+		for rank, load := range p.load {
+			out = append(out, f.arrivals(rank, load, start, p.length, weights, rng)...)
+		}
+		start += p.length
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].arrived < out[j].arrived })
+	for i, r := range out {
+		r.id = i
+	}
+	return out
+}
+
+// arrivals is a Poisson process of one rank.
+func (f *fleet) arrivals(rank int, load float64, start, length time.Duration, weights []float64, rng *rand.Rand) []*request {
+	if load <= 0 {
+		return nil
+	}
+	k := &f.kinds[rank]
+	interval := float64(k.meanCost()) / (load * float64(f.engineCount()))
+	var out []*request
+	for at := start + time.Duration(rng.ExpFloat64()*interval); at < start+length; at += time.Duration(rng.ExpFloat64() * interval) {
+		r := &request{rank: rank, kind: k, arrived: at, organisation: rng.IntN(20), daemon: weighted(weights, rng)}
+		r.prompt = k.promptMin + rng.IntN(k.promptMax-k.promptMin)
+		// The minimum of two draws skews outputs to the right.
+		width := k.outputMax - k.outputMin
+		r.output = k.outputMin + min(rng.IntN(width), rng.IntN(width))
+		if k.prefixShare > 0 {
+			subject := min(rng.IntN(k.subjects), rng.IntN(k.subjects))
+			r.prefix = 1 + rank*1000 + subject
+			r.prefixTokens = int(k.prefixShare * float64(k.promptMin))
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+func weighted(weights []float64, rng *rand.Rand) int {
+	total := 0.0
+	for _, w := range weights {
+		total += w
+	}
+	at := rng.Float64() * total
+	for i, w := range weights {
+		if at -= w; at < 0 {
+			return i
+		}
+	}
+	return len(weights) - 1
+}
+
+// split returns the roles of a fixed split: every third engine reads prompts.
+func split(index int) port.Role {
+	if index%3 == 0 {
+		return port.RolePrefill
+	}
+	return port.RoleDecode
+}
--- /dev/null
+++ b/internal/bench/result.go
@@ -0,0 +1,126 @@
+package bench
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Result is what one policy reached in one scenario.
+type Result struct {
+	Fleet    string `json:"fleet"`
+	Scenario string `json:"scenario"`
+	Policy   string `json:"policy"`
+	// Goodput is the worth of answers within target per engine second.
+	Goodput float64 `json:"goodput"`
+	// Useful is the share of engine time spent on answers within target.
+	Useful      float64 `json:"useful"`
+	RoleChanges int     `json:"role_changes"`
+	// Within is the share of requests answered within target by rank.
+	Within [3]float64 `json:"within"`
+	// Kept is the goodput by rank relative to the rank alone on the fleet, and
+	// Guarantee the part of it that the rank's minimum share covers; both only in
+	// floods.
+	Kept      [3]float64 `json:"kept"`
+	Guarantee [3]float64 `json:"guarantee"`
+	Refused   int        `json:"refused"`
+	Lost      int        `json:"lost"`
+	Late      int        `json:"late"`
+	// Wasted counts tokens of work that gave no answer within target.
+	Wasted int `json:"wasted_tokens"`
+
+	worth [3]float64
+}
+
+// measure sums up a finished run.
+func (w *world) measure() Result {
+	var out Result
+	var useful time.Duration
+	var count, good [3]float64
+	for _, r := range w.requests {
+		count[r.rank]++
+		switch r.state {
+		case within:
+			good[r.rank]++
+			out.worth[r.rank] += r.kind.profile.Worth
+			useful += r.work
+			continue
+		case refused:
+			out.Refused++
+		case lost:
+			out.Lost++
+		default:
+			out.Late++
+		}
+		out.Wasted += r.tokens
+	}
+	engineTime := w.length.Seconds() * float64(w.fleet.engineCount())
+	for rank := range count {
+		out.Within[rank] = ratio(good[rank], count[rank])
+		out.Goodput += out.worth[rank] / engineTime
+	}
+	out.Useful = useful.Seconds() / engineTime
+	out.RoleChanges = w.roleChanges
+	return out
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 1
+	}
+	return a / b
+}
+
+// bound returns the goodput that no policy can exceed: it knows the whole load,
+// has every prompt prefix cached, batches fully, may wait as long as the targets
+// allow, and serves the requests of the most worth per engine time.
+func bound(f *fleet, sc *scenario, requests []*request) float64 {
+	engines := float64(f.engineCount())
+	byPhase := 0.0
+	start := time.Duration(0)
+	for _, p := range sc.phases {
+		byPhase += boundPhase(start, start+p.length, engines, requests)
+		start += p.length
+	}
+	whole := mostWorth(requests, sc.length().Seconds()*engines)
+	return min(byPhase, whole) / (sc.length().Seconds() * engines)
+}
+
+// boundPhase bounds the worth of the requests that arrive in a phase. They can also
+// be served after it, until their targets.
+func boundPhase(start, end time.Duration, engines float64, requests []*request) float64 {
+	var arriving []*request
+	longest := time.Duration(0)
+	for _, r := range requests {
+		if r.arrived >= start && r.arrived < end {
+			arriving = append(arriving, r)
+			longest = max(longest, time.Duration(r.kind.profile.TotalMS)*time.Millisecond)
+		}
+	}
+	return mostWorth(arriving, (end-start+longest).Seconds()*engines)
+}
+
+// leastCost is the engine time, in seconds, of a request in the largest batch with
+// its prefix cached.
+func (r *request) leastCost() float64 {
+	perAnswer := stepPerAnswer + stepBase/maxBatch
+	cost := time.Duration(r.prompt-r.prefixTokens)*stepPerPrompt + time.Duration(r.output)*perAnswer
+	return cost.Seconds()
+}
+
+// mostWorth returns the most worth that fits in the given seconds of engine time.
+func mostWorth(requests []*request, seconds float64) float64 {
+	sorted := slices.Clone(requests)
+	density := func(r *request) float64 { return r.kind.profile.Worth / r.leastCost() }
+	slices.SortFunc(sorted, func(a, b *request) int { return cmp.Compare(density(b), density(a)) })
+	total := 0.0
+	for _, r := range sorted {
+		part := min(1, seconds/r.leastCost())
+		total += part * r.kind.profile.Worth
+		seconds -= part * r.leastCost()
+		if seconds <= 0 {
+			break
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/bench/scenario.go
@@ -0,0 +1,117 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// scenario is a load with faults.
+type scenario struct {
+	name   string
+	phases []phase
+	faults []fault
+	// cut is the data centre that reaches no other, or -1.
+	cut int
+	// uneven is the ratio of the balancer's traffic between daemons.
+	uneven float64
+	// alone is the load of each rank in the comparison without a flood.
+	alone *[3]float64
+}
+
+func (s *scenario) length() time.Duration {
+	total := time.Duration(0)
+	for _, p := range s.phases {
+		total += p.length
+	}
+	return total
+}
+
+// weights returns the balancer's weight of each daemon.
+func (s *scenario) weights(f *fleet) []float64 {
+	var out []float64
+	for _, n := range f.daemons {
+		for i := range n {
+			if i == 0 {
+				out = append(out, 1)
+			} else {
+				out = append(out, max(1, s.uneven))
+			}
+		}
+	}
+	return out
+}
+
+// Loads of a flood: all ranks stay below their minimum shares without it.
+var calm = [3]float64{0.15, 0.25, 0.12}
+
+const floodLength = 150 * time.Second
+
+// scenarios returns the scenarios for a seed. Lengths of phases are random, and
+// equal for all policies.
+func scenarios(seed uint64) []scenario {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	return []scenario{
+		{name: "mix", phases: mixPhases(rng), cut: -1},
+		flood("flood-background", 2, 10),
+		flood("flood-urgent", 0, 5),
+		{
+			name: "flood-both", cut: -1, alone: &calm,
+			phases: []phase{
+				{30 * time.Second, calm},
+				{floodLength, [3]float64{5, calm[1], 10}},
+				{30 * time.Second, calm},
+			},
+		},
+		{
+			name: "loss", cut: -1, phases: []phase{{5 * time.Minute, [3]float64{0.2, 0.35, 0.15}}},
+			faults: lossFaults(),
+		},
+		{
+			name: "cut", cut: 1, uneven: 10, phases: []phase{{4 * time.Minute, [3]float64{0.2, 0.35, 0.15}}},
+		},
+	}
+}
+
+// lossFaults takes three engines of the first data centre away one after another
+// while all load reports are late. Cache events play no part: no policy here reads
+// them.
+func lossFaults() []fault {
+	const lateReports = 5 * time.Second
+	const away = time.Minute
+	return []fault{
+		{0, func(w *world) { w.lag = lateReports }},
+		{time.Minute, func(w *world) { w.engines[0].crash(away) }},
+		{2 * time.Minute, func(w *world) { w.engines[1].draining = true }},
+		{2*time.Minute + away, func(w *world) { w.engines[1].draining = false }},
+		{3 * time.Minute, func(w *world) { w.engines[2].draining = true }},
+		{3*time.Minute + away, func(w *world) { w.engines[2].replace() }},
+	}
+}
+
+// mixPhases alternates between long prompts and short exchanges every 2 to 10
+// minutes. The prefill share of the work moves by about half.
+func mixPhases(rng *rand.Rand) []phase {
+	const pairs = 3
+	var out []phase
+	for range pairs {
+		out = append(out,
+			phase{mixLength(rng), [3]float64{0.15, 0.8, 0.1}},
+			phase{mixLength(rng), [3]float64{0.75, 0.15, 0.1}},
+		)
+	}
+	return out
+}
+
+func mixLength(rng *rand.Rand) time.Duration {
+	return 2*time.Minute + time.Duration(rng.Int64N(int64(8*time.Minute)))
+}
+
+// flood adds work of one rank at a multiple of the fleet's capacity.
+func flood(name string, rank int, times float64) scenario {
+	high := calm
+	high[rank] = times
+	return scenario{
+		name: name, cut: -1, alone: &calm,
+		phases: []phase{{30 * time.Second, calm}, {floodLength, high}, {30 * time.Second, calm}},
+	}
+}
