--- /dev/null
+++ b/internal/adapter/clock/clock.go
@@ -0,0 +1,22 @@
+// Package clock reads the machine's clock that goes on during suspend. Leases are
+// measured on it: a holder that was suspended must find its lease expired.
+package clock
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Boot is CLOCK_BOOTTIME. It implements port.Clock.
+type Boot struct{}
+
+// Now returns the time since the machine was booted. Every kernel that Go
+// supports has this clock, so a failure is a fault of the platform.
+func (Boot) Now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("clock_gettime(CLOCK_BOOTTIME): " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
