--- a/internal/ctl/configuration_test.go
+++ b/internal/ctl/configuration_test.go
@@ -72,8 +72,8 @@
 
 func (o *configurationOracle) publish(t *testing.T, log *standin.Log, worth int) {
 	t.Helper()
-	p := publisher{log: log, base: -1}
-	verdict, err := p.publish(context.Background(), write(t, "c.json", string(document(worth))))
+	p := Publisher{Log: log, Base: -1}
+	verdict, err := p.Publish(context.Background(), "c.json", document(worth))
 	if err != nil || !verdict.Accepted {
 		t.Fatalf("publish: %+v, %v", verdict, err)
 	}
@@ -96,7 +96,7 @@
 func (o *configurationOracle) rollForward(t *testing.T, log *standin.Log, revision int64) {
 	t.Helper()
 	before := o.current
-	verdict, err := rollForward(context.Background(), publisher{log: log}, revision)
+	verdict, err := rollForward(context.Background(), Publisher{Log: log}, revision)
 	worth, known := o.worth[revision]
 	if !known {
 		if err == nil {
@@ -146,11 +146,11 @@
 // Guards against exit codes that hide which kind of failure occurred.
 func TestExitCodes(t *testing.T) {
 	log := standin.NewLog(0)
-	path := write(t, "c.json", string(document(1)))
-	if _, err := (publisher{log: log, base: -1}).publish(context.Background(), path); err != nil {
+	doc := document(1)
+	if _, err := (Publisher{Log: log, Base: -1}).Publish(context.Background(), "c.json", doc); err != nil {
 		t.Fatal(err)
 	}
-	verdict, err := (publisher{log: log, base: 0}).publish(context.Background(), path)
+	verdict, err := (Publisher{Log: log, Base: 0}).Publish(context.Background(), "c.json", doc)
 	if err != nil || verdict.Accepted {
 		t.Fatalf("publication on an old base: %+v, %v", verdict, err)
 	}
--- a/internal/ctl/rollforward.go
+++ b/internal/ctl/rollforward.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"encoding/json"
+	"fmt"
 	"os"
 	"strconv"
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
-	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
 )
 
@@ -31,7 +30,7 @@
 			if err != nil {
 				return err
 			}
-			verdict, err := rollForward(ctx, publisher{log: log, author: author}, revision)
+			verdict, err := rollForward(ctx, Publisher{Log: log, Author: author}, revision)
 			if err != nil {
 				return err
 			}
@@ -45,8 +44,8 @@
 
 // rollForward publishes the document of an earlier revision on top of the one in
 // force. The older revision itself never comes back.
-func rollForward(ctx context.Context, p publisher, revision int64) (profile.Verdict, error) {
-	state, revisions, err := history(ctx, p.log)
+func rollForward(ctx context.Context, p Publisher, revision int64) (profile.Verdict, error) {
+	state, revisions, err := history(ctx, p.Log)
 	if err != nil {
 		return profile.Verdict{}, err
 	}
@@ -54,19 +53,8 @@
 	if document == nil {
 		return profile.Verdict{}, trace.NotFound("revision %d was not accepted or is no longer on the log", revision)
 	}
-	if _, list := profile.ParseDocument("", document); list.Err() != nil {
-		return profile.Verdict{}, list.Err()
-	}
-	record, err := json.Marshal(profile.Publication{
-		Schema:   profile.SchemaVersion,
-		Base:     currentRevision(state),
-		Author:   p.author,
-		Document: document,
-	})
-	if err != nil {
-		return profile.Verdict{}, trace.Wrap(err)
-	}
-	return p.append(ctx, state, port.Entry{ID: rand.Text(), Data: record})
+	p.Base = currentRevision(state)
+	return p.Publish(ctx, fmt.Sprintf("revision %d", revision), document)
 }
 
 func documentOf(revisions []revisionInfo, revision int64) json.RawMessage {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -26,6 +26,8 @@
 		membership.MethodRelay: d.gossip.handleRelay,
 		membership.MethodView:  d.gossip.handleView,
 		membership.MethodVMs:   d.fleet.handleVMs,
+
+		methodConfigRecords: d.config.serveRecords,
 	}
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -160,6 +160,19 @@
 	f.table.Store(routing.NewTable(list))
 }
 
+// daemons returns the listed VMs that run a daemon with a peer address.
+func (f *fleet) daemons() []port.VM {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []port.VM
+	for _, vm := range f.vms {
+		if vm.Kind == port.KindDaemon && vm.PeerAddress != "" {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
 // upstream keeps the known upstream when its VM has not changed, so that its
 // report and in-flight count stay.
 func (f *fleet) upstream(vm port.VM) *routing.Upstream {
@@ -298,15 +311,7 @@
 
 // daemonsIn returns the listed daemons of a data centre.
 func (f *fleet) daemonsIn(dataCentre string) []port.VM {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []port.VM
-	for _, vm := range f.vms {
-		if vm.Kind == port.KindDaemon && vm.DataCentre == dataCentre {
-			out = append(out, vm)
-		}
-	}
-	return out
+	return slices.DeleteFunc(f.daemons(), func(vm port.VM) bool { return vm.DataCentre != dataCentre })
 }
 
 // all returns every upstream, for the status report.
