--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -260,7 +260,7 @@
 		for _, member := range view.Members {
 			g.members.Apply(member, now)
 		}
-		g.engines.Apply(view.Engines, now)
+		g.engines.Adopt(view.Engines, now)
 	})
 	return true
 }
--- a/internal/engineview/view.go
+++ b/internal/engineview/view.go
@@ -41,7 +41,7 @@
 
 // feedback is how many sends a change counts for when another daemon sends it too
 // (Demers et al., "Epidemic algorithms for replicated database maintenance", 1987).
-const feedback = 3
+const feedback = 8
 
 // record is what the view holds of one engine.
 type record struct {
@@ -165,6 +165,17 @@
 	return out
 }
 
+// Adopt takes in the state of every engine from a peer that knows it, so that
+// nothing of it needs to be passed on.
+func (v *View) Adopt(changes []Change, now time.Time) {
+	v.Apply(changes, now)
+	for _, c := range changes {
+		if r, ok := v.records[c.VM]; ok {
+			r.sends = v.maxSends
+		}
+	}
+}
+
 // Apply takes in changes from a peer.
 func (v *View) Apply(changes []Change, now time.Time) {
 	for _, c := range changes {
--- /dev/null
+++ b/internal/processtest/stop_test.go
@@ -0,0 +1,55 @@
+package processtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+// Guards against a planned stop of a real process that cuts an answer, and against
+// an exit status that hides a failed stop.
+func TestTerminatedDaemonAnswersInFull(t *testing.T) {
+	s := newSystem(t)
+	s.addEngine("engine-1", "anand", "--token-time", "5ms")
+	s.listDaemon("anand-1", "anand")
+	s.startPlatform()
+	s.publish(configuration(""))
+	s.startDaemon("anand-1", "anand")
+	s.awaitOK("anand-1", "/readyz")
+	s.await("the engine is known", func() bool { return s.complete("anand-1", "hello tokens=2") })
+	var group sync.WaitGroup
+	for i := range 10 {
+		group.Go(func() {
+			if prompt := fmt.Sprintf("history %d tokens=%d", i, 100+40*i); !s.complete("anand-1", prompt) {
+				s.t.Errorf("request %d did not get its whole answer", i)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	s.signal("anand-1", syscall.SIGTERM)
+	group.Wait()
+	if err := s.processes["anand-1"].Wait(); err != nil {
+		t.Errorf("the daemon ended with %v", err)
+	}
+}
+
+// complete tells whether a prompt got its whole answer.
+func (s *system) complete(daemon, prompt string) bool {
+	body, _ := json.Marshal(map[string]string{"model": "slot-query", "prompt": prompt})
+	r := s.do(daemon, http.MethodPost, "/v1/completions", nil, string(body))
+	var out struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if r.status != http.StatusOK || json.Unmarshal(r.body, &out) != nil || len(out.Choices) != 1 {
+		return false
+	}
+	return out.Choices[0].Text == standin.Answer("feed-rota-7b", prompt, 2000)
+}
