--- a/internal/processtest/stop_test.go
+++ b/internal/processtest/stop_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"syscall"
 	"testing"
-	"time"
 
 	"bergamotsill.example/bergamotsill/internal/standin"
 )
@@ -23,15 +22,16 @@
 	s.startDaemon("anand-1", "anand")
 	s.awaitOK("anand-1", "/readyz")
 	s.await("the engine is known", func() bool { return s.complete("anand-1", "hello tokens=2") })
+	before := s.accepted("anand-1")
 	var group sync.WaitGroup
 	for i := range 10 {
 		group.Go(func() {
-			if prompt := fmt.Sprintf("history %d tokens=%d", i, 100+40*i); !s.complete("anand-1", prompt) {
+			if prompt := fmt.Sprintf("history %d tokens=%d", i, 400+40*i); !s.complete("anand-1", prompt) {
 				s.t.Errorf("request %d did not get its whole answer", i)
 			}
 		})
 	}
-	time.Sleep(300 * time.Millisecond)
+	s.await("all requests are accepted", func() bool { return s.accepted("anand-1") >= before+10 })
 	s.signal("anand-1", syscall.SIGTERM)
 	group.Wait()
 	if err := s.processes["anand-1"].Wait(); err != nil {
@@ -39,6 +39,17 @@
 	}
 }
 
+// accepted returns the number of requests that a daemon has accepted.
+func (s *system) accepted(daemon string) int {
+	var vars struct {
+		Bergamotd struct {
+			Requests int `json:"requests"`
+		} `json:"bergamotd"`
+	}
+	s.get(daemon, "/debug/vars", &vars)
+	return vars.Bergamotd.Requests
+}
+
 // complete tells whether a prompt got its whole answer.
 func (s *system) complete(daemon, prompt string) bool {
 	body, _ := json.Marshal(map[string]string{"model": "slot-query", "prompt": prompt})
