Judge the wait inside engines by rank

Each engine now has a reading speed per rank, judged by the target of that rank; a prompt counts only what is read before it. Work that its rank's minimum share has paid for goes in with the highest priority.

Standard work in an urgent flood still misses its guarantee.

The fake engines of the benchmark read prompts by priority now, and runs go on for two minutes after the last arrival, so that their end cuts no answer.

--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -21,7 +21,7 @@
 	limitFloor = 0.1
 )
 
-// LimitOptions configures a Limit. Both values are in tokens.
+// LimitOptions configures a Limit. Both values are in the unit of the limit.
 type LimitOptions struct {
 	Initial float64
 	Max     float64
@@ -48,8 +48,8 @@
 // NewLimit returns a limit with its initial value.
 func NewLimit(o LimitOptions) *Limit { return &Limit{opts: o, value: min(o.Initial, o.Max)} }
 
-// Tokens returns the limit in tokens.
-func (l *Limit) Tokens() float64 { return l.value }
+// Value returns the limit in the unit of its options.
+func (l *Limit) Value() float64 { return l.value }
 
 // Observe adapts the limit to one answer. Waiting tells whether requests wait
 // for capacity: a limit that is not reached has no reason to grow. Answers to
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -16,9 +16,16 @@
 	// creditBurst bounds the credit of a rank, in tokens, unless its next request
 	// costs more. It limits how long a less urgent rank may go first in a row.
 	creditBurst = 4 * quantum
+	// guaranteeTime is the work, in time at the measured rate, that may go into the
+	// engines with the highest priority before its rank has earned it. More would
+	// delay urgent work.
+	guaranteeTime = 50 * time.Millisecond
 	// prefillMargin is the factor on the predicted prefill time that is kept free
 	// before the target for the first token.
-	prefillMargin = 1.25
+	prefillMargin = 1.5
+	// engineShare is the part of the target for the first token that a request may
+	// wait inside an engine. It is kept free of waiting in this queue.
+	engineShare = 0.3
 	// minRetryAfter keeps refused callers from coming back at once.
 	minRetryAfter = 100 * time.Millisecond
 	// unknownWait is predicted while no engine reports a throughput.
@@ -47,13 +54,13 @@
 type Capacity struct {
 	// TokensPerSecond is the throughput that all engines report.
 	TokensPerSecond float64
-	// PrefillPerSecond is the speed at which one engine reads a prompt, in tokens
-	// per second; 0 when it is not known.
-	PrefillPerSecond float64
-	// Reading is the prompt tokens that all engines may have to read at once,
-	// before the first token of their requests; 0 means no limit. It keeps the
-	// wait inside engines short, so that the order of this queue counts.
-	Reading float64
+	// Engines is the number of engines.
+	Engines int
+	// Reading is the speed, in tokens per second, at which all engines together
+	// read prompts of each rank and of the more urgent ones; 0 means that it is
+	// not known. It bounds the prompts in front of a request inside the engines,
+	// so that the order of this queue counts.
+	Reading [3]float64
 	// InFlight is the work, in tokens, that all engines may hold at once.
 	InFlight float64
 	// Largest is the most, in tokens, that one engine can ever hold; 0 when it is
@@ -88,6 +95,9 @@
 	capacity  Capacity
 	ranks     [3]rankState
 	running   map[*Ticket]bool
+	// unread counts prompt tokens of requests without a first token by engine
+	// priority.
+	unread [3]float64
 	// rate is the measured throughput, in tokens per second, under load.
 	rate        float64
 	windowStart time.Time
@@ -151,7 +161,7 @@
 	t := &Ticket{Request: r, rank: r.Profile.Rank.Priority()}
 	t.cost = q.cost(t)
 	target := time.Duration(r.Profile.FirstTokenMS) * time.Millisecond
-	t.startBy = r.Arrived.Add(target - q.prefillTime(r.PromptTokens))
+	t.startBy = r.Arrived.Add(target - EngineWait(r.Profile) - q.prefillTime(t.rank, r.PromptTokens))
 	if t.startBy.Before(now) && r.Arrived.Add(target).After(now) {
 		// The prediction of the prefill time leaves no room, yet an idle engine
 		// may still be in time.
@@ -160,11 +170,12 @@
 	return t
 }
 
-func (q *Queue) prefillTime(tokens int) time.Duration {
-	if q.capacity.PrefillPerSecond <= 0 {
+func (q *Queue) prefillTime(rank, tokens int) time.Duration {
+	if q.capacity.Reading[rank] <= 0 {
 		return 0
 	}
-	seconds := prefillMargin * float64(tokens) / q.capacity.PrefillPerSecond
+	perEngine := q.capacity.Reading[rank] / float64(max(1, q.capacity.Engines))
+	seconds := prefillMargin * float64(tokens) / perEngine
 	return time.Duration(seconds * float64(time.Second))
 }
 
@@ -264,18 +275,28 @@
 	if q.Running()+t.cost > q.limit() {
 		return false
 	}
-	reading := 0.0
-	for i := range q.ranks {
-		reading += q.ranks[i].reading
+	ahead := 0.0
+	for priority := range t.rank + 1 {
+		ahead += q.unread[priority]
+	}
+	return q.fitsReading(ahead, t, 1)
+}
+
+// fitsReading tells whether the engines read a prompt and the ahead tokens in front
+// of it within the wait that its target allows, at a share of their speed. One
+// prompt always fits, however long it is.
+func (q *Queue) fitsReading(ahead float64, t *Ticket, share float64) bool {
+	speed := q.capacity.Reading[t.rank] * q.capacity.Share * share
+	if speed <= 0 || ahead == 0 {
+		return true
 	}
-	return q.fitsReading(reading, t, 1)
+	return ahead+float64(t.PromptTokens) <= speed*EngineWait(t.Profile).Seconds()
 }
 
-// fitsReading tells whether a prompt fits beside reading tokens of others in a
-// share of the limit. One prompt always fits, however long it is.
-func (q *Queue) fitsReading(reading float64, t *Ticket, share float64) bool {
-	limit := q.capacity.Reading * q.capacity.Share * share
-	return limit <= 0 || reading == 0 || reading+float64(t.PromptTokens) <= limit
+// EngineWait returns how long a request of a profile may wait inside an engine.
+// Engines honour priorities, so that each profile is judged by its own target.
+func EngineWait(p *profile.Profile) time.Duration {
+	return time.Duration(engineShare*float64(p.FirstTokenMS)) * time.Millisecond
 }
 
 // fitsMinimum tells whether the next request of a rank fits in the rank's own
@@ -300,6 +321,8 @@
 	r.reading += float64(t.PromptTokens)
 	t.reading = true
 	r.dispatched += t.cost
+	t.guaranteed = t.cost-r.credit <= guaranteeTime.Seconds()*q.rate
+	q.unread[t.Priority()] += float64(t.PromptTokens)
 	q.credit(rank, t.cost)
 	t.state = Running
 	t.started = now
@@ -320,7 +343,7 @@
 		}
 		r.credit = max(-creditBurst, min(r.credit, q.creditBound(r)))
 		if r.count == 0 {
-			r.credit = 0
+			r.credit = min(r.credit, 0)
 		}
 	}
 }
@@ -340,6 +363,7 @@
 	t.reading = false
 	r := &q.ranks[t.rank]
 	r.reading = nonNegative(r.reading - float64(t.PromptTokens))
+	q.unread[t.Priority()] = nonNegative(q.unread[t.Priority()] - float64(t.PromptTokens))
 }
 
 // Progress corrects the predicted cost of a running request by the output tokens
@@ -419,7 +443,7 @@
 	r.waiting = nonNegative(r.waiting - t.cost)
 	if r.count == 0 {
 		r.waiting = 0
-		r.credit = 0
+		r.credit = min(r.credit, 0)
 	}
 }
 
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -19,7 +19,7 @@
 
 const (
 	testLimit   = 10000.0
-	testReading = 6000.0
+	testReading = 4000.0
 	testWaiting = 8
 	testLargest = 8000
 )
@@ -58,7 +58,7 @@
 func newHarness() *harness {
 	h := &harness{now: time.Unix(1000, 0)}
 	h.q = NewQueue(Options{MinShares: testShares, MaxWaiting: testWaiting}, NewPredictor())
-	h.q.SetCapacity(Capacity{TokensPerSecond: 1000, InFlight: testLimit, Reading: testReading, Largest: testLargest, Share: 1})
+	h.q.SetCapacity(Capacity{TokensPerSecond: 1000, InFlight: testLimit, Reading: [3]float64{testReading, testReading, testReading}, Engines: 1, Largest: testLargest, Share: 1})
 	return h
 }
 
@@ -83,6 +83,35 @@
 	return total
 }
 
+// unread returns the prompt tokens without a first token by engine priority.
+func (h *harness) unread() [3]float64 {
+	var out [3]float64
+	for _, t := range h.running {
+		if t.reading {
+			out[t.Priority()] += float64(t.PromptTokens)
+		}
+	}
+	return out
+}
+
+// urgentIsRead tells whether any waiting urgent prompt would be read in time behind
+// added more tokens.
+func (h *harness) urgentIsRead(added float64) bool {
+	return h.unread()[0]+added+h.largest(0) <= testReading*h.shortestWait(0)
+}
+
+// shortestWait returns the shortest wait inside an engine, in seconds, that a
+// waiting request of a rank allows.
+func (h *harness) shortestWait(rank int) float64 {
+	shortest := math.Inf(1)
+	for _, t := range h.waiting {
+		if t.rank == rank {
+			shortest = min(shortest, EngineWait(t.Profile).Seconds())
+		}
+	}
+	return shortest
+}
+
 func (h *harness) largest(rank int) float64 {
 	largest := 0.0
 	for _, t := range h.waiting {
@@ -117,6 +146,9 @@
 		if got, want := h.q.ranks[r].reading, h.reading(r); math.Abs(got-want) > 1e-6 {
 			return fmt.Errorf("rank %d has %g tokens to read, the model %g", r, got, want)
 		}
+		if got, want := h.q.unread[r], h.unread()[r]; math.Abs(got-want) > 1e-6 {
+			return fmt.Errorf("priority %d has %g tokens to read, the model %g", r, got, want)
+		}
 		if got, want := h.q.ranks[r].waiting, h.sum(waiting, r); math.Abs(got-want) > 1e-6 {
 			return fmt.Errorf("rank %d has %g tokens waiting, the model %g", r, got, want)
 		}
@@ -131,9 +163,8 @@
 		credit[r] = max(creditBurst, h.largest(r))
 	}
 	urgent, running := h.largest(0), h.q.Running()
-	reading := h.reading(0) + h.reading(1) + h.reading(2)
 	total, left := 0.0, h.sum(h.waiting, 0)
-	read := readingModel{total: reading, ranks: [3]float64{h.reading(0), h.reading(1), h.reading(2)}}
+	read := readingModel{unread: h.unread(), ranks: [3]float64{h.reading(0), h.reading(1), h.reading(2)}}
 	for r := range read.running {
 		read.running[r] = h.sum(h.running, r)
 	}
@@ -147,7 +178,7 @@
 			continue
 		}
 		credit[t.rank] -= t.cost
-		if left > 0 && running+total+urgent <= testLimit && reading+total+urgent <= testReading && credit[t.rank]+testShares[t.rank]*total < -1e-6 {
+		if left > 0 && running+total+urgent <= testLimit && h.urgentIsRead(total) && credit[t.rank]+testShares[t.rank]*total < -1e-6 {
 			return fmt.Errorf("rank %d started before urgent work that fits", t.rank)
 		}
 	}
@@ -159,7 +190,7 @@
 	}
 	for r, share := range testShares {
 		cost := h.largest(r)
-		if cost > 0 && h.sum(h.running, r)+cost <= share*testLimit && h.reading(r)+cost <= share*testReading {
+		if cost > 0 && h.sum(h.running, r)+cost <= share*testLimit && h.reading(r)+cost <= share*testReading*h.shortestWait(r) {
 			return fmt.Errorf("rank %d waits below its share: %g in flight", r, h.sum(h.running, r))
 		}
 	}
@@ -168,20 +199,26 @@
 
 // readingModel counts the prompts that engines have to read.
 type readingModel struct {
-	total   float64
+	unread  [3]float64
 	ranks   [3]float64
 	running [3]float64
 }
 
-// start checks that a prompt fits in total, in its rank's share, or as the only one.
+// start checks that engines can read a prompt in time, in total, in its rank's
+// share, or as the only one.
 func (m *readingModel) start(t *Ticket) error {
 	prompt, rank := float64(t.PromptTokens), t.rank
-	fits := m.total == 0 || m.total+prompt <= testReading
-	fitsShare := m.ranks[rank] == 0 || m.running[rank] == 0 || m.ranks[rank]+prompt <= testShares[rank]*testReading
+	wait := EngineWait(t.Profile).Seconds()
+	ahead := 0.0
+	for _, tokens := range m.unread[:rank+1] {
+		ahead += tokens
+	}
+	fits := ahead == 0 || ahead+prompt <= testReading*wait
+	fitsShare := m.ranks[rank] == 0 || m.running[rank] == 0 || m.ranks[rank]+prompt <= testShares[rank]*testReading*wait
 	if !fits && !fitsShare && m.running != [3]float64{} {
-		return fmt.Errorf("a prompt of %g tokens started beside %g", prompt, m.total)
+		return fmt.Errorf("a prompt of %g tokens started behind %g", prompt, ahead)
 	}
-	m.total += prompt
+	m.unread[t.Priority()] += prompt
 	m.ranks[rank] += prompt
 	m.running[rank] += t.cost
 	return nil
--- a/internal/admission/ticket.go
+++ b/internal/admission/ticket.go
@@ -49,9 +49,11 @@
 	produced int
 	// reading is set from the start until the first token.
 	reading bool
-	startBy time.Time
-	started time.Time
-	refusal *refusal.Error
+	// guaranteed is set when the rank's minimum share paid for the start.
+	guaranteed bool
+	startBy    time.Time
+	started    time.Time
+	refusal    *refusal.Error
 }
 
 // State returns where the request stands.
@@ -63,6 +65,19 @@
 // Cost returns the predicted cost in tokens.
 func (t *Ticket) Cost() float64 { return t.cost }
 
+// Guaranteed tells whether the rank's minimum share paid for the start.
+func (t *Ticket) Guaranteed() bool { return t.guaranteed }
+
+// Priority returns the engine priority of a running request; lower is more urgent.
+// Work within a rank's minimum share goes in with the most urgent work: engines
+// would otherwise let a flood of urgent work pass it without end.
+func (t *Ticket) Priority() int {
+	if t.guaranteed {
+		return 0
+	}
+	return t.rank
+}
+
 // StartBy returns when the request must have started to reach its first token
 // within its target.
 func (t *Ticket) StartBy() time.Time { return t.startBy }
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -126,13 +127,16 @@
 	})
 }
 
-// admit moves attempts from the queue into the batch by priority.
+// admit moves attempts from the queue into the batch by priority. A long prompt
+// that is being read does not keep a more urgent one waiting.
 func (e *engine) admit() {
 	unread := 0
-	for _, j := range e.reading {
-		unread += j.unread
-	}
 	for p := range e.queue {
+		for _, j := range e.reading {
+			if j.priority == p {
+				unread += j.unread
+			}
+		}
 		for len(e.queue[p]) > 0 && unread < chunkTokens[e.role] {
 			j := e.queue[p][0]
 			need := j.request.prompt + j.request.output
@@ -155,6 +159,7 @@
 		j.unread = max(1, j.unread-j.request.prefixTokens)
 	}
 	e.reading = append(e.reading, j)
+	slices.SortStableFunc(e.reading, func(a, b *job) int { return a.priority - b.priority })
 }
 
 // apply ends a step that read the given number of prompt tokens.
--- a/internal/bench/own.go
+++ b/internal/bench/own.go
@@ -13,9 +13,9 @@
 const (
 	// queueLimit bounds the requests that wait at one daemon.
 	queueLimit = 2000
-	// queuedShare and spillShare are those of package daemon.
-	queuedShare = 0.5
-	spillShare  = 0.1
+	// spillShare and maxReadingFactor are those of package daemon.
+	spillShare       = 0.1
+	maxReadingFactor = 4
 	// unlimited stands for a limit that is switched off.
 	unlimited = 1e12
 )
@@ -41,13 +41,13 @@
 	running  map[*job]*ownJob
 	profiles [3]profile.Profile
 	// peers is the demand of the other daemons of the data centre.
-	peers   []float64
-	prefill float64
-	ticks   int
+	peers []float64
+	ticks int
 }
 
 type ownLimits struct {
-	reading, held *admission.Limit
+	reading [3]*admission.Limit
+	held    *admission.Limit
 }
 
 // ownJob is what a daemon keeps of an attempt.
@@ -113,19 +113,15 @@
 	u := o.upstreams[e]
 	u.SetReport(&routing.Report{Status: s, Received: o.w.clock.Time(), Lag: lag, Failed: e.down})
 	if _, ok := o.limits[e]; !ok {
-		held := float64(s.KVCapacity)
-		o.limits[e] = &ownLimits{
-			reading: admission.NewLimit(admission.LimitOptions{Initial: float64(s.Capacity) * o.queuedTarget().Seconds(), Max: held}),
-			held:    admission.NewLimit(admission.LimitOptions{Initial: held, Max: held}),
+		held, reading := float64(s.KVCapacity), float64(s.Capacity)
+		l := &ownLimits{held: admission.NewLimit(admission.LimitOptions{Initial: held, Max: held})}
+		for rank := range l.reading {
+			l.reading[rank] = admission.NewLimit(admission.LimitOptions{Initial: reading, Max: maxReadingFactor * reading})
 		}
+		o.limits[e] = l
 	}
 }
 
-func (o *ownNode) queuedTarget() time.Duration {
-	strictest := o.w.fleet.kinds[0].profile.FirstTokenMS
-	return time.Duration(queuedShare*float64(strictest)) * time.Millisecond
-}
-
 func (o *ownNode) tick() {
 	o.ticks++
 	if o.ticks%int(demandInterval/tickInterval) == 0 && !o.off.demand {
@@ -166,7 +162,7 @@
 }
 
 func (o *ownNode) updateCapacity() {
-	c := admission.Capacity{PrefillPerSecond: o.prefill, Largest: engineKVTokens}
+	c := admission.Capacity{Largest: engineKVTokens}
 	c.Share = admission.Share(o.queue.Demand(), o.peers, o.w.fleet.daemons[o.dc])
 	for _, e := range o.w.engines {
 		u := o.upstreams[e]
@@ -174,13 +170,16 @@
 			continue
 		}
 		l := o.limits[e]
-		u.SetLimit(int64(l.held.Tokens()))
+		u.SetLimit(int64(l.held.Value()))
 		c.TokensPerSecond += reportedRate
-		c.InFlight += l.held.Tokens()
-		c.Reading += l.reading.Tokens()
+		c.InFlight += l.held.Value()
+		for rank := range l.reading {
+			c.Reading[rank] += l.reading[rank].Value()
+		}
+		c.Engines++
 	}
 	if o.off.limits {
-		c.InFlight, c.Reading = unlimited, 0
+		c.InFlight, c.Reading = unlimited, [3]float64{}
 	}
 	o.queue.SetCapacity(c)
 }
@@ -255,7 +254,11 @@
 	if !o.off.sent {
 		end = o.upstreams[e].BeginWork(o.w.clock.Time(), r.prompt, output)
 	}
-	j := o.send(r, e, o.profiles[r.rank].Rank.Priority())
+	priority := o.profiles[r.rank].Rank.Priority()
+	if t != nil {
+		priority = t.Priority()
+	}
+	j := o.send(r, e, priority)
 	o.running[j] = &ownJob{ticket: t, engine: e, end: end}
 }
 
@@ -279,7 +282,7 @@
 		return false
 	}
 	e := o.engineOf(choice.Upstream)
-	if float64(choice.Upstream.Tokens()+int64(r.prompt)) > spillShare*o.limits[e].held.Tokens() {
+	if float64(choice.Upstream.Tokens()+int64(r.prompt)) > spillShare*o.limits[e].held.Value() {
 		return false
 	}
 	o.sendTo(nil, r, e, request.OutputTokens)
@@ -311,12 +314,15 @@
 // observe adapts the engine's limits as package daemon does.
 func (o *ownNode) observe(j *job, own *ownJob) {
 	first := j.first - j.sent
-	o.prefill = max(o.prefill*0.999, float64(j.request.prompt)/first.Seconds())
-	alone := time.Duration(float64(j.request.prompt) / o.prefill * float64(time.Second))
 	now, sent := o.w.clock.Time(), epoch.Add(j.sent)
 	waiting := o.queue.Waiting() > 0
 	limits := o.limits[own.engine]
-	limits.reading.Observe(now, admission.Sample{Sent: sent, Delay: first - alone, Target: o.queuedTarget()}, waiting)
+	rank := o.profiles[j.request.rank].Rank.Priority()
+	if j.priority == rank {
+		reading := limits.reading[rank]
+		alone := time.Duration(float64(j.request.prompt) / reading.Value() * float64(time.Second))
+		reading.Observe(now, admission.Sample{Sent: sent, Delay: first - alone, Target: admission.EngineWait(&j.request.kind.profile)}, waiting)
+	}
 	if j.produced > 1 {
 		interval := (o.w.clock.now - j.first) / time.Duration(j.produced-1)
 		target := time.Duration(j.request.kind.profile.TokenMS) * time.Millisecond
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -82,7 +82,7 @@
 		byPhase += boundPhase(start, start+p.length, engines, requests)
 		start += p.length
 	}
-	whole := mostWorth(requests, sc.length().Seconds()*engines)
+	whole := mostWorth(requests, (sc.length()+drainTime).Seconds()*engines)
 	return min(byPhase, whole) / (sc.length().Seconds() * engines)
 }
 
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -136,6 +136,10 @@
 	}
 }
 
+// drainTime is played after the last arrival, so that the end of a run cuts no
+// answer that could still be within its target.
+const drainTime = 2 * time.Minute
+
 // run plays a scenario to its end. Requests that have no answer by then are late.
 func (w *world) run(sc *scenario, requests []*request) {
 	w.requests, w.length = requests, sc.length()
@@ -151,7 +155,7 @@
 		}
 	})
 	w.repeat(statusInterval, w.sendReports)
-	w.clock.runUntil(w.length)
+	w.clock.runUntil(w.length + drainTime)
 }
 
 func (w *world) repeat(interval time.Duration, f func()) {
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -20,24 +20,24 @@
 	// defaultHeldSeconds is the work, in seconds of its capacity, that an engine of
 	// unknown cache size may hold.
 	defaultHeldSeconds = 60
-	// queuedShare is the part of the strictest target for the first token that a
-	// request may wait inside an engine.
-	queuedShare = 0.5
 	// remoteDelay is the extra round trip to another data centre.
 	remoteDelay = 10 * time.Millisecond
 	// spillShare is the part of a remote engine's limit that this daemon uses when
 	// its own data centre cannot meet a target. It is small because every daemon
 	// of every other data centre may do the same at once.
 	spillShare = 0.1
-	// prefillDecay is applied to the fastest prefill seen with every answer.
-	prefillDecay = 0.999
+	// maxReadingFactor bounds the speed at which an engine is taken to read prompts,
+	// in multiples of the capacity that it reports.
+	maxReadingFactor = 4
 )
 
-// engineLimits are the adaptive limits of one engine, in tokens.
+// engineLimits are the adaptive limits of one engine.
 type engineLimits struct {
-	// reading limits prompts without a first token by the wait that it causes.
-	reading *admission.Limit
-	// held limits all work by the time between tokens that it causes.
+	// reading is the speed by rank, in tokens per second, at which the engine reads
+	// prompts of the rank and of more urgent ones, found by the waits that prompts
+	// have.
+	reading [3]*admission.Limit
+	// held limits all work, in tokens, by the time between tokens that it causes.
 	held *admission.Limit
 }
 
@@ -51,11 +51,6 @@
 type engineQueue struct {
 	queue   *admission.Queue
 	waiters map[*admission.Ticket]chan struct{}
-	// prefill is the fastest prefill seen lately, in tokens per second.
-	prefill float64
-	// queuedTarget is the longest wait inside an engine that the strictest profile
-	// allows.
-	queuedTarget time.Duration
 }
 
 // admitter admits requests to engines.
@@ -168,10 +163,8 @@
 		return
 	}
 	e.queue.SetOptions(a.options())
-	e.queuedTarget = a.queuedTarget(key)
 	capacity := admission.Capacity{
-		PrefillPerSecond: e.prefill,
-		Share:            admission.Share(a.demand(), a.peers, a.daemons),
+		Share: admission.Share(a.demand(), a.peers, a.daemons),
 	}
 	for _, u := range table.Pool(key.pool) {
 		a.addEngine(&capacity, key, u)
@@ -179,22 +172,6 @@
 	e.queue.SetCapacity(capacity)
 }
 
-// queuedTarget returns the longest wait inside an engine that the strictest profile
-// of the queue allows, or 0.
-func (a *admitter) queuedTarget(key queueKey) time.Duration {
-	snapshot := a.daemon.config.Snapshot()
-	if snapshot == nil {
-		return 0
-	}
-	var strictest int64
-	for _, p := range snapshot.Document.Profiles {
-		if p.Pool == key.pool && p.Model == key.model && (strictest == 0 || p.FirstTokenMS < strictest) {
-			strictest = p.FirstTokenMS
-		}
-	}
-	return time.Duration(queuedShare * float64(strictest) * float64(time.Millisecond))
-}
-
 // addEngine adds what an engine of the data centre can do. Engines of other data
 // centres are the capacity of the daemons there.
 func (a *admitter) addEngine(c *admission.Capacity, key queueKey, u *routing.Upstream) {
@@ -203,19 +180,22 @@
 		return
 	}
 	c.Largest = max(c.Largest, float64(report.Status.KVCapacity))
-	limits := a.engineLimits(u, report, a.queues[key])
-	u.SetLimit(int64(limits.held.Tokens()))
+	limits := a.engineLimits(u, report)
+	u.SetLimit(int64(limits.held.Value()))
 	if u.VM.DataCentre != a.daemon.settings.DataCentre || !u.Serving() {
 		return
 	}
 	c.TokensPerSecond += float64(report.Status.Capacity)
-	c.InFlight += limits.held.Tokens()
-	c.Reading += limits.reading.Tokens()
+	c.InFlight += limits.held.Value()
+	for rank, l := range limits.reading {
+		c.Reading[rank] += l.Value()
+	}
+	c.Engines++
 }
 
 // engineLimits returns an engine's limits. They start with what the engine reports
 // and adapt from there.
-func (a *admitter) engineLimits(u *routing.Upstream, report *routing.Report, e *engineQueue) *engineLimits {
+func (a *admitter) engineLimits(u *routing.Upstream, report *routing.Report) *engineLimits {
 	l, ok := a.limits[u.VM.ID]
 	if ok {
 		return l
@@ -224,10 +204,10 @@
 	if held <= 0 {
 		held = defaultHeldSeconds * float64(report.Status.Capacity)
 	}
-	reading := float64(report.Status.Capacity) * e.queuedTarget.Seconds()
-	l = &engineLimits{
-		reading: admission.NewLimit(admission.LimitOptions{Initial: reading, Max: held}),
-		held:    admission.NewLimit(admission.LimitOptions{Initial: held, Max: held}),
+	reading := float64(report.Status.Capacity)
+	l = &engineLimits{held: admission.NewLimit(admission.LimitOptions{Initial: held, Max: held})}
+	for rank := range l.reading {
+		l.reading[rank] = admission.NewLimit(admission.LimitOptions{Initial: reading, Max: maxReadingFactor * reading})
 	}
 	a.limits[u.VM.ID] = l
 	return l
@@ -346,7 +326,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	limits, ok := a.limits[choice.Upstream.VM.ID]
-	if !ok || float64(choice.Upstream.Tokens()+p.tokens()) > spillShare*limits.held.Tokens() {
+	if !ok || float64(choice.Upstream.Tokens()+p.tokens()) > spillShare*limits.held.Value() {
 		return nil, refused
 	}
 	a.daemon.metrics.Spilled.Add(1)
@@ -384,6 +364,14 @@
 	return r
 }
 
+// priority returns the engine priority of the request.
+func (p *permit) priority() int {
+	if p.ticket == nil {
+		return p.request.Profile.Rank.Priority()
+	}
+	return p.ticket.Priority()
+}
+
 // begin counts an attempt at an engine as in flight; the returned function ends it.
 func (p *permit) begin(u *routing.Upstream) func() {
 	p.upstream = u
@@ -439,27 +427,20 @@
 		return
 	}
 	first := g.firstToken.Sub(p.sent)
-	if first > 0 {
-		p.queue.prefill = max(p.queue.prefill*prefillDecay, float64(g.last.PromptTokens)/first.Seconds())
-	}
 	limits, ok := p.admitter.limits[p.upstream.VM.ID]
 	if !ok {
 		return
 	}
 	waiting := p.queue.queue.Waiting() > 0
-	queued := admission.Sample{Sent: p.sent, Delay: first - p.prefillTime(g), Target: p.queue.queuedTarget}
-	limits.reading.Observe(now, queued, waiting)
+	reading := limits.reading[g.profile.Rank.Priority()]
+	alone := time.Duration(float64(g.last.PromptTokens) / reading.Value() * float64(time.Second))
+	if p.priority() == g.profile.Rank.Priority() {
+		queued := admission.Sample{Sent: p.sent, Delay: first - alone, Target: admission.EngineWait(g.profile)}
+		reading.Observe(now, queued, waiting)
+	}
 	if n := g.last.OutputTokens - 1; n > 0 {
 		interval := now.Sub(g.firstToken) / time.Duration(n)
 		target := time.Duration(g.profile.TokenMS) * time.Millisecond
 		limits.held.Observe(now, admission.Sample{Sent: p.sent, Delay: interval, Target: target}, waiting)
 	}
 }
-
-// prefillTime returns the time that the prompt takes on an idle engine.
-func (p *permit) prefillTime(g *generation) time.Duration {
-	if p.queue.prefill <= 0 {
-		return 0
-	}
-	return time.Duration(float64(g.last.PromptTokens) / p.queue.prefill * float64(time.Second))
-}
--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -126,7 +126,7 @@
 		Model:     g.profile.Model,
 		Prompt:    g.prompt,
 		MaxTokens: g.maxTokens,
-		Priority:  g.profile.Rank.Priority(),
+		Priority:  g.permit.priority(),
 		From:      g.assembler.Next(),
 	})
 	if err != nil {
