Slow urgent work down beside a stalled prompt of another rank

While a rank below its share has a prompt that waits longer than half of what its target allows, more urgent ranks above theirs may start only what the share leaves.

Guards removed once each, seen to fail: the check and the charge.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -20,9 +20,6 @@
 	// engines with the highest priority before its rank has earned it. More would
 	// delay urgent work.
 	guaranteeTime = 50 * time.Millisecond
-	// prefillMargin is the factor on the predicted prefill time that is kept free
-	// before the target for the first token.
-	prefillMargin = 1.5
 	// engineShare is the part of the target for the first token that a request may
 	// wait inside an engine. It is kept free of waiting in this queue.
 	engineShare = 0.3
@@ -79,6 +76,9 @@
 	running float64
 	// reading is the prompt tokens of requests without a first token.
 	reading float64
+	// unread lists the tickets in reading in the order of their start, with some
+	// that were read since.
+	unread []*Ticket
 	// credit is the guaranteed service, in tokens, that the rank has not had yet.
 	credit float64
 	// dispatched counts tokens in the current window; rate is in tokens per second.
@@ -95,6 +95,7 @@
 	capacity  Capacity
 	ranks     [3]rankState
 	running   map[*Ticket]bool
+	pace      pacer
 	// unread counts prompt tokens of requests without a first token by engine
 	// priority.
 	unread [3]float64
@@ -175,7 +176,7 @@
 		return 0
 	}
 	perEngine := q.capacity.Reading[rank] / float64(max(1, q.capacity.Engines))
-	seconds := prefillMargin * float64(tokens) / perEngine
+	seconds := float64(tokens) / perEngine
 	return time.Duration(seconds * float64(time.Second))
 }
 
@@ -226,6 +227,7 @@
 // Grant returns the requests that start now, in order.
 func (q *Queue) Grant(now time.Time) []*Ticket {
 	q.measure(now)
+	q.pace.update(now, q)
 	var out []*Ticket
 	for {
 		r, ok := q.pick()
@@ -254,7 +256,7 @@
 		held = true
 	}
 	for r := range q.ranks {
-		if q.ranks[r].count > 0 && (q.fitsMinimum(r) || !held && q.fits(r)) {
+		if q.ranks[r].count > 0 && q.paced(r) && (q.fitsMinimum(r) || !held && q.fits(r)) {
 			return r, true
 		}
 	}
@@ -319,7 +321,9 @@
 	r.waiting = nonNegative(r.waiting - t.cost)
 	r.running += t.cost
 	r.reading += float64(t.PromptTokens)
+	r.unread = append(r.unread, t)
 	t.reading = true
+	q.pace.spend(rank, t.cost)
 	r.dispatched += t.cost
 	t.guaranteed = t.cost-r.credit <= guaranteeTime.Seconds()*q.rate
 	q.unread[t.Priority()] += float64(t.PromptTokens)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -190,6 +190,11 @@
 	}
 	for r, share := range testShares {
 		cost := h.largest(r)
+		if h.q.pace.stalled > r && h.q.ranks[r].running > 0 && h.q.ranks[r].rate >= share*h.q.rate {
+			// A rank that has had its share waits for a less urgent one that is
+			// stalled inside the engines.
+			continue
+		}
 		if cost > 0 && h.sum(h.running, r)+cost <= share*testLimit && h.reading(r)+cost <= share*testReading*h.shortestWait(r) {
 			return fmt.Errorf("rank %d waits below its share: %g in flight", r, h.sum(h.running, r))
 		}
