--- /dev/null
+++ b/internal/adapter/service/conn.go
@@ -0,0 +1,95 @@
+package service
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+const (
+	// healthPath is asked to prove a connection alive.
+	healthPath = "/healthz"
+	// probeTimeout bounds the dial and that exchange.
+	probeTimeout = 2 * time.Second
+)
+
+var errSecondDial = errors.New("the connection is lost and may not be replaced")
+
+// Conn is one connection to a service. It implements port.ServiceConn. Its
+// transport can dial once, so a request cannot be sent again over another
+// connection, whatever net/http decides.
+type Conn struct {
+	base      string
+	transport *http.Transport
+	dialed    atomic.Bool
+	writes    atomic.Int64
+}
+
+// Open implements port.Service.
+func (c *Client) Open(ctx context.Context) (port.ServiceConn, error) {
+	conn := &Conn{base: c.base}
+	conn.transport = &http.Transport{
+		DisableCompression: true,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			if conn.dialed.Swap(true) {
+				return nil, errSecondDial
+			}
+			raw, err := c.network.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: raw, writes: &conn.writes}, nil
+		},
+	}
+	if err := conn.probe(ctx); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("%w: %v", port.ErrServiceUnproven, err)
+	}
+	return conn, nil
+}
+
+// probe opens the connection. The health check is no different from a call, so it
+// proves the path that the call takes.
+func (c *Conn) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	answer, err := c.Call(ctx, port.ServiceRequest{Method: http.MethodGet, Path: healthPath})
+	if err != nil {
+		return err
+	}
+	if answer.Status != http.StatusOK {
+		return fmt.Errorf("service answered status %d to a health check", answer.Status)
+	}
+	return nil
+}
+
+// Call implements port.ServiceConn.
+func (c *Conn) Call(ctx context.Context, r port.ServiceRequest) (port.ServiceResponse, error) {
+	req, err := newRequest(ctx, c.base, r)
+	if err != nil {
+		return port.ServiceResponse{}, err
+	}
+	before := c.writes.Load()
+	return exchange(c.transport, req, func() bool { return c.writes.Load() > before })
+}
+
+// Close implements port.ServiceConn.
+func (c *Conn) Close() { c.transport.CloseIdleConnections() }
+
+// countedConn counts the writes that were begun.
+type countedConn struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
--- a/internal/adapter/service/service.go
+++ b/internal/adapter/service/service.go
@@ -1,4 +1,6 @@
-// Package service is the HTTP client of plain services.
+// Package service is the HTTP client of plain services. No request is sent twice:
+// net/http resends a request that it takes for idempotent when a connection that
+// was used before fails, and a service may have run it by then.
 package service
 
 import (
@@ -9,6 +11,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,10 +22,6 @@
 )
 
 const (
-	// healthPath is asked to prove a connection alive.
-	healthPath = "/healthz"
-	// probeTimeout bounds that exchange.
-	probeTimeout = 2 * time.Second
 	// idleTrust is how long an idle connection may be used again.
 	idleTrust = 2 * time.Second
 	// maxResponseBytes bounds an answer.
@@ -32,11 +31,10 @@
 // ErrResponseTooLarge reports an answer above maxResponseBytes.
 var ErrResponseTooLarge = errors.New("response of service is too large")
 
-// Client talks to one service over connections of its own. It implements
-// port.Service. A Client that is used for one Probe and then for one Call sends
-// both over the same connection.
+// Client talks to one service. It implements port.Service.
 type Client struct {
 	base      string
+	network   network.Network
 	transport *http.Transport
 }
 
@@ -44,7 +42,8 @@
 func NewDialer(nw network.Network) port.ServiceDialer {
 	return func(address string) port.Service {
 		return &Client{
-			base: "http://" + address,
+			base:    "http://" + address,
+			network: nw,
 			transport: &http.Transport{
 				DialContext:        nw.DialContext,
 				IdleConnTimeout:    idleTrust,
@@ -54,51 +53,70 @@
 	}
 }
 
-// Probe implements port.Service.
-func (c *Client) Probe(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+healthPath, nil)
+// Call implements port.Service.
+func (c *Client) Call(ctx context.Context, r port.ServiceRequest) (port.ServiceResponse, error) {
+	var sent atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+	req, err := newRequest(ctx, c.base, r)
 	if err != nil {
-		return trace.Wrap(err)
+		return port.ServiceResponse{}, err
 	}
-	resp, err := c.transport.RoundTrip(req)
+	return exchange(c.transport, req, sent.Load)
+}
+
+// replayHeaders mark a request as idempotent to net/http, which looks for their
+// canonical names only.
+var replayHeaders = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// newRequest returns a request that net/http does not resend: replayHeaders are
+// written in lower case, and a body cannot be rewound. A request without a body
+// that is idempotent by its method gets an empty body of unknown length, which
+// net/http leaves out when it writes the request.
+func newRequest(ctx context.Context, base string, r port.ServiceRequest) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, base+r.Path, nil)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, fmt.Errorf("%w: %v", port.ErrNotSent, err)
 	}
-	defer resp.Body.Close()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return trace.Wrap(err)
+	req.Header = r.Header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	for _, name := range replayHeaders {
+		if values, ok := req.Header[name]; ok {
+			delete(req.Header, name)
+			req.Header[strings.ToLower(name)] = values
+		}
+	}
+	if len(r.Body) > 0 {
+		req.ContentLength = int64(len(r.Body))
 	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("service answered %s to a health check", resp.Status)
+	if len(r.Body) > 0 || idempotentMethod(r.Method) {
+		req.Body = singleUseBody{bytes.NewReader(r.Body)}
 	}
-	return nil
+	return req, nil
 }
 
-// singleUseBody hides the body's type from net/http, which otherwise resends a
-// request that has an Idempotency-Key header when its connection fails.
+func idempotentMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// singleUseBody hides the body's type from net/http, which otherwise rewinds it.
 type singleUseBody struct{ io.Reader }
 
+// Close implements io.Closer.
 func (singleUseBody) Close() error { return nil }
 
-// Call implements port.Service. It sends the request at most once.
-func (c *Client) Call(ctx context.Context, r port.ServiceRequest) (port.ServiceResponse, error) {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
-	body := singleUseBody{bytes.NewReader(r.Body)}
-	req, err := http.NewRequestWithContext(ctx, r.Method, c.base+r.Path, body)
-	if err != nil {
-		return port.ServiceResponse{}, fmt.Errorf("%w: %v", port.ErrNotSent, err)
-	}
-	req.Header = r.Header.Clone()
-	if len(r.Body) > 0 {
-		req.ContentLength = int64(len(r.Body))
-	}
-	resp, err := c.transport.RoundTrip(req)
-	if err != nil && !sent.Load() {
+// exchange sends a request. sent tells after a failure whether any byte of it may
+// have been written.
+func exchange(transport *http.Transport, req *http.Request, sent func() bool) (port.ServiceResponse, error) {
+	resp, err := transport.RoundTrip(req)
+	if err != nil && !sent() {
 		return port.ServiceResponse{}, fmt.Errorf("%w: %v", port.ErrNotSent, err)
 	}
 	if err != nil {
--- a/internal/claim/partition.go
+++ b/internal/claim/partition.go
@@ -1,10 +1,11 @@
-// Package claim decides, from the order of records on a log stream, which daemon
-// may run a non-repeatable call.
 package claim
 
 import (
+	"container/heap"
 	"encoding/json"
+	"sort"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,82 +17,301 @@
 
 // Stream returns the stream of the partition that a key belongs to.
 func Stream(key string, partitions int) string {
-	n := xxhash.Sum64String(key) % uint64(partitions)
-	return StreamPrefix + strconv.FormatUint(n, 10)
+	return StreamName(int(xxhash.Sum64String(key) % uint64(partitions)))
 }
 
-// Kind distinguishes records on a claim stream.
-type Kind string
+// StreamName returns the stream of a partition.
+func StreamName(partition int) string {
+	return StreamPrefix + strconv.Itoa(partition)
+}
 
-// Kinds of record.
-const (
-	KindClaim    Kind = "claim"
-	KindOutcome  Kind = "outcome"
-	KindWithdraw Kind = "withdraw"
-)
+// Appenders orders daemons by rendezvous hashing: the first one appends for the
+// stream, the next ones take over when it is unreachable.
+func Appenders(stream string, addresses []string) []string {
+	out := append([]string(nil), addresses...)
+	weight := func(address string) uint64 { return xxhash.Sum64String(stream + "|" + address) }
+	sort.Slice(out, func(i, j int) bool { return weight(out[i]) > weight(out[j]) })
+	return out
+}
 
-// Record is the content of a record on a claim stream.
-type Record struct {
-	Kind Kind   `json:"kind"`
-	Key  string `json:"key"`
-	// Claim is the id of the claim that the record states or refers to.
-	Claim string `json:"claim"`
-	// Digest identifies the content of the request.
-	Digest string `json:"digest,omitempty"`
-	// Owner is the incarnation of the daemon that wrote the claim.
-	Owner  string                `json:"owner,omitempty"`
-	Answer *port.ServiceResponse `json:"answer,omitempty"`
-}
-
-// Entry is the state of one key.
-type Entry struct {
-	Claim  string
-	Digest string
-	Owner  string
-	// Finished is set once the outcome is recorded; Answer may be nil even then
-	// when it was too large to record.
-	Finished bool
-	Answer   *port.ServiceResponse
+// Options bound a partition. They decide verdicts, so they are part of the
+// protocol: a daemon with other values would accept claims that others refuse.
+type Options struct {
+	// MaxEntries bounds the keys, and the withdrawn claims, that are remembered.
+	MaxEntries int
+	// Skew is how far the issue time of a key may lie ahead of the log's time.
+	Skew time.Duration
+	// MaxWindow bounds the window of a claim.
+	MaxWindow time.Duration
+	// CheckpointKeys bounds the keys in one record of a checkpoint. Readers accept
+	// any number.
+	CheckpointKeys int
 }
 
+// DefaultOptions returns the values that daemons use.
+func DefaultOptions() Options {
+	return Options{MaxEntries: 50_000, Skew: 2 * time.Minute, MaxWindow: 7 * 24 * time.Hour, CheckpointKeys: 1000}
+}
+
+// Verdict is the effect of a record.
+type Verdict string
+
+// Verdicts on records.
+const (
+	// Accepted means that the claim stands and that its writer may run the call.
+	Accepted Verdict = "accepted"
+	// Duplicate means that another claim on the key stands.
+	Duplicate Verdict = "duplicate"
+	// Dead means that the claim was withdrawn by its writer.
+	Dead Verdict = "withdrawn"
+	// Expired means that the key is older than its window, or than what the
+	// partition remembers.
+	Expired Verdict = "expired"
+	// Future means that the issue time is too far ahead of the log's time.
+	Future Verdict = "future"
+	// Full means that the table has no room for another key.
+	Full Verdict = "full"
+	// Recorded is the verdict on an outcome, withdrawal or checkpoint.
+	Recorded Verdict = "recorded"
+	// Malformed means that the record has no effect.
+	Malformed Verdict = "malformed"
+)
+
 // Partition applies the records of one stream. It is not safe for concurrent use.
+//
+// Time is the log's: a record counts at the highest time of any record up to it.
+// A key is forgotten when it is older than the longest window seen so far. floor
+// is the newest issue time that may be forgotten; claims on keys issued up to it
+// are refused, so a forgotten key cannot run again, even after the window of a
+// service was extended.
 type Partition struct {
+	options Options
 	next    int64
 	entries map[string]*Entry
+	// expiry orders keys by issue time.
+	expiry expiryHeap
+	// dead is the number of withdrawn claims in entries.
+	dead int
+	// clock, floor and windowS are in Unix seconds and seconds.
+	clock   int64
+	floor   int64
+	windowS int64
+	// covered is the Through of the newest checkpoint, coveredClock its Clock.
+	covered      int64
+	coveredClock int64
+	// scan is set while the records below next are unknown.
+	scan *scan
 }
 
 // NewPartition returns a Partition that expects offset 0 next.
-func NewPartition() *Partition {
-	return &Partition{entries: map[string]*Entry{}}
+func NewPartition(options Options) *Partition {
+	p := &Partition{options: options}
+	p.reset()
+	return p
+}
+
+func (p *Partition) reset() {
+	*p = Partition{options: p.options, entries: map[string]*Entry{}}
 }
 
 // Next returns the offset expected next.
 func (p *Partition) Next() int64 { return p.next }
 
-// Entry returns the state of a key, or nil when no claim on it stands.
-func (p *Partition) Entry(key string) *Entry { return p.entries[key] }
+// Scanning tells whether records were lost and neither a checkpoint nor a reset was
+// read since.
+func (p *Partition) Scanning() bool { return p.scan != nil }
+
+// Size returns the number of keys and withdrawn claims that are remembered.
+func (p *Partition) Size() int { return len(p.entries) + p.dead }
+
+// Entry returns a copy of the state of a key, or nil when nothing is known of it.
+func (p *Partition) Entry(key string) *Entry { return p.entries[key].clone() }
 
-// Apply applies a record. The first claim on a key wins; malformed records and
-// records below Next are ignored alike by every reader.
-func (p *Partition) Apply(rec port.Record) {
-	if rec.Offset < p.next {
-		return
+// CheckpointDue tells whether a checkpoint should be written: records arrived
+// since the last one, and either their number reaches records (or the size of the
+// table, so that checkpoints stay a bounded share of all appends) or the log's
+// time advanced by age.
+func (p *Partition) CheckpointDue(records int64, age time.Duration, now time.Time) bool {
+	since := p.next - p.covered
+	if p.scan != nil || since <= 0 {
+		return false
+	}
+	return since >= max(records, int64(p.Size())) || now.Unix()-p.coveredClock >= int64(age.Seconds())
+}
+
+// Apply applies a record and returns its verdict. The first claim on a key wins.
+// Malformed records and records at another offset than Next are ignored alike by
+// every reader: after a scan the reader reads again from a lower offset.
+func (p *Partition) Apply(rec port.Record) Verdict {
+	if rec.Offset != p.next {
+		return Malformed
 	}
 	p.next = rec.Offset + 1
 	var r Record
 	if err := json.Unmarshal(rec.Data, &r); err != nil {
-		return
+		r = Record{}
+	}
+	if p.scan != nil {
+		p.scanRecord(r, rec)
+		return Malformed
+	}
+	p.advance(rec.Time.Unix())
+	switch r.Kind {
+	case KindClaim:
+		return p.applyClaim(r)
+	case KindOutcome:
+		return p.applyOutcome(r, rec.Offset)
+	case KindWithdraw:
+		return p.applyWithdraw(r)
+	case KindCheckpoint:
+		return p.applyCheckpoint(r)
+	case KindReset:
+		return p.applyReset(r, rec)
+	}
+	return Malformed
+}
+
+// advance moves the clock and forgets keys that are older than every window.
+func (p *Partition) advance(clock int64) {
+	p.clock = max(p.clock, clock)
+	if p.windowS > 0 {
+		p.floor = max(p.floor, p.clock-p.windowS)
+	}
+	if p.coveredClock == 0 {
+		p.coveredClock = p.clock
+	}
+	for len(p.expiry) > 0 && p.expiry[0].issued <= p.floor {
+		item := heap.Pop(&p.expiry).(expiryItem)
+		e := p.entries[item.key]
+		if e.Issued > item.issued {
+			// A later record stated a later issue time for the key.
+			heap.Push(&p.expiry, expiryItem{issued: e.Issued, key: item.key})
+			continue
+		}
+		p.dead -= len(e.Withdrawn)
+		delete(p.entries, item.key)
+	}
+}
+
+func (p *Partition) applyClaim(r Record) Verdict {
+	if r.Key == "" || r.Claim == "" || r.WindowS <= 0 || r.WindowS > int64(p.options.MaxWindow.Seconds()) {
+		return Malformed
 	}
 	e := p.entries[r.Key]
+	attempt := Attempt{Claim: r.Claim, Owner: r.Owner}
 	switch {
-	case r.Kind == KindClaim && e == nil:
-		p.entries[r.Key] = &Entry{Claim: r.Claim, Digest: r.Digest, Owner: r.Owner}
-	case e == nil || e.Claim != r.Claim:
-		return
-	case r.Kind == KindOutcome:
-		e.Finished = true
-		e.Answer = r.Answer
-	case r.Kind == KindWithdraw && !e.Finished:
-		delete(p.entries, r.Key)
+	case e.withdrawn(attempt):
+		return Dead
+	case e.Stands() && e.Attempt == attempt && e.Result == "":
+		return Accepted
+	case e.Stands():
+		return Duplicate
+	case r.Issued <= p.floor || r.Issued+r.WindowS < p.clock:
+		return Expired
+	case r.Issued > p.clock+int64(p.options.Skew.Seconds()):
+		return Future
+	case p.Size() >= p.options.MaxEntries:
+		return Full
 	}
+	p.windowS = max(p.windowS, r.WindowS)
+	e = p.remember(r)
+	e.Attempt = attempt
+	e.OwnerAddress = r.OwnerAddress
+	e.Digest = r.Digest
+	e.Claimed = p.clock
+	return Accepted
+}
+
+func (p *Partition) applyOutcome(r Record, offset int64) Verdict {
+	e := p.entries[r.Key]
+	if !e.Stands() || e.Attempt != (Attempt{Claim: r.Claim, Owner: r.Owner}) || e.Result != "" {
+		return Recorded
+	}
+	e.Result = r.Result
+	e.AnswerOffset = -1
+	if r.Answer != nil {
+		e.AnswerOffset = offset
+	}
+	return Recorded
+}
+
+// applyWithdraw frees a key whose call was not sent. A withdrawal may precede its
+// claim on the log, and then keeps it from being accepted.
+func (p *Partition) applyWithdraw(r Record) Verdict {
+	attempt := Attempt{Claim: r.Claim, Owner: r.Owner}
+	e := p.entries[r.Key]
+	if e.withdrawn(attempt) || r.Key == "" {
+		return Recorded
+	}
+	if e.Stands() && e.Attempt == attempt {
+		if e.Result == "" {
+			*e = Entry{Issued: e.Issued, Withdrawn: append(e.Withdrawn, attempt)}
+			p.dead++
+		}
+		return Recorded
+	}
+	// A claim that is refused by its age anyway needs no entry. Neither does one
+	// beyond a full table: its writer never runs it, so it may only block the key.
+	if r.Issued <= p.floor || p.Size()+2 > p.options.MaxEntries {
+		return Recorded
+	}
+	if r.Issued > p.clock+int64(p.options.Skew.Seconds()) {
+		return Recorded
+	}
+	e = p.remember(r)
+	e.Withdrawn = append(e.Withdrawn, attempt)
+	p.dead++
+	return Recorded
+}
+
+func (p *Partition) applyCheckpoint(r Record) Verdict {
+	c := r.Checkpoint
+	// The parts are appended in order, so the last one completes the checkpoint.
+	if c != nil && c.Part == c.Parts-1 && c.Through > p.covered {
+		p.covered = c.Through
+		p.coveredClock = p.clock
+	}
+	return Recorded
+}
+
+// remember returns the entry of the record's key, which lasts at least until the
+// issue time that the record states has expired.
+func (p *Partition) remember(r Record) *Entry {
+	e := p.entries[r.Key]
+	if e == nil {
+		e = &Entry{Issued: r.Issued}
+		p.insert(r.Key, e)
+	}
+	e.Issued = max(e.Issued, r.Issued)
+	return e
+}
+
+func (p *Partition) insert(key string, e *Entry) {
+	p.entries[key] = e
+	p.dead += len(e.Withdrawn)
+	heap.Push(&p.expiry, expiryItem{issued: e.Issued, key: key})
+}
+
+// expiryItem is a key and its issue time in Unix seconds.
+type expiryItem struct {
+	issued int64
+	key    string
+}
+
+// expiryHeap implements heap.Interface; the oldest key comes first.
+type expiryHeap []expiryItem
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].issued < h[j].issued }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) { *h = append(*h, x.(expiryItem)) }
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -19,6 +19,8 @@
 		admin.MethodExplain: d.adminExplain,
 		admin.MethodBurn:    d.adminBurn,
 		admin.MethodRoles:   d.adminRoles,
+		methodClaimAppend:   d.claims.serveAppend,
+		methodClaimStatus:   d.claims.serveStatus,
 	}
 }
 
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -2,139 +2,335 @@
 
 import (
 	"context"
-	"encoding/json"
+	"expvar"
 	"sync"
+	"time"
 
-	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 
 	"bergamotsill.example/bergamotsill/internal/claim"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/refusal"
 )
 
-// claims holds this daemon's view of the claim streams.
+const (
+	// claimPoll is how often a waiting resend asks for the state of its key.
+	claimPoll = 300 * time.Millisecond
+	// recordFirst is how long an answer waits for its record, so that a resend
+	// normally finds it.
+	recordFirst = time.Second
+	// recordMinPause and recordMaxPause bound the pause between two attempts at
+	// recording an outcome.
+	recordMinPause = 250 * time.Millisecond
+	recordMaxPause = 4 * time.Second
+	// recordStop is how long a planned stop waits for outcomes to be recorded. The
+	// calls themselves have ended by then.
+	recordStop = 30 * time.Second
+)
+
+// claims brings claims, outcomes and withdrawals to the log and answers for calls
+// that this daemon runs.
 type claims struct {
-	daemon *Daemon
+	daemon     *Daemon
+	options    claim.Options
+	partitions map[string]*appender
+	// checkpointRecords is the number of records between two checkpoints.
+	checkpointRecords int64
+	// slots bounds claimed calls until their outcome is recorded.
+	slots chan struct{}
+	// recording counts outcomes and withdrawals that are not recorded yet.
+	recording sync.WaitGroup
 
-	mu         sync.Mutex
-	partitions map[string]*partition
+	mu sync.Mutex
+	// running holds claims of this daemon that are accepted and whose outcome is
+	// not recorded.
+	running map[claim.Attempt]claimStatus
+	// pausedUntil holds appenders that failed.
+	pausedUntil map[string]time.Time
 }
 
-// partition is one claim stream. Its lock serialises reads of the stream.
-type partition struct {
-	mu    sync.Mutex
-	state *claim.Partition
+func newClaims(d *Daemon) *claims {
+	c := &claims{
+		daemon:            d,
+		options:           claim.DefaultOptions(),
+		partitions:        map[string]*appender{},
+		checkpointRecords: checkpointRecords,
+		slots:             make(chan struct{}, d.settings.Claims.Calls),
+		running:           map[claim.Attempt]claimStatus{},
+		pausedUntil:       map[string]time.Time{},
+	}
+	for i := range d.settings.Claims.Partitions {
+		stream := claim.StreamName(i)
+		c.partitions[stream] = newAppender(c, stream)
+	}
+	d.metrics.vars.Set("claim_entries", expvar.Func(c.entries))
+	return c
 }
 
-func newClaims(d *Daemon) *claims {
-	return &claims{daemon: d, partitions: map[string]*partition{}}
+// entries returns the number of remembered keys per stream, for the metrics.
+func (c *claims) entries() any {
+	out := map[string]int64{}
+	for stream, a := range c.partitions {
+		out[stream] = a.size.Load()
+	}
+	return out
+}
+
+func (c *claims) start() {
+	for _, a := range c.partitions {
+		c.daemon.tomb.Go(a.run)
+	}
+}
+
+// stop hands the streams over and waits until all outcomes are recorded.
+func (c *claims) stop(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recordStop)
+	defer cancel()
+	c.handOver(ctx)
+	done := make(chan struct{})
+	go func() {
+		c.recording.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		c.daemon.log.Error("outcomes of claimed calls are not recorded")
+	}
+}
+
+func (c *claims) stream(key string) string {
+	return claim.Stream(key, c.daemon.settings.Claims.Partitions)
 }
 
-func (c *claims) partition(stream string) *partition {
+// status returns the state of a claim of this incarnation. A claim that does not
+// run was given up and is being withdrawn, or its outcome was recorded since.
+func (c *claims) status(a claim.Attempt) claimStatus {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p, ok := c.partitions[stream]
-	if !ok {
-		p = &partition{state: claim.NewPartition()}
-		c.partitions[stream] = p
+	if s, ok := c.running[a]; ok {
+		return s
 	}
-	return p
+	return claimStatus{State: ownerRunning}
 }
 
-// refresh applies the stream up to its end.
-func (c *claims) refresh(ctx context.Context, stream string, p *partition) error {
-	for {
-		page, err := c.daemon.deps.Log.Read(ctx, stream, p.state.Next(), readLimit, 0)
-		if err != nil {
-			c.daemon.metrics.LogErrors.Add(1)
-			return trace.Wrap(err)
-		}
-		for _, rec := range page.Records {
-			p.state.Apply(rec)
-		}
-		if p.state.Next() >= page.Next {
-			return nil
-		}
-	}
+func (c *claims) setStatus(r claim.Record, s claimStatus) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[attemptOf(r)] = s
 }
 
-// lookup reads the stream to its end and returns the state of a key.
-func (c *claims) lookup(ctx context.Context, key string) (*claim.Entry, error) {
-	stream := claim.Stream(key, c.daemon.settings.Claims.Partitions)
-	p := c.partition(stream)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err := c.refresh(ctx, stream, p); err != nil {
-		return nil, err
+func attemptOf(r claim.Record) claim.Attempt { return claim.Attempt{Claim: r.Claim, Owner: r.Owner} }
+
+// claimKey is an idempotency key and what is claimed under it.
+type claimKey struct {
+	key string
+	// digest identifies the request and the issue time: a caller that states a new
+	// issue time for an old key would otherwise extend its window at each resend.
+	digest string
+	// issued is in Unix seconds.
+	issued int64
+	window time.Duration
+}
+
+// claimed is an accepted claim. Exactly one of finish, fail and withdraw ends it.
+type claimed struct {
+	claims *claims
+	record claim.Record
+}
+
+// acquire returns an accepted claim, or the recorded answer of an earlier run, or
+// a refusal. A claim that is not known to be accepted is never run; if it may still
+// reach the log, it is withdrawn.
+func (c *claims) acquire(ctx context.Context, k claimKey) (*claimed, *port.ServiceResponse, error) {
+	select {
+	case c.slots <- struct{}{}:
+		c.daemon.metrics.ClaimCalls.Add(1)
+	default:
+		return nil, nil, refusal.New(refusal.ClaimsFull, "%d claimed calls are not recorded yet", cap(c.slots)).ForAttempt().After(time.Second)
+	}
+	record := claim.Record{
+		Kind: claim.KindClaim, Key: k.key, Claim: newID(), Digest: k.digest, Issued: k.issued,
+		WindowS: int64(k.window.Seconds()),
+		Owner:   c.daemon.incarnation, OwnerAddress: c.daemon.settings.Listen.Peer,
 	}
-	e := p.state.Entry(key)
-	if e == nil {
-		return nil, nil
+	result, uncertain := c.await(ctx, record)
+	if result.Verdict == claim.Accepted {
+		c.setStatus(record, claimStatus{State: ownerRunning})
+		return &claimed{claims: c, record: record}, nil, nil
 	}
-	copied := *e
-	return &copied, nil
+	if uncertain {
+		c.withdraw(record)
+	} else {
+		c.release()
+	}
+	answer, err := c.resolve(ctx, k, result)
+	return nil, answer, err
 }
 
-func (c *claims) append(ctx context.Context, r claim.Record) error {
-	data, err := json.Marshal(r)
-	if err != nil {
-		return trace.Wrap(err)
+// await submits a claim, and again while another claim on the key runs, until the
+// time that a resend waits is over.
+func (c *claims) await(ctx context.Context, record claim.Record) (claimResult, bool) {
+	deadline := time.Now().Add(c.daemon.settings.Claims.Wait.Std())
+	uncertain := false
+	for {
+		result, lost := c.submit(ctx, record)
+		uncertain = uncertain || lost
+		if !c.worthWaiting(ctx, record, result) || time.Now().After(deadline) {
+			return result, uncertain
+		}
+		sleep(ctx, claimPoll)
 	}
-	stream := claim.Stream(r.Key, c.daemon.settings.Claims.Partitions)
-	entry := port.Entry{ID: r.Claim + "/" + string(r.Kind), Data: data}
-	_, err = c.daemon.deps.Log.Append(ctx, stream, []port.Entry{entry})
-	return err
 }
 
-// acquire returns the id of an accepted claim, or the recorded answer of an
-// earlier run, or a refusal.
-func (c *claims) acquire(ctx context.Context, key, digest string) (string, *port.ServiceResponse, error) {
-	entry, err := c.lookup(ctx, key)
-	if err != nil {
-		return "", nil, refusal.New(refusal.ClaimUnavailable, "the claim log cannot be read").ForAttempt()
+// worthWaiting tells whether the state of the key may soon change.
+func (c *claims) worthWaiting(ctx context.Context, record claim.Record, result claimResult) bool {
+	e := result.Entry
+	if ctx.Err() != nil || result.Verdict != claim.Duplicate || e == nil || e.Result != "" || e.Digest != record.Digest {
+		return false
 	}
-	if entry != nil {
-		answer, err := resolve(entry, digest)
-		return "", answer, err
-	}
-	id := newID()
-	record := claim.Record{Kind: claim.KindClaim, Key: key, Claim: id, Digest: digest, Owner: c.daemon.incarnation}
-	// A lost answer is settled by the lookup that follows.
-	appendErr := c.append(ctx, record)
-	entry, err = c.lookup(ctx, key)
-	switch {
-	case err != nil || entry == nil:
-		return "", nil, refusal.New(refusal.ClaimUnavailable, "the claim could not be recorded: %v", appendErr).ForAttempt()
-	case entry.Claim == id:
-		return id, nil, nil
+	return c.askOwner(ctx, e).State == ownerRunning
+}
+
+// resolve answers a call whose claim was not accepted.
+func (c *claims) resolve(ctx context.Context, k claimKey, result claimResult) (*port.ServiceResponse, error) {
+	switch result.Verdict {
+	case claim.Duplicate:
+		return c.resolveDuplicate(ctx, k, result)
+	case claim.Expired:
+		return nil, refusal.New(refusal.KeyExpired, "the idempotency key is older than what is remembered").ForAttempt()
+	case claim.Future:
+		return nil, refusal.New(refusal.KeyInvalid, "the idempotency key is issued too far in the future").ForAttempt()
+	case claim.Full:
+		return nil, refusal.New(refusal.ClaimsFull, "no more idempotency keys can be remembered").After(time.Minute)
 	}
-	answer, err := resolve(entry, digest)
-	return "", answer, err
+	return nil, refusal.New(refusal.ClaimUnavailable, "the claim could not be recorded").ForAttempt().After(time.Second)
 }
 
-// resolve answers a call whose key is claimed already.
-func resolve(e *claim.Entry, digest string) (*port.ServiceResponse, error) {
+// resolveDuplicate answers a call whose key is claimed already.
+func (c *claims) resolveDuplicate(ctx context.Context, k claimKey, result claimResult) (*port.ServiceResponse, error) {
+	e := result.Entry
 	switch {
-	case e.Digest != digest:
+	case e == nil || !e.Stands():
+		return nil, refusal.New(refusal.ClaimUnavailable, "the state of the key changed").ForAttempt().After(time.Second)
+	case e.Digest != k.digest:
 		return nil, refusal.New(refusal.KeyReused, "the idempotency key belongs to a different request").ForAttempt()
-	case e.Answer != nil:
-		return e.Answer, nil
-	case e.Finished:
+	case result.Answer != nil:
+		return result.Answer, nil
+	case e.Result == claim.Answered:
 		return nil, refusal.NewUnknown(refusal.OutcomeUnknown, "the call ran; its answer was not recorded")
+	case e.Result == claim.Unknown:
+		return nil, unknownOutcome()
+	}
+	return c.resolveRunning(ctx, e)
+}
+
+func unknownOutcome() error {
+	return refusal.NewUnknown(refusal.OutcomeUnknown, "the upstream gave no answer; the call is not run again")
+}
+
+// resolveRunning answers a call whose key is claimed by a call without a recorded
+// outcome. The owner counts as gone when another incarnation answers in its place,
+// when its VM has left the VM list, or when nobody answers for the settle time. All
+// of these are presumptions, and a paused owner may still run the call; so the
+// outcome stays unknown, and the call is not run again either way.
+func (c *claims) resolveRunning(ctx context.Context, e *claim.Entry) (*port.ServiceResponse, error) {
+	status := c.askOwner(ctx, e)
+	gone := status.State == ownerGone
+	if status.State == ownerUnreachable {
+		silence := time.Since(time.Unix(e.Claimed, 0))
+		gone = !c.listed(e.OwnerAddress) || silence > c.daemon.settings.Timing.UnfencedSettle.Std()
+	}
+	switch {
+	case status.State == ownerAnswered && status.Answer != nil:
+		return status.Answer, nil
+	case status.State == ownerAnswered || status.State == ownerFailed:
+		return nil, unknownOutcome()
+	case gone:
+		return nil, refusal.NewUnknown(refusal.OutcomeUnknown, "the daemon that may have run the call is gone; the call is not run again")
 	}
-	return nil, refusal.NewUnknown(refusal.InProgress, "a call with this idempotency key is in progress")
+	return nil, refusal.NewUnknown(refusal.InProgress, "a call with this idempotency key is in progress").After(time.Second)
 }
 
-// finish records the outcome of a call that ran.
-func (c *claims) finish(ctx context.Context, key, id string, answer port.ServiceResponse) error {
-	r := claim.Record{Kind: claim.KindOutcome, Key: key, Claim: id}
-	if int64(len(answer.Body)) <= c.daemon.settings.Claims.AnswerBytes {
+// finish records that the call was answered. It returns once that is recorded, or
+// after recordFirst; recording then goes on.
+func (c *claimed) finish(answer port.ServiceResponse) {
+	r := c.outcome(claim.Answered)
+	if int64(len(answer.Body)) <= c.claims.daemon.settings.Claims.AnswerBytes {
 		r.Answer = &answer
 	}
-	return c.append(ctx, r)
+	c.claims.setStatus(c.record, claimStatus{State: ownerAnswered, Answer: r.Answer})
+	c.recordAndWait(r)
+}
+
+// fail records that the call was sent and not answered.
+func (c *claimed) fail() {
+	c.claims.setStatus(c.record, claimStatus{State: ownerFailed})
+	c.recordAndWait(c.outcome(claim.Unknown))
+}
+
+// withdraw records that the call was not sent and never will be.
+func (c *claimed) withdraw() { c.recordAndWait(c.withdrawal()) }
+
+func (c *claimed) outcome(result claim.Result) claim.Record {
+	return claim.Record{
+		Kind: claim.KindOutcome, Key: c.record.Key, Claim: c.record.Claim, Owner: c.record.Owner,
+		Issued: c.record.Issued, Result: result,
+	}
+}
+
+func (c *claimed) withdrawal() claim.Record {
+	return claim.Record{
+		Kind: claim.KindWithdraw, Key: c.record.Key, Claim: c.record.Claim, Owner: c.record.Owner,
+		Issued: c.record.Issued,
+	}
+}
+
+func (c *claimed) recordAndWait(r claim.Record) {
+	timer := time.NewTimer(recordFirst)
+	defer timer.Stop()
+	select {
+	case <-c.claims.recordAll(r):
+	case <-timer.C:
+	}
+}
+
+// withdraw withdraws a claim that may still reach the log.
+func (c *claims) withdraw(record claim.Record) {
+	lost := &claimed{claims: c, record: record}
+	c.recordAll(lost.withdrawal())
+}
+
+// recordAll appends a record until it is found on the log or the daemon ends. Its
+// slot is released then, so the memory for such records is bounded.
+func (c *claims) recordAll(r claim.Record) <-chan struct{} {
+	done := make(chan struct{})
+	c.recording.Go(func() {
+		defer close(done)
+		c.repeat(c.daemon.context(), r)
+		c.mu.Lock()
+		delete(c.running, attemptOf(r))
+		c.mu.Unlock()
+		c.release()
+	})
+	return done
+}
+
+func (c *claims) repeat(ctx context.Context, r claim.Record) {
+	pause := recordMinPause
+	for ctx.Err() == nil {
+		result, _ := c.submit(ctx, r)
+		if result.decided() {
+			return
+		}
+		c.daemon.log.Debug("claim record not appended", zap.String("claim", r.Claim), zap.String("kind", string(r.Kind)))
+		sleep(ctx, pause)
+		pause = min(2*pause, recordMaxPause)
+	}
 }
 
-// withdraw records that a claimed call was not sent.
-func (c *claims) withdraw(ctx context.Context, key, id string) error {
-	return c.append(ctx, claim.Record{Kind: claim.KindWithdraw, Key: key, Claim: id})
+// release frees the slot of a claimed call.
+func (c *claims) release() {
+	<-c.slots
+	c.daemon.metrics.ClaimCalls.Add(-1)
 }
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +52,8 @@
 	daemons  map[string]*Daemon
 	servers  []*http.Server
 	client   *http.Client
+	// issued holds the issue times of idempotency keys.
+	issued sync.Map
 	// adjust changes the settings of daemons that are started.
 	adjust func(*settings.Settings)
 }
@@ -330,8 +333,10 @@
 	return c.do(context.Background(), daemon, http.MethodPost, "/v1/completions", nil, body)
 }
 
-// confirm sends a non-repeatable call to a daemon.
+// confirm sends a non-repeatable call to a daemon. The issue time of a key is the
+// time of its first use.
 func (c *cluster) confirm(daemon, key, body string) reply {
-	header := http.Header{headerKey: {key}}
+	issued, _ := c.issued.LoadOrStore(key, strconv.FormatInt(time.Now().Unix(), 10))
+	header := http.Header{headerKey: {key}, headerIssued: {issued.(string)}}
 	return c.do(context.Background(), daemon, http.MethodPost, confirmPath, header, []byte(body))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,6 +116,7 @@
 	d.tomb.Go(d.config.run)
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
+	d.claims.start()
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
 		zap.String("caller-address", d.settings.Listen.Caller),
@@ -157,6 +158,7 @@
 	d.refusing.Store(true)
 	d.waitForRequests(ctx)
 	d.log.Info("all requests finished")
+	d.claims.stop(ctx)
 	return d.kill()
 }
 
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -17,6 +17,8 @@
 type fleet struct {
 	daemon *Daemon
 	table  atomic.Pointer[routing.Table]
+	// daemons are the entries of kind daemon of the newest VM list.
+	daemons atomic.Pointer[[]port.VM]
 
 	mu        sync.Mutex
 	upstreams map[string]*routing.Upstream
@@ -32,6 +34,14 @@
 // Table returns the current routing table.
 func (f *fleet) Table() *routing.Table { return f.table.Load() }
 
+// Daemons returns the entries of kind daemon of the newest VM list.
+func (f *fleet) Daemons() []port.VM {
+	if p := f.daemons.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
 func (f *fleet) runVMList() error {
 	every(f.daemon.context(), f.daemon.settings.Timing.VMListInterval.Std(), f.readVMList)
 	return nil
@@ -48,8 +58,10 @@
 	defer f.mu.Unlock()
 	upstreams := make(map[string]*routing.Upstream, len(snapshot.VMs))
 	list := make([]*routing.Upstream, 0, len(snapshot.VMs))
+	var daemons []port.VM
 	for _, vm := range snapshot.VMs {
 		if vm.Kind == port.KindDaemon {
+			daemons = append(daemons, vm)
 			continue
 		}
 		u := f.upstream(vm)
@@ -57,6 +69,7 @@
 		list = append(list, u)
 	}
 	f.upstreams = upstreams
+	f.daemons.Store(&daemons)
 	f.table.Store(routing.NewTable(list))
 }
 
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -19,6 +19,7 @@
 	headerProfile      = "Bergamot-Profile"
 	headerOrganisation = "Bergamot-Organisation"
 	headerKey          = "Idempotency-Key"
+	headerIssued       = "Idempotency-Issued"
 )
 
 // maxRequestIDBytes bounds a request id that a caller chooses.
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -23,6 +23,11 @@
 	ChunksDropped expvar.Int
 	// LogErrors counts failed operations on the log service.
 	LogErrors expvar.Int
+	// ClaimAppends counts appends of claim records, ClaimCheckpoints checkpoints.
+	ClaimAppends     expvar.Int
+	ClaimCheckpoints expvar.Int
+	// ClaimCalls is the number of claimed calls that run or wait to be recorded.
+	ClaimCalls expvar.Int
 	// Revision is the configuration revision in force.
 	Revision expvar.Int
 }
@@ -37,6 +42,9 @@
 	m.vars.Set("resumed", &m.Resumed)
 	m.vars.Set("chunks_dropped", &m.ChunksDropped)
 	m.vars.Set("log_errors", &m.LogErrors)
+	m.vars.Set("claim_appends", &m.ClaimAppends)
+	m.vars.Set("claim_checkpoints", &m.ClaimCheckpoints)
+	m.vars.Set("claim_calls", &m.ClaimCalls)
 	m.vars.Set("revision", &m.Revision)
 	return m
 }
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -5,11 +5,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/claim"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/refusal"
@@ -27,7 +29,7 @@
 	snapshot := d.config.Snapshot()
 	route := snapshot.Service(c.request.URL.Path)
 	if route == nil {
-		return refusal.New(refusal.UnknownPath, "no service is routed at %q", c.request.URL.Path)
+		return refusal.New(refusal.UnknownPath, "no service is routed at %q", c.request.URL.Path).ForAttempt()
 	}
 	var answer port.ServiceResponse
 	var err error
@@ -60,6 +62,8 @@
 	for _, name := range hopHeaders {
 		header.Del(name)
 	}
+	// The body is complete by now, so the upstream is not asked to agree to it.
+	header.Del("Expect")
 	header.Set(refusal.HeaderRequestID, c.id)
 	return port.ServiceRequest{
 		Method: c.request.Method,
@@ -77,14 +81,18 @@
 	})
 }
 
-// callService runs a repeatable call, trying other upstreams when one fails.
+// maxServiceTries bounds the upstreams that one repeatable call is sent to, so that
+// a failure of a whole pool does not multiply its load by the pool's size.
+const maxServiceTries = 3
+
+// callService runs a repeatable call. Each try goes to another upstream.
 func (d *Daemon) callService(ctx context.Context, route *profile.ServiceRoute, c *call) (port.ServiceResponse, error) {
 	excluded := map[string]bool{}
 	sent := false
-	for {
+	for range maxServiceTries {
 		u := d.pickService(route, excluded)
 		if u == nil {
-			return port.ServiceResponse{}, refuseService(route, sent)
+			break
 		}
 		answer, err := callUpstream(ctx, u, c.serviceRequest())
 		if err == nil {
@@ -92,8 +100,12 @@
 		}
 		c.log.Warn("call to service failed", zap.String("upstream", u.VM.ID), zap.Error(err))
 		sent = sent || !errors.Is(err, port.ErrNotSent)
+		if ctx.Err() != nil {
+			break
+		}
 		excluded[u.VM.ID] = true
 	}
+	return port.ServiceResponse{}, refuseService(route, sent)
 }
 
 func refuseService(route *profile.ServiceRoute, sent bool) error {
@@ -110,71 +122,106 @@
 
 // callOnce runs a non-repeatable call under a claim.
 func (d *Daemon) callOnce(ctx context.Context, route *profile.ServiceRoute, c *call) (port.ServiceResponse, error) {
+	key, err := d.claimKey(route, c)
+	if err != nil {
+		return port.ServiceResponse{}, err
+	}
+	held, recorded, err := d.claims.acquire(ctx, key)
+	switch {
+	case err != nil:
+		return port.ServiceResponse{}, err
+	case recorded != nil:
+		return *recorded, nil
+	}
+	return d.runClaimed(ctx, route, c, held)
+}
+
+// claimKey returns the call's idempotency key. Refusals of a key speak of this
+// attempt only: an earlier one may have stated the issue time, or met another clock.
+func (d *Daemon) claimKey(route *profile.ServiceRoute, c *call) (claimKey, error) {
 	key := c.request.Header.Get(headerKey)
 	if key == "" {
-		return port.ServiceResponse{}, refusal.New(refusal.KeyRequired, "%s %s requires the header %s", c.request.Method, c.request.URL.Path, headerKey)
+		return claimKey{}, refusal.New(refusal.KeyRequired, "%s %s requires the header %s", c.request.Method, c.request.URL.Path, headerKey)
 	}
-	id, recorded, err := d.claims.acquire(ctx, key, digest(c))
+	issued, err := claim.ParseIssued(key, c.request.Header.Get(headerIssued))
 	if err != nil {
-		return port.ServiceResponse{}, err
+		return claimKey{}, refusal.New(refusal.KeyInvalid, "%v", err).ForAttempt()
 	}
-	if recorded != nil {
-		return *recorded, nil
+	window := d.settings.Claims.Window(time.Duration(route.ClaimWindowS) * time.Second)
+	err = claim.CheckAge(issued, window, d.claims.options.Skew, time.Now())
+	switch {
+	case errors.Is(err, claim.ErrKeyExpired):
+		return claimKey{}, refusal.New(refusal.KeyExpired, "%v of %s", err, window).ForAttempt()
+	case err != nil:
+		return claimKey{}, refusal.New(refusal.KeyInvalid, "%v", err).ForAttempt()
 	}
-	return d.runClaimed(ctx, route, c, key, id)
+	return claimKey{key: key, digest: digest(c, issued), issued: issued, window: window}, nil
 }
 
 // runClaimed sends a call whose claim was accepted, at most once. It goes on when
 // the caller leaves, so that the outcome is recorded.
-func (d *Daemon) runClaimed(ctx context.Context, route *profile.ServiceRoute, c *call, key, id string) (port.ServiceResponse, error) {
-	ctx = context.WithoutCancel(ctx)
-	u, client := d.provenUpstream(ctx, route)
+func (d *Daemon) runClaimed(ctx context.Context, route *profile.ServiceRoute, c *call, held *claimed) (port.ServiceResponse, error) {
+	ctx, cancel := d.untilEnd(ctx, d.settings.Claims.CallTimeout.Std())
+	defer cancel()
+	u, conn := d.provenUpstream(ctx, route)
 	if u == nil {
-		return port.ServiceResponse{}, d.notSent(ctx, route, key, id)
+		return port.ServiceResponse{}, d.notSent(route, held)
 	}
+	defer conn.Close()
 	defer u.Begin()()
-	answer, err := client.Call(ctx, c.serviceRequest())
+	answer, err := conn.Call(ctx, c.serviceRequest())
 	if errors.Is(err, port.ErrNotSent) {
-		return port.ServiceResponse{}, d.notSent(ctx, route, key, id)
+		return port.ServiceResponse{}, d.notSent(route, held)
 	}
 	if err != nil {
 		c.log.Error("outcome of call unknown", zap.String("upstream", u.VM.ID), zap.Error(err))
-		return port.ServiceResponse{}, refusal.NewUnknown(refusal.OutcomeUnknown, "the upstream gave no answer")
-	}
-	if err := d.claims.finish(ctx, key, id, answer); err != nil {
-		c.log.Warn("outcome not recorded", zap.Error(err))
+		held.fail()
+		return port.ServiceResponse{}, unknownOutcome()
 	}
+	held.finish(answer)
 	return answer, nil
 }
 
-// provenUpstream returns an upstream and a client whose connection just answered
-// a health check, or nil.
-func (d *Daemon) provenUpstream(ctx context.Context, route *profile.ServiceRoute) (*routing.Upstream, port.Service) {
+// untilEnd returns a context with the values of ctx that ends with the daemon, or
+// after limit, but not with ctx.
+func (d *Daemon) untilEnd(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	stop := context.AfterFunc(d.context(), cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// provenUpstream returns an upstream and a connection to it that just answered a
+// health check, or nil.
+func (d *Daemon) provenUpstream(ctx context.Context, route *profile.ServiceRoute) (*routing.Upstream, port.ServiceConn) {
 	excluded := map[string]bool{}
-	for {
+	for ctx.Err() == nil {
 		u := d.pickService(route, excluded)
 		if u == nil {
-			return nil, nil
+			break
 		}
-		client := d.deps.Services(u.VM.Address)
-		if client.Probe(ctx) == nil {
-			return u, client
+		conn, err := u.Service.Open(ctx)
+		if err == nil {
+			return u, conn
 		}
 		excluded[u.VM.ID] = true
 	}
+	return nil, nil
 }
 
-func (d *Daemon) notSent(ctx context.Context, route *profile.ServiceRoute, key, id string) error {
-	if err := d.claims.withdraw(ctx, key, id); err != nil {
-		d.log.Warn("claim not withdrawn", zap.String("claim", id), zap.Error(err))
-	}
-	return refuseService(route, false)
+// notSent withdraws a claim whose call was not sent. While the claim stood no
+// other attempt could run, so no attempt with the key has run.
+func (d *Daemon) notSent(route *profile.ServiceRoute, held *claimed) error {
+	held.withdraw()
+	return refusal.New(refusal.NoUpstream, "no upstream of service %q is reachable", route.Name).After(time.Second)
 }
 
-// digest identifies the content of a call.
-func digest(c *call) string {
+// digest identifies the content of a call and the issue time of its key.
+func digest(c *call, issued int64) string {
 	h := sha256.New()
-	h.Write([]byte(c.request.Method + "\n" + c.request.URL.RequestURI() + "\n"))
+	fmt.Fprintf(h, "%d\n%s\n%s\n", issued, c.request.Method, c.request.URL.RequestURI())
 	h.Write(c.body)
 	return hex.EncodeToString(h.Sum(nil))
 }
--- a/internal/port/service.go
+++ b/internal/port/service.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 )
 
+// ErrServiceUnproven reports that a connection to a service could not be opened or
+// did not answer a health check.
+var ErrServiceUnproven = errors.New("connection to service is not proved alive")
+
 // ServiceRequest is a call to a plain service.
 type ServiceRequest struct {
 	Method string
@@ -23,11 +28,20 @@
 
 // Service is one plain service upstream.
 type Service interface {
-	// Call runs one request. ErrNotSent means that no byte of it was sent; any
-	// other error leaves open whether it ran.
+	// Call runs one request over a shared connection and sends it at most once.
+	// ErrNotSent means that no byte of it was sent; any other error leaves open
+	// whether it ran.
+	Call(ctx context.Context, req ServiceRequest) (ServiceResponse, error)
+	// Open opens a connection of its own and proves it alive by a health check.
+	Open(ctx context.Context) (ServiceConn, error)
+}
+
+// ServiceConn is one connection to a service, proved alive.
+type ServiceConn interface {
+	// Call sends one request over this connection and no other. Its errors are
+	// those of Service.Call.
 	Call(ctx context.Context, req ServiceRequest) (ServiceResponse, error)
-	// Probe opens a fresh exchange that proves the connection alive.
-	Probe(ctx context.Context) error
+	Close()
 }
 
 // ServiceDialer returns the client of the service at host:port address.
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -59,6 +59,7 @@
 	KeyReused        Code = "idempotency-key-reused"
 	InProgress       Code = "in-progress"
 	ClaimUnavailable Code = "claim-unavailable"
+	ClaimsFull       Code = "claims-full"
 	OutcomeUnknown   Code = "outcome-unknown"
 	Overloaded       Code = "overloaded"
 	TooLarge         Code = "cost-above-capacity"
@@ -82,6 +83,7 @@
 	KeyReused:        http.StatusUnprocessableEntity,
 	InProgress:       http.StatusConflict,
 	ClaimUnavailable: http.StatusServiceUnavailable,
+	ClaimsFull:       http.StatusServiceUnavailable,
 	OutcomeUnknown:   http.StatusBadGateway,
 	Overloaded:       http.StatusTooManyRequests,
 	TooLarge:         http.StatusUnprocessableEntity,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -118,6 +118,20 @@
 	Partitions int `json:"partitions"`
 	// AnswerBytes bounds a recorded answer.
 	AnswerBytes int64 `json:"answer_bytes"`
+	// Calls bounds the claimed calls that run or wait to be recorded.
+	Calls int `json:"calls"`
+	// Retention is how long the log keeps records. A claim window longer than half
+	// of it is cut to that, since recorded answers stay on the log alone.
+	Retention Duration `json:"retention"`
+	// Wait is how long a resend waits for a call that runs.
+	Wait Duration `json:"wait"`
+	// CallTimeout bounds a claimed call at an upstream.
+	CallTimeout Duration `json:"call_timeout"`
+}
+
+// Window returns the window in force for a configured one.
+func (c Claims) Window(configured time.Duration) time.Duration {
+	return min(configured, c.Retention.Std()/2)
 }
 
 // Default returns settings with every optional value filled in.
@@ -140,7 +154,14 @@
 			UnfencedSettle: Duration(30 * time.Second),
 			QuarantineHold: Duration(10 * time.Minute),
 		},
-		Claims:   Claims{Partitions: 16, AnswerBytes: 64 << 10},
+		Claims: Claims{
+			Partitions:  16,
+			AnswerBytes: 64 << 10,
+			Calls:       1024,
+			Retention:   Duration(72 * time.Hour),
+			Wait:        Duration(5 * time.Second),
+			CallTimeout: Duration(time.Minute),
+		},
 		LogLevel: "info",
 	}
 }
@@ -211,6 +232,10 @@
 	positive(list, "limits.decision_records", int64(s.Limits.DecisionRecords))
 	positive(list, "claims.partitions", int64(s.Claims.Partitions))
 	positive(list, "claims.answer_bytes", s.Claims.AnswerBytes)
+	positive(list, "claims.calls", int64(s.Claims.Calls))
+	positive(list, "claims.retention", int64(s.Claims.Retention))
+	positive(list, "claims.wait", int64(s.Claims.Wait))
+	positive(list, "claims.call_timeout", int64(s.Claims.CallTimeout))
 }
 
 func (s *Settings) checkTiming(list *findings.List) {
