--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -28,6 +28,9 @@
 		membership.MethodVMs:   d.fleet.handleVMs,
 
 		methodConfigRecords: d.config.serveRecords,
+
+		methodClaimAppend: d.claims.serveAppend,
+		methodClaimStatus: d.claims.serveStatus,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -125,6 +125,7 @@
 	d.tomb.Go(d.runBurn)
 	d.tomb.Go(d.admission.run)
 	d.tomb.Go(d.gossip.run)
+	d.claims.start()
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
 		zap.String("caller-address", d.settings.Listen.Caller),
@@ -170,6 +171,7 @@
 		d.log.Warn("caller connections closed before they were idle", zap.Error(err))
 	}
 	d.log.Info("all requests finished")
+	d.claims.stop(ctx)
 	d.gossip.leave(ctx)
 	return d.kill()
 }
