Find daemons that a change of an engine has not reached

Cause: a change that comes back from others stops being passed on, which leaves a small share of daemons without it. Load entries now carry a one-byte checksum of the engine's state; on a difference the receiver asks the sender for the state.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -27,6 +27,8 @@
 		membership.MethodView:  d.gossip.handleView,
 		membership.MethodVMs:   d.fleet.handleVMs,
 
+		membership.MethodEngines: d.gossip.handleEngines,
+
 		methodConfigRecords: d.config.serveRecords,
 
 		methodClaimAppend: d.claims.serveAppend,
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -200,15 +200,44 @@
 // receive takes in the news of a probe or an answer.
 func (g *gossip) receive(m membership.Message) {
 	now := time.Now()
+	var different []uint32
 	g.locked(func() {
 		g.members.Heard(m.From, now)
 		for _, member := range m.Members {
 			g.members.Apply(member, now)
 		}
 		g.engines.Apply(m.Engines, now)
-		g.engines.ApplyLoads(m.Loads, now)
+		different = g.engines.ApplyLoads(m.Loads, now)
 	})
 	g.daemon.fleet.heard(m)
+	if len(different) > 0 {
+		go g.fetchEngines(g.daemon.context(), m.From.Address, different)
+	}
+}
+
+// fetchEngines takes the state of some engines from a peer that knows it
+// differently. The newer observation wins, so a peer that is behind does no harm.
+func (g *gossip) fetchEngines(ctx context.Context, address string, keys []uint32) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var changes []engineview.Change
+	params := membership.EnginesParams{Keys: keys}
+	if err := g.daemon.deps.Peers(address).Call(ctx, membership.MethodEngines, params, &changes); err != nil {
+		g.daemon.log.Debug("peer gave no engine states", zap.String("peer-address", address), zap.Error(err))
+		return
+	}
+	g.locked(func() { g.engines.Apply(changes, time.Now()) })
+	g.daemon.fleet.publishReports()
+}
+
+func (g *gossip) handleEngines(_ context.Context, params json.RawMessage) (any, error) {
+	var in membership.EnginesParams
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, trace.BadParameter("params: %v", err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.engines.Select(in.Keys, time.Now()), nil
 }
 
 func (g *gossip) handleProbe(_ context.Context, params json.RawMessage) (any, error) {
--- a/internal/engineview/load.go
+++ b/internal/engineview/load.go
@@ -11,10 +11,11 @@
 )
 
 // A load entry is packed to keep the cost of a probe small: 4 bytes hash of the
-// VM's id, 1 byte age, and 2 bytes each for running and queued requests, queued
-// prefill tokens and running tokens.
+// VM's id, 1 byte age, 2 bytes each for running and queued requests, queued prefill
+// tokens and running tokens, and 1 byte checksum of the engine's state. The
+// checksum finds daemons that a change has not reached.
 const (
-	loadBytes = 13
+	loadBytes = 14
 	// ageUnit is the unit of a packed age; older entries than maxAge are not sent.
 	ageUnit = 100 * time.Millisecond
 	maxAge  = math.MaxUint8 * ageUnit
@@ -67,14 +68,17 @@
 	out = binary.BigEndian.AppendUint16(out, saturate(int64(s.Running)))
 	out = binary.BigEndian.AppendUint16(out, saturate(int64(s.Queued)))
 	out = binary.BigEndian.AppendUint16(out, saturate(s.QueuedPrefillTokens/tokenUnit))
-	return binary.BigEndian.AppendUint16(out, saturate(s.RunningTokens/tokenUnit))
+	out = binary.BigEndian.AppendUint16(out, saturate(s.RunningTokens/tokenUnit))
+	return append(out, r.sum)
 }
 
 func saturate(v int64) uint16 { return uint16(max(0, min(v, math.MaxUint16))) }
 
 // ApplyLoads takes in packed loads from a peer. Entries of unknown engines and a
-// malformed tail are ignored.
-func (v *View) ApplyLoads(packed []byte, now time.Time) {
+// malformed tail are ignored. It returns the keys of engines whose state the peer
+// knows differently; Select at the peer returns that state.
+func (v *View) ApplyLoads(packed []byte, now time.Time) []uint32 {
+	var different []uint32
 	for ; len(packed) >= loadBytes; packed = packed[loadBytes:] {
 		r, ok := v.byKey[binary.BigEndian.Uint32(packed)]
 		if !ok {
@@ -86,7 +90,11 @@
 			r.load = at
 			r.state.Status = unpackLoad(r.state.Status, packed[5:])
 		}
+		if sum := packed[loadBytes-1]; sum != 0 && sum != r.sum {
+			different = append(different, r.key)
+		}
 	}
+	return different
 }
 
 func unpackLoad(s port.EngineStatus, p []byte) port.EngineStatus {
--- a/internal/engineview/view.go
+++ b/internal/engineview/view.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"encoding/json"
+	"math"
 	"slices"
 	"time"
 
@@ -50,6 +52,8 @@
 	key        uint32
 	// state is the newest observation, load the newest observation of the load.
 	state Observation
+	// sum identifies the slow part of state; 0 means that nothing is known.
+	sum   byte
 	load  time.Time
 	sends int
 }
@@ -108,9 +112,21 @@
 		r.load = o.At
 	}
 	r.state = o
+	r.sum = checksum(o)
 	return true
 }
 
+// checksum returns a value other than 0 that identifies the slow part of an
+// observation.
+func checksum(o Observation) byte {
+	// A status holds only plain values, so that it can always be encoded.
+	data, _ := json.Marshal(o.slow())
+	if o.Failed {
+		data = append(data, '!')
+	}
+	return byte(xxhash.Sum64(data)%math.MaxUint8) + 1
+}
+
 // Get returns the newest observation of an engine.
 func (v *View) Get(vm string) (Observation, bool) {
 	r, ok := v.records[vm]
@@ -153,6 +169,17 @@
 	}
 }
 
+// Select returns the state of the engines with the given keys.
+func (v *View) Select(keys []uint32, now time.Time) []Change {
+	var out []Change
+	for _, key := range keys {
+		if r, ok := v.byKey[key]; ok && !r.state.At.IsZero() {
+			out = append(out, r.change(now))
+		}
+	}
+	return out
+}
+
 // All returns the state of every engine, for a daemon that has just started.
 func (v *View) All(now time.Time) []Change {
 	out := make([]Change, 0, len(v.records))
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -10,6 +10,9 @@
 	MethodRelay = "peer.relay"
 	// MethodView returns a View, for a daemon that has just started.
 	MethodView = "peer.view"
+	// MethodEngines returns the state of some engines, for a daemon that a change has
+	// not reached.
+	MethodEngines = "peer.engines"
 	// MethodVMs returns the VM list as a port.VMSnapshot.
 	MethodVMs = "peer.vms"
 )
@@ -35,6 +38,12 @@
 	Address string `json:"address"`
 }
 
+// EnginesParams is the argument of MethodEngines; its answer is a list of
+// engineview.Change.
+type EnginesParams struct {
+	Keys []uint32 `json:"keys"`
+}
+
 // View is the answer to MethodView.
 type View struct {
 	Members []Member            `json:"members"`
