Give the demo's services a duration, and fix a false "lost"

The demo's services answered at once, so that a killed daemon hardly ever left a delivery confirmation open.

The lost call was a fault of the checker: the first sending waited for a call in progress until the caller gave up, and the planned second sending was then counted although it was never sent. A caller without time left no longer sends again.

--- a/internal/load/check_test.go
+++ b/internal/load/check_test.go
@@ -67,6 +67,9 @@
 	case n.fault == "lose-answers", n.fault == "" && !known:
 		// The call took effect and its answer is lost.
 		return nil, errors.New("connection reset")
+	case n.fault == "stuck":
+		refusal.NewUnknown(refusal.InProgress, "in progress").Write(w, "r")
+		return w.Result(), nil
 	case n.fault == "unknown":
 		refusal.NewUnknown(refusal.OutcomeUnknown, "outcome unknown").Write(w, "r")
 		return w.Result(), nil
@@ -94,7 +97,8 @@
 
 // Guards against a checker that passes a wrong answer, a cut stream, a false
 // "not run", an answer without its effect, or a key that ran twice, and against
-// one that counts a call as lost whose caller got its answer by resending.
+// one that counts a call as lost whose caller got its answer by resending, or was
+// told the truth until it gave up.
 func TestCheckerFindsBrokenPromises(t *testing.T) {
 	cases := []struct {
 		fault   string
@@ -110,6 +114,7 @@
 		{"answer-without-execution", Confirmation, Lost, false},
 		{"lose-answers", Confirmation, Lost, false},
 		{"unknown", Confirmation, Unknown, false},
+		{"stuck", Confirmation, Unknown, false},
 		{"run-again", Confirmation, Lost, true},
 	}
 	for seed := range checkSeeds() {
--- a/internal/load/confirm.go
+++ b/internal/load/confirm.go
@@ -25,11 +25,12 @@
 		group.Go(func() { otherBody = second.until(ctx, &other, second.keyed(key)) })
 	}
 	body := c.until(ctx, result, c.keyed(key))
-	if resend && !atOnce {
+	// A caller that has no time left does not send again.
+	if resend && !atOnce && ctx.Err() == nil {
 		otherBody = second.until(ctx, &other, second.keyed(key))
 	}
 	group.Wait()
-	if resend {
+	if second.attempts > 0 {
 		c.attempts += second.attempts
 		merge(result, body, other, otherBody)
 	}
--- a/internal/standin/root.go
+++ b/internal/standin/root.go
@@ -123,15 +123,19 @@
 
 func newServiceCommand() *cobra.Command {
 	var listen, name string
+	var delay time.Duration
 	cmd := &cobra.Command{
 		Use:   "service",
 		Short: "Serve a fake plain service",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			return serve(cmd, listen, name, NewService(name).Handler())
+			service := NewService(name)
+			service.SetFaults(ServiceFaults{DelayMS: delay.Milliseconds()})
+			return serve(cmd, listen, name, service.Handler())
 		},
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&listen, "listen", "127.0.0.1:7200", "IP:port")
 	flags.StringVar(&name, "name", "service", "name in answers")
+	flags.DurationVar(&delay, "delay", 0, "time before a call is executed")
 	return cmd
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,6 +13,8 @@
 readonly runners_per_data_centre=3
 readonly daemons_per_data_centre=2
 readonly model=feed-rota-7b
+# Time that a service needs for a call, so that a killed daemon leaves some open.
+readonly service_delay=150ms
 # Seconds between the start of the load and each planned event.
 readonly kill_after=6
 readonly stop_after=6
@@ -78,7 +80,9 @@
       start "$name" bin/bergamot-standin engine --listen "$(address_of "$name")" \
         --name "$name" --model "$model" --checks-fencing
     done
-    start "$dc-app-1" bin/bergamot-standin service --listen "$(address_of "$dc-app-1")" --name "$dc-app-1"
+    name=$dc-app-1
+    start "$name" bin/bergamot-standin service --listen "$(address_of "$name")" \
+      --name "$name" --delay "$service_delay"
     for ((n = 1; n <= daemons_per_data_centre; n++)); do
       start_daemon "$dc-$n"
       daemons+=("$dc-$n")
