--- a/internal/ctl/history.go
+++ b/internal/ctl/history.go
@@ -72,7 +72,7 @@
 func history(ctx context.Context, log port.Log) (*profile.State, []revisionInfo, error) {
 	recording := &recordingLog{Log: log}
 	state := profile.NewState()
-	if err := (publisher{log: recording}).follow(ctx, state); err != nil {
+	if err := (Publisher{Log: recording}).follow(ctx, state); err != nil {
 		return nil, nil, err
 	}
 	return state, recording.accepted(state), nil
