--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -113,7 +113,11 @@
 		d.callerListener.Close()
 		return trace.Wrap(err, "listen.peer")
 	}
-	d.callerServer = &http.Server{Handler: d.callerHandler()}
+	d.callerServer = &http.Server{
+		Handler: d.callerHandler(),
+		// Failed handshakes and the like are JSON lines too.
+		ErrorLog: zap.NewStdLog(d.log),
+	}
 	d.peerServer = peer.NewServer(d.peerHandlers())
 	d.tomb.Go(d.serveCallers)
 	d.tomb.Go(d.servePeers)
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -14,6 +14,7 @@
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 	"bergamotsill.example/bergamotsill/internal/admin"
+	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/settings"
 	"bergamotsill.example/bergamotsill/internal/standin"
 )
@@ -23,19 +24,24 @@
 // certificate.
 func TestServesOverTLS(t *testing.T) {
 	inCluster(t, 1, func(c *cluster) {
-		c.addEngine("engine-1", "anand", standin.EngineOptions{})
 		authority, err := standin.NewAuthority("ca")
 		if err != nil {
 			t.Fatal(err)
 		}
 		const callerAddress, peerAddress = "10.3.0.1:8100", "10.3.0.1:7600"
-		t1 := writeTLS(t, authority, "10.3.0.1", "10.9.0.9")
-		platformURL := "https://" + securePlatform(t, c, t1)
+		const engineAddress, securePlatform = "10.1.0.1:7100", "10.9.0.9:7000"
+		files := writeTLS(t, authority, "10.3.0.1", "10.1.0.1", "10.9.0.9")
+		engine := standin.NewEngine(standin.EngineOptions{
+			Name: "engine-1", Model: testModel, Role: port.RoleMixed, TokenTime: time.Millisecond, Capacity: 1000})
+		serveSecure(t, c, files, "engine-1", engineAddress, engine.Handler())
+		serveSecure(t, c, files, "secure-platform", securePlatform, c.platform.Handler())
+		c.addVM(port.VM{ID: "engine-1", Address: engineAddress, DataCentre: "anand", Kind: port.KindEngine, Pool: testPool, State: port.VMLive})
+		platformURL := "https://" + securePlatform
 		s := settings.Default()
 		s.Name, s.DataCentre, s.Region = "daemon-1", "anand", "guj-west"
 		s.Listen = settings.Listen{Caller: callerAddress, Peer: peerAddress}
 		s.Platform = settings.Platform{Log: platformURL, VMList: platformURL, WeightStore: platformURL}
-		s.TLS = t1
+		s.TLS = files
 		keys, err := loadKeys(s.TLS, zap.NewNop())
 		if err != nil {
 			t.Fatal(err)
@@ -77,8 +83,7 @@
 	return dialer.Dial(address).Call(context.Background(), admin.MethodStatus, struct{}{}, &status)
 }
 
-// writeTLS writes files for the hosts and switches every link on that the fakes
-// speak TLS on.
+// writeTLS writes files for the hosts and switches every link on.
 func writeTLS(t *testing.T, authority *standin.Authority, hosts ...string) settings.TLS {
 	t.Helper()
 	pair, err := authority.Sign("daemon-1", hosts...)
@@ -92,6 +97,7 @@
 		CA:          filepath.Join(dir, "ca.pem"),
 		Callers:     true,
 		Peers:       true,
+		Upstreams:   true,
 		Platform:    true,
 	}
 	for path, data := range map[string][]byte{out.Certificate: pair.Certificate, out.Key: pair.Key, out.CA: authority.PEM} {
@@ -102,20 +108,18 @@
 	return out
 }
 
-// securePlatform serves the cluster's platform over TLS too and returns its address.
-func securePlatform(t *testing.T, c *cluster, files settings.TLS) string {
+// serveSecure serves a fake over TLS.
+func serveSecure(t *testing.T, c *cluster, files settings.TLS, host, address string, h http.Handler) {
 	t.Helper()
-	const address = "10.9.0.9:7000"
 	keys, err := loadKeys(files, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := network.NewSecure(c.net.Host("secure-platform"), keys, network.SecureOptions{}).Listen(address)
+	l, err := network.NewSecure(c.net.Host(host), keys, network.SecureOptions{}).Listen(address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: c.platform.Handler()}
+	server := &http.Server{Handler: h}
 	c.servers = append(c.servers, server)
 	go func() { _ = server.Serve(l) }()
-	return address
 }
--- a/internal/standin/root.go
+++ b/internal/standin/root.go
@@ -53,7 +53,8 @@
 	}
 	logger = logger.With(zap.String("process", name))
 	logger.Info("serving", zap.String("address", listen))
-	return trace.Wrap(http.ListenAndServe(listen, LogRequests(h, logger)))
+	server := &http.Server{Addr: listen, Handler: LogRequests(h, logger), ErrorLog: zap.NewStdLog(logger)}
+	return trace.Wrap(server.ListenAndServe())
 }
 
 func newPlatformCommand() *cobra.Command {
