Add role estimation and change proposals

A lease holder needs to know when an engine of another role would serve the present mix better, and must not follow every swing of minutes.

Demand is followed by a fast and a slow average and split over the roles where each is best; a change must gain more engine time over its expected stay than drain and reload cost, under both averages, with a margin that grows with the share of one engine.

--- /dev/null
+++ b/internal/roles/demand.go
@@ -0,0 +1,73 @@
+package roles
+
+import (
+	"math"
+	"time"
+)
+
+// Demand is offered work in tokens per second.
+type Demand struct {
+	Prompt float64
+	Output float64
+}
+
+// add returns the demand moved towards sample by gain, 0 to 1.
+func (d Demand) add(sample Demand, gain float64) Demand {
+	return Demand{
+		Prompt: d.Prompt + gain*(sample.Prompt-d.Prompt),
+		Output: d.Output + gain*(sample.Output-d.Output),
+	}
+}
+
+// EstimatorOptions holds the half-lives of the moving averages.
+type EstimatorOptions struct {
+	Fast time.Duration
+	Slow time.Duration
+}
+
+// DefaultEstimatorOptions tell a burst from a shift that lasts minutes.
+func DefaultEstimatorOptions() EstimatorOptions {
+	return EstimatorOptions{Fast: 10 * time.Second, Slow: 60 * time.Second}
+}
+
+// Estimator follows the demand for one model with a fast and a slow moving average.
+type Estimator struct {
+	opts       EstimatorOptions
+	last       time.Time
+	fast, slow Demand
+	known      bool
+}
+
+// NewEstimator returns an estimator without any demand.
+func NewEstimator(o EstimatorOptions) *Estimator { return &Estimator{opts: o} }
+
+// Observe adds the prompt and output tokens that were offered since the last call.
+func (e *Estimator) Observe(now time.Time, prompt, output float64) {
+	if e.last.IsZero() {
+		e.last = now
+		return
+	}
+	seconds := now.Sub(e.last).Seconds()
+	if seconds <= 0 {
+		return
+	}
+	e.last = now
+	sample := Demand{Prompt: prompt / seconds, Output: output / seconds}
+	if !e.known {
+		e.fast, e.slow, e.known = sample, sample, true
+		return
+	}
+	e.fast = e.fast.add(sample, gain(seconds, e.opts.Fast))
+	e.slow = e.slow.add(sample, gain(seconds, e.opts.Slow))
+}
+
+// gain is the weight of a sample that covers the given seconds.
+func gain(seconds float64, halfLife time.Duration) float64 {
+	return 1 - math.Exp2(-seconds/halfLife.Seconds())
+}
+
+// Fast returns the fast average, Slow the slow one.
+func (e *Estimator) Fast() Demand { return e.fast }
+
+// Slow returns the slow average.
+func (e *Estimator) Slow() Demand { return e.slow }
--- /dev/null
+++ b/internal/roles/planner.go
@@ -0,0 +1,214 @@
+package roles
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// Options configures a Planner.
+type Options struct {
+	// Speeds is what one engine does in each role.
+	Speeds Speeds
+	// ChangeTime is how long an engine is out of service for drain and reload.
+	ChangeTime time.Duration
+	// ExpectedStay is how long the engine is expected to keep its new role.
+	ExpectedStay time.Duration
+	// MinStay is the shortest time between two changes of one engine.
+	MinStay time.Duration
+	// Busy is the utilisation, 0 to 1, below which no change is worth anything: idle
+	// engines absorb the shift.
+	Busy float64
+	// Margin is the factor by which the gain must exceed the cost in a large data
+	// centre. ShareMargin is added for a data centre of one engine, and in
+	// proportion to the share that one engine is of its data centre otherwise.
+	Margin      float64
+	ShareMargin float64
+}
+
+// DefaultOptions returns options for engines of the given speeds.
+func DefaultOptions(s Speeds) Options {
+	return Options{
+		Speeds:       s,
+		ChangeTime:   30 * time.Second,
+		ExpectedStay: 5 * time.Minute,
+		MinStay:      2 * time.Minute,
+		Busy:         0.85,
+		Margin:       1.2,
+		ShareMargin:  2,
+	}
+}
+
+// Engine is one engine of the data centre.
+type Engine struct {
+	ID   string
+	Role port.Role
+	// Since is when the engine took its role.
+	Since time.Time
+	// Serving is false while the engine drains, changes or is down.
+	Serving bool
+}
+
+// Input is what a decision is based on.
+type Input struct {
+	Engines []Engine
+	// Allowed lists the roles that the pool's engines may take.
+	Allowed []port.Role
+	// MinServing is the number of engines that must stay in service.
+	MinServing int
+	Fast, Slow Demand
+}
+
+// Verdict tells why a change is proposed or not.
+type Verdict string
+
+// Verdicts of a Proposal.
+const (
+	Change        Verdict = "change"
+	NoGain        Verdict = "no-gain"
+	NotIdle       Verdict = "another-engine-is-out-of-service"
+	BelowServing  Verdict = "below-min-serving"
+	StaysTooShort Verdict = "minimum-stay"
+)
+
+// Proposal is a decision with the numbers that it saw. Engine, From and To are set
+// for the best candidate, even when its gain does not suffice.
+type Proposal struct {
+	Verdict Verdict   `json:"verdict"`
+	Engine  string    `json:"engine,omitempty"`
+	From    port.Role `json:"from,omitempty"`
+	To      port.Role `json:"to,omitempty"`
+	// Before and After are the predicted utilisation under the slower-moving of the
+	// two demands; During is the utilisation while the engine is away.
+	Before float64 `json:"before"`
+	After  float64 `json:"after"`
+	During float64 `json:"during"`
+	// Gain and Cost are in seconds of engine time; Gain must exceed Margin x Cost.
+	Gain   float64 `json:"gain"`
+	Cost   float64 `json:"cost"`
+	Margin float64 `json:"margin"`
+	Fast   Demand  `json:"fast"`
+	Slow   Demand  `json:"slow"`
+}
+
+// Planner proposes changes, one at a time.
+type Planner struct{ opts Options }
+
+// NewPlanner returns a planner.
+func NewPlanner(o Options) *Planner { return &Planner{opts: o} }
+
+// Propose returns the best change, or why there is none.
+func (p *Planner) Propose(now time.Time, in Input) Proposal {
+	none := Proposal{Verdict: NoGain, Fast: in.Fast, Slow: in.Slow, Gain: math.Inf(-1)}
+	serving := 0
+	for _, e := range in.Engines {
+		if e.Serving {
+			serving++
+		}
+	}
+	if serving < len(in.Engines) {
+		none.Verdict = NotIdle
+		return none.finite()
+	}
+	if serving-1 < max(in.MinServing, 1) {
+		none.Verdict = BelowServing
+		return none.finite()
+	}
+	best := none
+	for _, e := range p.oldest(in.Engines) {
+		best = p.better(best, p.candidates(now, in, e))
+	}
+	return best.finite()
+}
+
+// oldest returns the engine of each role that has had it the longest. The others
+// of the role have the same gain.
+func (p *Planner) oldest(engines []Engine) []Engine {
+	var out []Engine
+	for _, e := range engines {
+		i := slices.IndexFunc(out, func(o Engine) bool { return o.Role == e.Role })
+		switch {
+		case i < 0:
+			out = append(out, e)
+		case e.Since.Before(out[i].Since):
+			out[i] = e
+		}
+	}
+	return out
+}
+
+// finite replaces the gain of a proposal without a candidate.
+func (p Proposal) finite() Proposal {
+	if math.IsInf(p.Gain, -1) {
+		p.Gain = 0
+	}
+	return p
+}
+
+// candidates returns the best change of one engine.
+func (p *Planner) candidates(now time.Time, in Input, e Engine) Proposal {
+	best := Proposal{Verdict: NoGain, Gain: math.Inf(-1)}
+	for _, role := range in.Allowed {
+		if role == e.Role {
+			continue
+		}
+		c := p.evaluate(in, e, role)
+		if c.Verdict == Change && now.Sub(e.Since) < p.opts.MinStay {
+			c.Verdict = StaysTooShort
+		}
+		best = p.better(best, c)
+	}
+	return best
+}
+
+// better prefers changes, then larger gains; at equal gain the first engine.
+func (p *Planner) better(a, b Proposal) Proposal {
+	if (a.Verdict == Change) != (b.Verdict == Change) {
+		if b.Verdict == Change {
+			return b
+		}
+		return a
+	}
+	if b.Gain > a.Gain {
+		return b
+	}
+	return a
+}
+
+// evaluate predicts a change under both demands and keeps the less favourable: the
+// fast average shows that the shift is there, the slow one that it lasts.
+func (p *Planner) evaluate(in Input, e Engine, to port.Role) Proposal {
+	fast, slow := p.predict(in, e, to, in.Fast), p.predict(in, e, to, in.Slow)
+	c := slow
+	if fast.Gain-fast.Cost*fast.Margin < slow.Gain-slow.Cost*slow.Margin {
+		c = fast
+	}
+	c.Fast, c.Slow = in.Fast, in.Slow
+	if c.Gain > c.Margin*c.Cost {
+		c.Verdict = Change
+	}
+	return c
+}
+
+func (p *Planner) predict(in Input, e Engine, to port.Role, d Demand) Proposal {
+	counts := map[port.Role]int{}
+	for _, engine := range in.Engines {
+		counts[engine.Role]++
+	}
+	c := Proposal{Verdict: NoGain, Engine: e.ID, From: e.Role, To: to}
+	engines := float64(len(in.Engines))
+	c.Before = p.opts.Speeds.utilisation(counts, d)
+	counts[e.Role]--
+	c.During = p.opts.Speeds.utilisation(counts, d)
+	counts[to]++
+	c.After = p.opts.Speeds.utilisation(counts, d)
+	c.Margin = p.opts.Margin + p.opts.ShareMargin/engines
+	saved := min(max(c.Before, p.opts.Busy)-max(c.After, p.opts.Busy), 1)
+	c.Gain = saved * engines * p.opts.ExpectedStay.Seconds()
+	// The engine's own time is lost, and what the others cannot take over.
+	excess := min(max(0, c.During-1), 1) * (engines - 1)
+	c.Cost = (1 + excess) * p.opts.ChangeTime.Seconds()
+	return c
+}
--- /dev/null
+++ b/internal/roles/utilisation.go
@@ -0,0 +1,69 @@
+package roles
+
+import (
+	"slices"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// Speed is what one engine does when it does nothing else, in tokens per second.
+type Speed struct {
+	Prompt float64
+	Output float64
+}
+
+// advantage is how much better the role is at prompts than at output.
+func (s Speed) advantage() float64 { return s.Prompt / s.Output }
+
+// Speeds holds the speed of each role.
+type Speeds map[port.Role]Speed
+
+// byAdvantage returns the roles, those that are best at prompts first.
+func (s Speeds) byAdvantage() []port.Role {
+	list := []port.Role{port.RolePrefill, port.RoleMixed, port.RoleDecode}
+	slices.SortStableFunc(list, func(a, b port.Role) int {
+		switch x, y := s[a].advantage(), s[b].advantage(); {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return 0
+	})
+	return list
+}
+
+// maxUtilisation is returned when no engine can do the work.
+const maxUtilisation = 1000
+
+// utilisation returns the lowest share of their time that engines with the given
+// roles must work to satisfy the demand, above 1 when they cannot. Prompts go to
+// the roles that are best at them first, which is optimal for two kinds of work.
+func (s Speeds) utilisation(counts map[port.Role]int, d Demand) float64 {
+	order := s.byAdvantage()
+	low, high := 0.0, float64(maxUtilisation)
+	// 40 halvings reach a precision far below any margin.
+	for range 40 {
+		middle := (low + high) / 2
+		if s.satisfies(order, counts, d, middle) {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	return high
+}
+
+func (s Speeds) satisfies(order []port.Role, counts map[port.Role]int, d Demand, share float64) bool {
+	prompt, output := d.Prompt, d.Output
+	for _, role := range order {
+		seconds := share * float64(counts[role])
+		if reading := min(seconds, prompt/s[role].Prompt); reading > 0 {
+			prompt -= reading * s[role].Prompt
+			seconds -= reading
+		}
+		output -= seconds * s[role].Output
+	}
+	const rounding = 1e-9
+	return prompt <= rounding*(1+d.Prompt) && output <= rounding*(1+d.Output)
+}
