Check histories of claimed calls under several faults at once

TestClaimedCallsUnderFaults sends 40 keys about 15 times each through four daemons in three data centres, while daemons are killed and restarted, paused between claim, send and record, and cut off from each other, the log or the services; appends are lost, late or repeated; services lose answers. The history, with each execution at the time of its claim, is checked with porcupine, and every key must come to rest afterwards.

--- /dev/null
+++ b/internal/daemon/claims_test.go
@@ -0,0 +1,406 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"bergamotsill.example/bergamotsill/internal/claim"
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/profile"
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/settings"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+// pauses holds back what a paused daemon would do late. It is safe for concurrent
+// use.
+type pauses struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+	// share is the share, 0 to 1, of operations that are disturbed.
+	share float64
+	// limit bounds a pause.
+	limit time.Duration
+}
+
+// next returns a pause, which is mostly zero, and a number that selects a fault.
+func (p *pauses) next() (time.Duration, int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.rng.Float64() >= p.share {
+		return 0, 0
+	}
+	return time.Duration(p.rng.Int64N(int64(p.limit))), p.rng.IntN(4)
+}
+
+func (p *pauses) setShare(share float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = share
+}
+
+// pausedLog delays appends, executes them after it has reported them as unknown, or
+// repeats them later.
+type pausedLog struct {
+	port.Log
+	*pauses
+}
+
+// Append implements port.Log.
+func (l pausedLog) Append(ctx context.Context, stream string, entries []port.Entry) ([]int64, error) {
+	pause, fault := l.next()
+	late := func() {
+		time.Sleep(pause)
+		_, _ = l.Log.Append(context.Background(), stream, entries)
+	}
+	switch {
+	case pause == 0 || stream == profile.Stream:
+	case fault == 0:
+		go late()
+		return nil, port.ErrAppendUnknown
+	case fault == 1:
+		go late()
+	default:
+		time.Sleep(pause)
+		return l.Log.Append(context.WithoutCancel(ctx), stream, entries)
+	}
+	return l.Log.Append(ctx, stream, entries)
+}
+
+// pausedService pauses between a proof of the connection and the call.
+type pausedService struct {
+	port.Service
+	*pauses
+}
+
+// Open implements port.Service.
+func (s pausedService) Open(ctx context.Context) (port.ServiceConn, error) {
+	conn, err := s.Service.Open(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return pausedConn{ServiceConn: conn, pauses: s.pauses}, nil
+}
+
+type pausedConn struct {
+	port.ServiceConn
+	*pauses
+}
+
+// Call implements port.ServiceConn.
+func (c pausedConn) Call(ctx context.Context, r port.ServiceRequest) (port.ServiceResponse, error) {
+	pause, _ := c.next()
+	time.Sleep(pause)
+	return c.ServiceConn.Call(ctx, r)
+}
+
+// pausing makes daemons that are started pause.
+func (c *cluster) pausing(share float64, limit time.Duration) *pauses {
+	p := &pauses{rng: rand.New(rand.NewPCG(c.rng.Uint64(), 1)), share: share, limit: limit}
+	c.wrap = func(deps *Dependencies) {
+		deps.Log = pausedLog{Log: deps.Log, pauses: p}
+		dial := deps.Services
+		deps.Services = func(address string) port.Service {
+			return pausedService{Service: dial(address), pauses: p}
+		}
+	}
+	return p
+}
+
+// claimCluster starts services and daemons in three data centres.
+func (c *cluster) claimCluster(services, daemons int) []string {
+	centres := []string{"anand", "kheda", "mehsana"}
+	for i := range services {
+		c.addService(fmt.Sprintf("service-%d", i), centres[i%3])
+	}
+	var names []string
+	for i := range daemons {
+		names = append(names, fmt.Sprintf("daemon-%d", i))
+		c.addDaemon(names[i], centres[i%3])
+	}
+	c.publish("r1", 0, document())
+	c.awaitReady()
+	// The VM list shows the last daemon after its lag.
+	time.Sleep(3 * time.Second)
+	return names
+}
+
+// operation is the input of one operation on a key, and effect its output.
+type operation struct {
+	key string
+	// commit marks the claim whose call ran; answer is what the service returned.
+	commit bool
+	answer string
+}
+
+type effect struct {
+	answer string
+	// notRun is set for a refusal "not-run" with scope "call".
+	notRun bool
+}
+
+// keyState is the state of a key in the model: the answer of the call that ran, or
+// will run under an accepted claim, or empty.
+type keyState string
+
+// claimModel says that the claims of at most one execution are accepted per key, that
+// an answer is the one of that execution, and that "not-run" for the whole call is
+// said only before its claim is accepted.
+var claimModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(operation).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() any { return keyState("") },
+	Step: func(state, input, output any) (bool, any) {
+		s, in, out := state.(keyState), input.(operation), output.(effect)
+		switch {
+		case in.commit:
+			return s == "", keyState(in.answer)
+		case out.notRun:
+			return s == "", s
+		case out.answer != "":
+			return string(s) == out.answer, s
+		}
+		return true, s
+	},
+}
+
+// recorder collects a history.
+type recorder struct {
+	mu      sync.Mutex
+	history []porcupine.Operation
+	replies map[string]int
+}
+
+func (r *recorder) add(in operation, out effect, from, to time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, porcupine.Operation{Input: in, Output: out, Call: from.UnixNano(), Return: to.UnixNano()})
+}
+
+// send sends one attempt and records it.
+func (r *recorder) send(c *cluster, daemon, key string) reply {
+	from := time.Now()
+	got := c.confirm(daemon, key, "delivery "+key)
+	out := effect{}
+	name := "none"
+	switch {
+	case got.err == nil && got.status == http.StatusOK:
+		out.answer = callAnswer(got.body)
+		name = "answer"
+	case got.refusal != nil:
+		out.notRun = got.refusal.Outcome == refusal.NotRun && got.refusal.Scope == refusal.ScopeCall
+		name = fmt.Sprintf("%s/%s/%s", got.refusal.Code, got.refusal.Outcome, got.refusal.Scope)
+	}
+	r.add(operation{key: key}, out, from, time.Now())
+	r.mu.Lock()
+	r.replies[name]++
+	r.mu.Unlock()
+	return got
+}
+
+// callAnswer identifies the execution that an answer of a service comes from.
+func callAnswer(body []byte) string {
+	var result struct {
+		Service string `json:"service"`
+		Serial  int    `json:"serial"`
+	}
+	if json.Unmarshal(body, &result) != nil {
+		return "malformed"
+	}
+	return fmt.Sprintf("%s#%d", result.Service, result.Serial)
+}
+
+// check adds the executions to the history, at the time of their claims, and checks
+// it. It returns the number of executions.
+func (r *recorder) check(c *cluster, partitions int) int {
+	c.t.Helper()
+	claimed := c.acceptedClaims(partitions)
+	executions := 0
+	counts := map[string]int{}
+	for name, s := range c.services {
+		for i, e := range s.Executions() {
+			executions++
+			counts[e.Key]++
+			at, ok := claimed[e.Key]
+			if !ok {
+				c.t.Errorf("%s ran key %s without a claim that stands", name, e.Key)
+			}
+			r.add(operation{key: e.Key, commit: true, answer: fmt.Sprintf("%s#%d", name, i+1)}, effect{}, at, at)
+		}
+	}
+	for key, n := range counts {
+		if n > 1 {
+			c.t.Errorf("key %s ran %d times", key, n)
+		}
+	}
+	if !porcupine.CheckOperations(claimModel, r.history) {
+		c.t.Errorf("the history of %d operations is not linearizable", len(r.history))
+	}
+	return executions
+}
+
+// acceptedClaims returns when the claim that stands on each key was appended.
+func (c *cluster) acceptedClaims(partitions int) map[string]time.Time {
+	out := map[string]time.Time{}
+	for i := range partitions {
+		p := claim.NewPartition(claim.DefaultOptions())
+		accepted := map[string]time.Time{}
+		page, err := c.platform.Log.Read(context.Background(), claim.StreamName(i), 0, 0, 0)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		for _, rec := range page.Records {
+			var in claim.Record
+			// Every record on the stream was written by a daemon.
+			_ = json.Unmarshal(rec.Data, &in)
+			verdict := p.Apply(rec)
+			if _, ok := accepted[in.Claim]; !ok && verdict == claim.Accepted {
+				accepted[in.Claim] = rec.Time
+			}
+			if e := p.Entry(in.Key); e.Stands() {
+				out[in.Key] = accepted[e.Claim]
+			} else {
+				delete(out, in.Key)
+			}
+		}
+	}
+	return out
+}
+
+// disturb injects one fault and undoes it after some time.
+func (c *cluster) disturb(names []string) {
+	name := names[c.rng.IntN(len(names))]
+	other := names[c.rng.IntN(len(names))]
+	length := time.Duration(c.rng.IntN(12_000)) * time.Millisecond
+	faults := c.platform.Log.Faults()
+	service := c.services[fmt.Sprintf("service-%d", c.rng.IntN(len(c.services)))]
+	switch c.rng.IntN(10) {
+	case 0:
+		faults.Down = true
+		c.platform.Log.SetFaults(faults)
+	case 1, 2:
+		faults.LoseAnswers = 1 + c.rng.IntN(4)
+		faults.DelayMS = c.rng.Int64N(300)
+		c.platform.Log.SetFaults(faults)
+	case 3:
+		c.restart(name, length)
+		return
+	case 4:
+		if name != other {
+			c.net.Block(name, other)
+		}
+	case 5:
+		c.net.Block(name, platformHost)
+	case 6:
+		c.net.Silence(name, other)
+	case 7:
+		f := service.Faults()
+		f.LoseAnswers = 1 + c.rng.IntN(2)
+		f.DelayMS = c.rng.Int64N(2000)
+		service.SetFaults(f)
+	case 8, 9:
+		// No service is reachable from one or two daemons.
+		for s := range c.services {
+			c.net.Block(name, s)
+			c.net.Block(other, s)
+		}
+	}
+	time.Sleep(length)
+	for s := range c.services {
+		c.net.Unblock(name, s)
+		c.net.Unblock(other, s)
+	}
+	c.platform.Log.SetFaults(withoutOutage(faults))
+	c.net.Unblock(name, other)
+	c.net.Unblock(name, platformHost)
+}
+
+// withoutOutage ends what would keep a cluster from settling.
+func withoutOutage(f standin.LogFaults) standin.LogFaults {
+	f.Down = false
+	f.DelayMS = 0
+	return f
+}
+
+// restart kills a daemon and starts a new incarnation on its VM.
+func (c *cluster) restart(name string, after time.Duration) {
+	_ = c.daemons[name].Kill()
+	time.Sleep(after)
+	for _, vm := range c.vms {
+		if vm.ID == name {
+			c.startDaemon(vm)
+		}
+	}
+}
+
+const testPartitions = 2
+
+// Guards against a call that runs twice, an answer of another execution, and a
+// "not-run" for a call that ran or will run, while callers send it again through
+// every daemon and daemons are killed, paused and cut off, appends are lost, late or
+// repeated, the log is down, and services lose answers.
+func TestClaimedCallsUnderFaults(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		c.adjust = func(s *settings.Settings) { s.Claims.Partitions = testPartitions }
+		paused := c.pausing(0.15, 40*time.Second)
+		names := c.claimCluster(3, 4)
+		r := &recorder{replies: map[string]int{}}
+		var callers sync.WaitGroup
+		const keys, attempts = 40, 5
+		for k := range keys {
+			for range 3 {
+				rng := rand.New(rand.NewPCG(c.rng.Uint64(), 2))
+				callers.Go(func() {
+					key := fmt.Sprintf("key-%d", k)
+					time.Sleep(time.Duration(k) * 2 * time.Second)
+					for range attempts {
+						time.Sleep(time.Duration(rng.IntN(8000)) * time.Millisecond)
+						r.send(c, names[rng.IntN(len(names))], key)
+					}
+				})
+			}
+		}
+		for range 25 {
+			c.disturb(names)
+			time.Sleep(time.Duration(c.rng.IntN(3000)) * time.Millisecond)
+		}
+		callers.Wait()
+		paused.setShare(0)
+		c.platform.Log.SetFaults(standin.LogFaults{})
+		for _, s := range c.services {
+			s.SetFaults(standin.ServiceFaults{})
+		}
+		c.awaitReady()
+		time.Sleep(3 * time.Minute)
+		// Every key has come to rest: it is answered, or its outcome stays unknown.
+		for k := range keys {
+			got := r.send(c, names[k%len(names)], fmt.Sprintf("key-%d", k))
+			if got.status != http.StatusOK && (got.refusal == nil || got.refusal.Code != refusal.OutcomeUnknown) {
+				c.t.Errorf("key-%d got %d: %s %v", k, got.status, got.body, got.err)
+			}
+		}
+		executions := r.check(c, testPartitions)
+		if executions < keys/2 {
+			c.t.Errorf("only %d of %d calls ran", executions, keys)
+		}
+		c.t.Logf("%d executions, replies %v", executions, r.replies)
+	})
+}
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -49,13 +49,17 @@
 	vms      []port.VM
 	engines  map[string]*standin.Engine
 	services map[string]*standin.Service
-	daemons  map[string]*Daemon
-	servers  []*http.Server
-	client   *http.Client
+	// mu guards daemons while callers run.
+	mu      sync.Mutex
+	daemons map[string]*Daemon
+	servers []*http.Server
+	client  *http.Client
 	// issued holds the issue times of idempotency keys.
 	issued sync.Map
 	// adjust changes the settings of daemons that are started.
 	adjust func(*settings.Settings)
+	// wrap replaces dependencies of daemons that are started.
+	wrap func(*Dependencies)
 }
 
 // inCluster runs f with a new cluster on virtual time and closes it after.
@@ -207,10 +211,15 @@
 	}
 	deps := Connect(s, c.net.Host(vm.ID), zap.NewNop(), "test")
 	deps.Seed = c.rng.Uint64()
+	if c.wrap != nil {
+		c.wrap(&deps)
+	}
 	d := New(s, deps)
 	if err := d.Start(); err != nil {
 		c.t.Fatal(err)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.daemons[vm.ID] = d
 	return d
 }
@@ -300,7 +309,9 @@
 
 // do sends one request to a daemon and reads the whole reply.
 func (c *cluster) do(ctx context.Context, daemon, method, path string, header http.Header, body []byte) reply {
+	c.mu.Lock()
 	url := "http://" + c.daemons[daemon].settings.Listen.Caller + path
+	c.mu.Unlock()
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return reply{err: err}
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -45,6 +45,13 @@
 	s.faults = f
 }
 
+// Faults returns the failures that are switched on.
+func (s *Service) Faults() ServiceFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // Executions returns the calls that the service ran, in order.
 func (s *Service) Executions() []Execution {
 	s.mu.Lock()
