Test claim refusals, batching, retention, planned stops and resends

Cause: the fault test covers safety; these cover what a caller is told and what an operator relies on. The number of records between two checkpoints becomes a setting, since the log's retention differs between deployments.

Not waiting for the record before the answer was not noticed by a test: a resend then asks the writer, which is a second way to the same answer.

--- a/internal/daemon/claim_appender.go
+++ b/internal/daemon/claim_appender.go
@@ -32,8 +32,6 @@
 	// claimIdle is how long the state of a partition is kept after its last use by
 	// a daemon that does not append for it.
 	claimIdle = time.Minute
-	// checkpointRecords is the number of records between two checkpoints.
-	checkpointRecords = 2000
 	// checkpointsPerRetention is how often a quiet partition is checkpointed within
 	// the log's retention.
 	checkpointsPerRetention = 4
@@ -344,8 +342,8 @@
 // so that after a long outage the state is safe from the log's retention first. A
 // checkpoint that is not written is due again at the next batch.
 func (a *appender) checkpoint(ctx context.Context) {
-	retention := a.claims.daemon.settings.Claims.Retention.Std()
-	if !a.state.CheckpointDue(a.claims.checkpointRecords, retention/checkpointsPerRetention, time.Now()) {
+	limits := a.claims.daemon.settings.Claims
+	if !a.state.CheckpointDue(limits.CheckpointRecords, limits.Retention.Std()/checkpointsPerRetention, time.Now()) {
 		return
 	}
 	var entries []port.Entry
--- /dev/null
+++ b/internal/daemon/claim_rules_test.go
@@ -0,0 +1,277 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/claim"
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/settings"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+// holds returns a trait of a reply: its code, outcome and scope, or its status.
+func holds(r reply) string {
+	if r.refusal == nil {
+		return strconv.Itoa(r.status)
+	}
+	return fmt.Sprintf("%s %s %s", r.refusal.Code, r.refusal.Outcome, r.refusal.Scope)
+}
+
+// Guards against refusals that claim more than the log shows: scope "call" where an
+// earlier attempt may have run, and "unknown" where no attempt can run.
+func TestClaimRefusalsAreTruthful(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		c.adjust = func(s *settings.Settings) {
+			s.Limits.BodyBytes = 1000
+			s.Claims.AnswerBytes = 10
+		}
+		c.claimCluster(1, 2)
+		const window = 300
+		doc := document()
+		doc.Services[0].ClaimWindowS = window
+		c.publish("r2", 1, doc)
+		time.Sleep(2 * time.Second)
+		now := time.Now().Unix()
+		key := func(issued int64) http.Header {
+			return http.Header{headerKey: {fmt.Sprintf("%d-a", issued)}}
+		}
+		expect := func(what, want string, header http.Header, body string) {
+			t.Helper()
+			got := c.do(context.Background(), "daemon-0", http.MethodPost, confirmPath, header, []byte(body))
+			if holds(got) != want {
+				t.Errorf("%s: got %s %s, want %s", what, holds(got), got.body, want)
+			}
+		}
+		expect("no key", "idempotency-key-required not-run call", http.Header{}, "x")
+		expect("no issue time", "idempotency-key-invalid not-run attempt", http.Header{headerKey: {"a"}}, "x")
+		expect("expired", "idempotency-key-expired not-run attempt", key(now-window-130), "x")
+		expect("future", "idempotency-key-invalid not-run attempt", key(now+130), "x")
+		expect("clock behind within the window", "200", key(now-window+60), "x")
+		expect("clock ahead within the skew", "200", key(now+100), "x")
+		expect("first use", "200", key(now), "x")
+		expect("answer not recorded", "outcome-unknown unknown call", key(now), "x")
+		expect("other content", "idempotency-key-reused not-run attempt", key(now), "y")
+		expect("body too large", "body-too-large not-run attempt", key(now), strings.Repeat("x", 1001))
+		c.net.Block("daemon-0", "service-0")
+		expect("no upstream", "no-upstream not-run call", key(now-1), "x")
+		c.net.Unblock("daemon-0", "service-0")
+		expect("withdrawn, sent again", "200", key(now-1), "x")
+		c.platform.Log.SetFaults(standin.LogFaults{Down: true})
+		expect("log down", "claim-unavailable not-run attempt", key(now-2), "x")
+		c.platform.Log.SetFaults(standin.LogFaults{})
+		// Time passes: the key is forgotten, and the call must not run again.
+		time.Sleep((window + 130) * time.Second)
+		expect("forgotten", "idempotency-key-expired not-run attempt", key(now), "x")
+		if n := c.services["service-0"].Count(key(now).Get(headerKey)); n != 1 {
+			t.Errorf("the call ran %d times, want once", n)
+		}
+	})
+}
+
+// Guards against appends that grow with the number of daemons and calls, and against
+// a daemon that reads partitions that it does not append for.
+func TestAppenderBatchesClaimsOfPeers(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		c.adjust = func(s *settings.Settings) { s.Claims.Partitions = 1 }
+		names := c.claimCluster(1, 5)
+		c.platform.Log.SetFaults(standin.LogFaults{DelayMS: 20})
+		before := c.platform.Log.Appends()
+		var callers sync.WaitGroup
+		const calls = 100
+		for i := range calls {
+			callers.Go(func() {
+				if got := c.confirm(names[i%len(names)], fmt.Sprintf("key-%d", i), "x"); got.status != http.StatusOK {
+					t.Errorf("call %d: %s", i, holds(got))
+				}
+			})
+		}
+		callers.Wait()
+		c.platform.Log.SetFaults(standin.LogFaults{})
+		time.Sleep(time.Second)
+		// Each call has two records. Without batches there are twice as many appends.
+		if n := c.platform.Log.Appends() - before; n > calls/4 {
+			t.Errorf("%d calls took %d appends", calls, n)
+		}
+		readers := 0
+		for _, d := range c.daemons {
+			if d.claims.partitions[claim.StreamName(0)].size.Load() > 0 {
+				readers++
+			}
+		}
+		if readers != 1 {
+			t.Errorf("%d daemons hold the partition, want one", readers)
+		}
+	})
+}
+
+// Guards against a call that runs again after the claim's record was dropped by the
+// log, with and without a checkpoint that remembers it, and against a partition that
+// stays unusable after such a loss.
+func TestClaimSurvivesRetention(t *testing.T) {
+	for _, records := range []int64{4, 1000} {
+		t.Run(fmt.Sprintf("checkpoint every %d records", records), func(t *testing.T) {
+			inCluster(t, 1, func(c *cluster) {
+				c.adjust = func(s *settings.Settings) {
+					s.Claims.Partitions = 1
+					s.Claims.CheckpointRecords = records
+				}
+				c.platform.Log.SetRetention(50)
+				c.claimCluster(1, 2)
+				for i := range 30 {
+					c.confirm("daemon-0", fmt.Sprintf("key-%d", i), "x")
+				}
+				// Both daemons lose what they know.
+				c.restart("daemon-0", time.Second)
+				c.restart("daemon-1", time.Second)
+				c.awaitReady()
+				for i := range 30 {
+					got := c.confirm("daemon-1", fmt.Sprintf("key-%d", i), "x")
+					remembered := got.status == http.StatusOK || got.refusal.Code == refusal.OutcomeUnknown
+					if remembered != (records < 1000) {
+						t.Errorf("key-%d got %s", i, holds(got))
+					}
+				}
+				for i := range 30 {
+					if n := c.services["service-0"].Count(fmt.Sprintf("key-%d", i)); n != 1 {
+						t.Errorf("key-%d ran %d times, want once", i, n)
+					}
+				}
+				time.Sleep(time.Minute + 4*c.daemons["daemon-1"].claims.options.Skew)
+				if got := c.confirm("daemon-1", "new", "x"); got.status != http.StatusOK {
+					t.Errorf("a new key got %s", holds(got))
+				}
+			})
+		})
+	}
+}
+
+// Guards against a planned stop that loses an outcome which the log could not take
+// yet, and against callers that wait for a stopped appender.
+func TestStopRecordsOutcomesAndHandsOver(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		c.adjust = func(s *settings.Settings) { s.Claims.Partitions = 1 }
+		names := c.claimCluster(1, 3)
+		owner := names[slices.IndexFunc(names, func(n string) bool {
+			return c.daemons[n].claims.appendsFor(claim.StreamName(0))
+		})]
+		c.services["service-0"].SetFaults(standin.ServiceFaults{DelayMS: 10_000})
+		done := make(chan reply)
+		go func() { done <- c.confirm(owner, "key", "x") }()
+		time.Sleep(time.Second)
+		c.services["service-0"].SetFaults(standin.ServiceFaults{})
+		stopped := make(chan error)
+		go func() { stopped <- c.daemons[owner].Stop(context.Background()) }()
+		time.Sleep(time.Duration(c.rng.IntN(100)) * time.Millisecond)
+		appends := c.daemons[owner].metrics.ClaimAppends.Value()
+		for _, name := range names {
+			if name == owner {
+				continue
+			}
+			if got := c.confirm(name, "during the stop "+name, "x"); got.status != http.StatusOK {
+				c.t.Errorf("a call during the stop got %s", holds(got))
+			}
+		}
+		if n := c.daemons[owner].metrics.ClaimAppends.Value() - appends; n != 0 {
+			c.t.Errorf("the stopping daemon made %d appends for its peers", n)
+		}
+		c.platform.Log.SetFaults(standin.LogFaults{Down: true})
+		first := <-done
+		time.Sleep(5 * time.Second)
+		c.platform.Log.SetFaults(standin.LogFaults{})
+		<-stopped
+		for _, name := range names {
+			if name == owner {
+				continue
+			}
+			started := time.Now()
+			got := c.confirm(name, "key", "x")
+			if first.status != http.StatusOK || string(got.body) != string(first.body) {
+				c.t.Errorf("resend got %s %s, want %s", holds(got), got.body, first.body)
+			}
+			if waited := time.Since(started); waited > claimPeerTimeout {
+				c.t.Errorf("the resend took %s after a planned stop", waited)
+			}
+		}
+	})
+}
+
+// Guards against a resend that runs the call again, or reports it as not run, while
+// the first writer is paused between the acceptance of its claim and the send, and
+// after it was killed there.
+func TestResendWhileWriterIsPausedOrDead(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		paused := &pauses{rng: c.rng, share: 1, least: 15 * time.Second, limit: 20 * time.Second}
+		c.pausingCalls(paused)
+		c.claimCluster(1, 2)
+		service := c.services["service-0"]
+		first := make(chan reply)
+		send := func(key string) {
+			go func() { first <- c.confirm("daemon-0", key, "x") }()
+			time.Sleep(time.Second)
+		}
+		send("paused")
+		if got := c.confirm("daemon-1", "paused", "x"); holds(got) != "in-progress unknown call" {
+			c.t.Errorf("resend during the pause got %s", holds(got))
+		}
+		if n := service.Count("paused"); n != 0 {
+			c.t.Errorf("the call ran %d times before the writer came back", n)
+		}
+		answer := <-first
+		if got := c.confirm("daemon-1", "paused", "x"); answer.status != http.StatusOK || string(got.body) != string(answer.body) {
+			c.t.Errorf("resend after the call got %s %s, want %s", holds(got), got.body, answer.body)
+		}
+		send("cut off")
+		c.net.Block("daemon-0", "daemon-1")
+		if got := c.confirm("daemon-1", "cut off", "x"); holds(got) != "in-progress unknown call" {
+			c.t.Errorf("resend while the writer is cut off got %s", holds(got))
+		}
+		<-first
+		c.net.Unblock("daemon-0", "daemon-1")
+		send("killed")
+		c.restart("daemon-0", time.Second)
+		<-first
+		if got := c.confirm("daemon-1", "killed", "x"); holds(got) != "outcome-unknown unknown call" {
+			c.t.Errorf("resend after the writer's death got %s", holds(got))
+		}
+		time.Sleep(time.Minute)
+		for key, want := range map[string]int{"paused": 1, "cut off": 1, "killed": 0} {
+			if n := service.Count(key); n != want {
+				c.t.Errorf("%s ran %d times, want %d", key, n, want)
+			}
+		}
+	})
+}
+
+// Guards against a repeatable call that is sent to a whole failing pool, or twice to
+// one upstream.
+func TestRepeatableCallIsNotMultiplied(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		c.claimCluster(6, 1)
+		for _, s := range c.services {
+			s.SetFaults(standin.ServiceFaults{LoseAnswers: 100})
+		}
+		got := c.do(context.Background(), "daemon-0", http.MethodGet, "/caretaker/slots", nil, nil)
+		if holds(got) != string(refusal.OutcomeUnknown)+" unknown call" {
+			t.Errorf("got %s", holds(got))
+		}
+		total := 0
+		for name, s := range c.services {
+			n := len(s.Executions())
+			total += n
+			if n > 1 {
+				t.Errorf("%s ran the call %d times", name, n)
+			}
+		}
+		if total != maxServiceTries {
+			t.Errorf("the call ran %d times, want %d", total, maxServiceTries)
+		}
+	})
+}
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -34,8 +34,6 @@
 	daemon     *Daemon
 	options    claim.Options
 	partitions map[string]*appender
-	// checkpointRecords is the number of records between two checkpoints.
-	checkpointRecords int64
 	// slots bounds claimed calls until their outcome is recorded.
 	slots chan struct{}
 	// recording counts outcomes and withdrawals that are not recorded yet.
@@ -51,13 +49,12 @@
 
 func newClaims(d *Daemon) *claims {
 	c := &claims{
-		daemon:            d,
-		options:           claim.DefaultOptions(),
-		partitions:        map[string]*appender{},
-		checkpointRecords: checkpointRecords,
-		slots:             make(chan struct{}, d.settings.Claims.Calls),
-		running:           map[claim.Attempt]claimStatus{},
-		pausedUntil:       map[string]time.Time{},
+		daemon:      d,
+		options:     claim.DefaultOptions(),
+		partitions:  map[string]*appender{},
+		slots:       make(chan struct{}, d.settings.Claims.Calls),
+		running:     map[claim.Attempt]claimStatus{},
+		pausedUntil: map[string]time.Time{},
 	}
 	for i := range d.settings.Claims.Partitions {
 		stream := claim.StreamName(i)
--- a/internal/daemon/claims_test.go
+++ b/internal/daemon/claims_test.go
@@ -27,8 +27,8 @@
 	rng *rand.Rand
 	// share is the share, 0 to 1, of operations that are disturbed.
 	share float64
-	// limit bounds a pause.
-	limit time.Duration
+	// Pauses last from least to least plus limit.
+	least, limit time.Duration
 }
 
 // next returns a pause, which is mostly zero, and a number that selects a fault.
@@ -38,7 +38,7 @@
 	if p.rng.Float64() >= p.share {
 		return 0, 0
 	}
-	return time.Duration(p.rng.Int64N(int64(p.limit))), p.rng.IntN(4)
+	return p.least + time.Duration(p.rng.Int64N(int64(p.limit))), p.rng.IntN(4)
 }
 
 func (p *pauses) setShare(share float64) {
@@ -102,17 +102,27 @@
 	return c.ServiceConn.Call(ctx, r)
 }
 
-// pausing makes daemons that are started pause.
+// pausing makes daemons that are started pause at the log and before calls.
 func (c *cluster) pausing(share float64, limit time.Duration) *pauses {
 	p := &pauses{rng: rand.New(rand.NewPCG(c.rng.Uint64(), 1)), share: share, limit: limit}
+	c.pausingCalls(p)
+	calls := c.wrap
 	c.wrap = func(deps *Dependencies) {
 		deps.Log = pausedLog{Log: deps.Log, pauses: p}
+		calls(deps)
+	}
+	return p
+}
+
+// pausingCalls makes daemons that are started pause after their claim was accepted
+// and before they send the call.
+func (c *cluster) pausingCalls(p *pauses) {
+	c.wrap = func(deps *Dependencies) {
 		dial := deps.Services
 		deps.Services = func(address string) port.Service {
 			return pausedService{Service: dial(address), pauses: p}
 		}
 	}
-	return p
 }
 
 // claimCluster starts services and daemons in three data centres.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,6 +120,9 @@
 	AnswerBytes int64 `json:"answer_bytes"`
 	// Calls bounds the claimed calls that run or wait to be recorded.
 	Calls int `json:"calls"`
+	// CheckpointRecords is the number of records on a claim stream after which its
+	// state is written again. It must be well below what the log retains.
+	CheckpointRecords int64 `json:"checkpoint_records"`
 	// Retention is how long the log keeps records. A claim window longer than half
 	// of it is cut to that, since recorded answers stay on the log alone.
 	Retention Duration `json:"retention"`
@@ -155,12 +158,13 @@
 			QuarantineHold: Duration(10 * time.Minute),
 		},
 		Claims: Claims{
-			Partitions:  16,
-			AnswerBytes: 64 << 10,
-			Calls:       1024,
-			Retention:   Duration(72 * time.Hour),
-			Wait:        Duration(5 * time.Second),
-			CallTimeout: Duration(time.Minute),
+			Partitions:        16,
+			AnswerBytes:       64 << 10,
+			Calls:             1024,
+			CheckpointRecords: 2000,
+			Retention:         Duration(72 * time.Hour),
+			Wait:              Duration(5 * time.Second),
+			CallTimeout:       Duration(time.Minute),
 		},
 		LogLevel: "info",
 	}
@@ -233,6 +237,7 @@
 	positive(list, "claims.partitions", int64(s.Claims.Partitions))
 	positive(list, "claims.answer_bytes", s.Claims.AnswerBytes)
 	positive(list, "claims.calls", int64(s.Claims.Calls))
+	positive(list, "claims.checkpoint_records", s.Claims.CheckpointRecords)
 	positive(list, "claims.retention", int64(s.Claims.Retention))
 	positive(list, "claims.wait", int64(s.Claims.Wait))
 	positive(list, "claims.call_timeout", int64(s.Claims.CallTimeout))
--- a/internal/standin/log.go
+++ b/internal/standin/log.go
@@ -46,6 +46,14 @@
 	return &Log{streams: map[string]*logStream{}, retention: retention}
 }
 
+// SetRetention sets how many of the newest records of each stream are kept; 0 keeps
+// all of them.
+func (l *Log) SetRetention(records int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.retention = records
+}
+
 // SetFaults replaces the failures that are switched on.
 func (l *Log) SetFaults(f LogFaults) {
 	l.mu.Lock()
