--- a/internal/settings/range.go
+++ b/internal/settings/range.go
@@ -35,12 +35,13 @@
 	"timing.unfenced_settle":  span(time.Second, 24*time.Hour),
 	"timing.quarantine_hold":  span(time.Second, 24*time.Hour),
 
-	"claims.partitions":   {1, 4096},
-	"claims.answer_bytes": {1, 16 * mib},
-	"claims.calls":        {1, 100_000},
-	"claims.retention":    span(time.Minute, 366*24*time.Hour),
-	"claims.wait":         span(time.Millisecond, 5*time.Minute),
-	"claims.call_timeout": span(100*time.Millisecond, time.Hour),
+	"claims.partitions":         {1, 4096},
+	"claims.answer_bytes":       {1, 16 * mib},
+	"claims.calls":              {1, 100_000},
+	"claims.checkpoint_records": {1, 1_000_000},
+	"claims.retention":          span(time.Minute, 366*24*time.Hour),
+	"claims.wait":               span(time.Millisecond, 5*time.Minute),
+	"claims.call_timeout":       span(100*time.Millisecond, time.Hour),
 }
 
 func span(least, greatest time.Duration) Range { return Range{Min: int64(least), Max: int64(greatest)} }
