Add the quarantine table

A digest that was in flight at the end of an engine incarnation is a suspect until it completes; two losses quarantine it. Losses are a set of engine and incarnation, so reports may arrive late, repeatedly and in any order, and daemons that saw the same crash count it once. Clearing a loss is final. Trials of one digest exclude each other among the daemons that reach each other; the lower incarnation goes first. Ruled out: a counter per digest, which counts one crash once per daemon.

TestTableMatchesOracle (gopter/commands) fails when a cleared loss is not merged as cleared, when a run that ended after the question is resolved, when an unchanged incarnation counts as a crash, without refutation, when a known loss is recorded again, and when completion does not clear.

--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,445 @@
+package quarantine
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/commands"
+	"github.com/leanovate/gopter/gen"
+)
+
+const (
+	daemons = 3
+	engines = 3
+	// maxCrashes keeps the number of losses below the bound on tombstones.
+	maxCrashes = maxTombstones - 2
+)
+
+var digests = []Digest{"a", "b"}
+
+func seeds() int {
+	if n, err := strconv.Atoi(os.Getenv("BERGAMOT_SEEDS")); err == nil {
+		return n
+	}
+	return 5
+}
+
+// fact is a loss that counts against a digest.
+type fact struct {
+	digest Digest
+	loss   Loss
+}
+
+// facts holds everything that a daemon was told, losses with the step at which it
+// learned of them. Nothing is ever removed.
+type facts struct {
+	lost    map[fact]int
+	cleared map[fact]bool
+}
+
+func (f facts) clone() facts { return facts{maps.Clone(f.lost), maps.Clone(f.cleared)} }
+
+func (f facts) lose(l fact, step int) {
+	if _, ok := f.lost[l]; !ok {
+		f.lost[l] = step
+	}
+}
+
+func (f facts) learn(other facts, step int) {
+	for l := range other.lost {
+		f.lose(l, step)
+	}
+	maps.Copy(f.cleared, other.cleared)
+}
+
+func (f facts) status(d Digest) Status {
+	n := 0
+	for l := range f.lost {
+		if l.digest == d && !f.cleared[l] {
+			n++
+		}
+	}
+	return Status(min(n, int(Quarantined)))
+}
+
+func newFacts() facts { return facts{map[fact]int{}, map[fact]bool{}} }
+
+// oracleRun is an attempt, as the oracle sees it.
+type oracleRun struct {
+	daemon int
+	fact   fact
+	// ended is the step at which the run was abandoned, or 0.
+	ended int
+	gone  bool
+}
+
+// oracle is the true state of the engines and what each daemon was told.
+type oracle struct {
+	// history holds the engines' generations after each step.
+	history    [][engines]int
+	generation [engines]int
+	knows      [daemons]facts
+	runs       []oracleRun
+	late       []facts
+}
+
+func (o *oracle) clone() *oracle {
+	next := &oracle{history: slices.Clone(o.history), generation: o.generation, runs: slices.Clone(o.runs), late: o.late}
+	for i := range o.knows {
+		next.knows[i] = o.knows[i].clone()
+	}
+	return next
+}
+
+// world is the tables under test.
+type world struct {
+	history    [][engines]int
+	generation [engines]int
+	tables     [daemons]*Table
+	runs       []*Run
+	late       [][]ReportEntry
+	now        time.Time
+}
+
+// kind is what an operation does.
+type kind int
+
+const (
+	opBegin kind = iota
+	opComplete
+	opAbandon
+	opRefused
+	opCrash
+	opObserve
+	opUnreachable
+	opSendLate
+	opDeliver
+	opKinds
+)
+
+// operation is one command. Fields that its kind does not use have no effect.
+type operation struct {
+	kind           kind
+	daemon, engine int
+	digest         Digest
+	pick           int
+}
+
+func (op operation) String() string {
+	return fmt.Sprintf("operation %d daemon %d engine %d digest %s pick %d", op.kind, op.daemon, op.engine, op.digest, op.pick)
+}
+
+// askedAt returns the step at which an engine was asked whose answer arrives now:
+// some answers are late.
+func (op operation) askedAt(step int) int { return max(1, step-op.pick%12) }
+
+func at(step int) time.Time { return time.Unix(1000, 0).Add(time.Duration(step) * time.Millisecond) }
+
+func engineName(e int) string { return fmt.Sprintf("engine-%d", e) }
+
+func incarnation(generation int) string { return fmt.Sprintf("incarnation-%d", generation) }
+
+// Run implements commands.Command.
+func (op operation) Run(sut commands.SystemUnderTest) commands.Result {
+	w := sut.(*world)
+	w.history = append(w.history, w.generation)
+	step := len(w.history)
+	w.now = at(step)
+	asked := op.askedAt(step)
+	table := w.tables[op.daemon]
+	switch op.kind {
+	case opBegin:
+		w.runs = append(w.runs, table.Begin(op.digest, engineName(op.engine), incarnation(w.generation[op.engine])))
+	case opComplete:
+		table.Complete(w.runs[op.pick])
+	case opAbandon:
+		table.Abandon(w.runs[op.pick], w.now)
+	case opRefused:
+		table.Refused(w.runs[op.pick])
+	case opCrash:
+		w.generation[op.engine]++
+	case opObserve:
+		table.Observe(engineName(op.engine), incarnation(w.history[asked-1][op.engine]), at(asked), w.now)
+	case opUnreachable:
+		table.Unreachable(engineName(op.engine), at(asked), w.now)
+	case opSendLate:
+		w.late = append(w.late, table.Entries(w.now))
+	case opDeliver:
+		table.Merge(Report{Entries: w.late[op.pick]}, w.now)
+	}
+	return w
+}
+
+// NextState implements commands.Command.
+func (op operation) NextState(state commands.State) commands.State {
+	o := state.(*oracle).clone()
+	o.history = append(o.history, o.generation)
+	step := len(o.history)
+	known := o.knows[op.daemon]
+	switch op.kind {
+	case opBegin:
+		loss := Loss{engineName(op.engine), incarnation(o.generation[op.engine])}
+		o.runs = append(o.runs, oracleRun{daemon: op.daemon, fact: fact{op.digest, loss}})
+	case opComplete:
+		o.runs[op.pick].gone = true
+		for f := range known.lost {
+			if f.digest == o.runs[op.pick].fact.digest {
+				known.cleared[f] = true
+			}
+		}
+	case opAbandon:
+		o.runs[op.pick].ended = step
+	case opRefused:
+		o.runs[op.pick].gone = true
+	case opCrash:
+		o.generation[op.engine]++
+	case opObserve, opUnreachable:
+		o.ask(op, step)
+	case opSendLate:
+		o.late = append(slices.Clone(o.late), known.clone())
+	case opDeliver:
+		known.learn(o.late[op.pick], step)
+	}
+	return o
+}
+
+// ask lets a daemon learn which of its abandoned runs an engine did not survive.
+func (o *oracle) ask(op operation, step int) {
+	known := o.knows[op.daemon]
+	asked := op.askedAt(step)
+	alive := Loss{engineName(op.engine), incarnation(o.history[asked-1][op.engine])}
+	for f, learned := range known.lost {
+		if op.kind == opObserve && f.loss == alive && learned < asked {
+			known.cleared[f] = true
+		}
+	}
+	for i, r := range o.runs {
+		open := r.daemon == op.daemon && r.fact.loss.Engine == alive.Engine && r.ended > 0 && !r.gone
+		if !open || r.ended > asked {
+			continue
+		}
+		o.runs[i].gone = true
+		if op.kind == opUnreachable || r.fact.loss != alive {
+			known.lose(r.fact, step)
+		}
+	}
+}
+
+// PreCondition implements commands.Command.
+func (op operation) PreCondition(state commands.State) bool {
+	o := state.(*oracle)
+	switch op.kind {
+	case opComplete, opAbandon, opRefused:
+		if op.pick >= len(o.runs) {
+			return false
+		}
+		r := o.runs[op.pick]
+		return r.daemon == op.daemon && !r.gone && r.ended == 0
+	case opCrash:
+		return o.generation[0]+o.generation[1]+o.generation[2] < maxCrashes
+	case opDeliver:
+		return op.pick < len(o.late)
+	}
+	return true
+}
+
+// PostCondition implements commands.Command.
+func (op operation) PostCondition(state commands.State, result commands.Result) *gopter.PropResult {
+	o, w := state.(*oracle), result.(*world)
+	for i, table := range w.tables {
+		for _, digest := range digests {
+			got, want := table.Verdict(digest, w.now).Status, o.knows[i].status(digest)
+			if got != want {
+				label := fmt.Sprintf("%s: status of %s at daemon %d is %d, want %d", op, digest, i, got, want)
+				return &gopter.PropResult{Status: gopter.PropFalse, Labels: []string{label}}
+			}
+		}
+	}
+	return &gopter.PropResult{Status: gopter.PropTrue}
+}
+
+// nextOperation generates an operation that applies to the state.
+func nextOperation(state commands.State) gopter.Gen {
+	o := state.(*oracle)
+	return gen.SliceOfN(5, gen.IntRange(0, 999)).Map(func(r []int) commands.Command {
+		op := operation{
+			kind:   kind(r[0] % int(opKinds)),
+			daemon: r[1] % daemons,
+			engine: r[2] % engines,
+			digest: digests[r[3]%len(digests)],
+		}
+		switch op.kind {
+		case opComplete, opAbandon, opRefused:
+			if len(o.runs) == 0 {
+				op.kind = opBegin
+				break
+			}
+			op.pick = r[4] % len(o.runs)
+			op.daemon = o.runs[op.pick].daemon
+		case opDeliver:
+			if len(o.late) == 0 {
+				op.kind = opSendLate
+				break
+			}
+			op.pick = r[4] % len(o.late)
+		case opObserve, opUnreachable:
+			op.pick = max(0, r[4]%24-12)
+		}
+		return op
+	})
+}
+
+// Guards against a crash that does not count or counts twice, against a digest
+// that stays suspect after it completed, and against reports that change the
+// result by arriving late, repeatedly or in another order.
+func TestTableMatchesOracle(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 100 * seeds()
+	properties := gopter.NewProperties(parameters)
+	properties.Property("tables match the oracle", commands.Prop(&commands.ProtoCommands{
+		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest {
+			w := &world{now: time.Unix(1000, 0)}
+			for i := range w.tables {
+				w.tables[i] = NewTable(Options{Self: fmt.Sprintf("daemon-%d", i), MaxEntries: 10, Hold: time.Hour})
+			}
+			return w
+		},
+		InitialStateGen: gen.Bool().Map(func(bool) *oracle {
+			o := &oracle{}
+			for i := range o.knows {
+				o.knows[i] = newFacts()
+			}
+			return o
+		}),
+		GenCommandFunc: nextOperation,
+	}))
+	properties.TestingRun(t)
+}
+
+// suspect makes a digest suspect at a table.
+func suspect(table *Table, d Digest, engine string, now time.Time) {
+	table.Abandon(table.Begin(d, engine, "incarnation-0"), now)
+	table.Observe(engine, "incarnation-1", now, now)
+}
+
+// Guards against two trials of one digest at the same time, whatever the order in
+// which daemons ask each other, and against a trial during another run.
+func TestTrialsExcludeEachOther(t *testing.T) {
+	for seed := range 100 * seeds() {
+		rng := rand.New(rand.NewPCG(uint64(seed), 0))
+		now := time.Unix(1000, 0)
+		var tables [daemons]*Table
+		var allowed [daemons]map[int]bool
+		var running [daemons]bool
+		var runs [daemons]*Run
+		for i := range tables {
+			tables[i] = NewTable(Options{Self: fmt.Sprintf("daemon-%d", i), MaxEntries: 10, Hold: time.Hour})
+			suspect(tables[i], "a", "engine-0", now)
+			// A daemon that knows of the crash begins no other run of the digest.
+			if rng.IntN(2) == 0 {
+				runs[i] = tables[i].Begin("a", "engine-9", "incarnation-0")
+			}
+		}
+		trial := func(i int) Trial { return Trial{"a", fmt.Sprintf("daemon-%d", i), engineName(i)} }
+		end := func(i int) {
+			released := tables[i].Release("a")
+			allowed[i], running[i] = nil, false
+			for _, table := range tables {
+				table.Merge(Report{Released: []Trial{released}}, now)
+			}
+		}
+		// Permissions are asked for and used within much less than a lease.
+		asking := func() bool {
+			for i := range tables {
+				if allowed[i] != nil && !running[i] {
+					return true
+				}
+			}
+			return false
+		}
+		started := 0
+		for range 300 {
+			i, peer := rng.IntN(daemons), rng.IntN(daemons)
+			switch {
+			case runs[i] != nil && rng.IntN(4) == 0:
+				tables[i].Refused(runs[i])
+				runs[i] = nil
+			case rng.IntN(20) == 0 && !asking():
+				now = now.Add(trialLease)
+			case allowed[i] == nil:
+				if tables[i].Intend("a", engineName(i), now) {
+					allowed[i] = map[int]bool{i: true}
+				}
+			case running[i]:
+				end(i)
+			case len(allowed[i]) == daemons:
+				tables[i].Start("a")
+				running[i] = true
+				started++
+				for j := range running {
+					if j != i && (running[j] || runs[j] != nil) {
+						t.Fatalf("seed %d: daemons %d and %d run the digest at the same time", seed, i, j)
+					}
+				}
+			default:
+				result, _ := tables[peer].Merge(Report{Trials: []Trial{trial(i)}}, now)
+				if peer == i {
+					continue
+				}
+				if len(result.Busy) > 0 {
+					end(i)
+					continue
+				}
+				allowed[i][peer] = true
+			}
+		}
+		if started == 0 {
+			t.Errorf("seed %d: no trial started", seed)
+		}
+	}
+}
+
+// Guards against a quarantine that never ends, a table that grows without bound,
+// and a trial of a dead peer that blocks a digest for good.
+func TestEntriesExpireAndAreBounded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Options{Self: "daemon-0", MaxEntries: 10, Hold: time.Minute})
+	suspect(table, "a", "engine-0", now)
+	suspect(table, "a", "engine-1", now)
+	for i := range 50 {
+		suspect(table, Digest(fmt.Sprint(i)), "engine-0", now)
+	}
+	if table.Len() != 10 || table.Evicted() != 41 {
+		t.Errorf("table holds %d entries, evicted %d", table.Len(), table.Evicted())
+	}
+	if v := table.Verdict("a", now); v.Status != Quarantined || v.Remaining != time.Minute {
+		t.Errorf("verdict is %+v, want quarantined for a minute", v)
+	}
+	table.Merge(Report{Trials: []Trial{{"49", "daemon-9", "engine-2"}}}, now)
+	if table.Intend("49", "engine-0", now) || !table.Reserved("engine-2", now) {
+		t.Error("the peer's trial has no effect")
+	}
+	later := now.Add(trialLease)
+	if table.Reserved("engine-2", later) || !table.Intend("49", "engine-0", later) {
+		t.Error("the peer's trial outlives its lease")
+	}
+	stale := table.Entries(now)
+	now = now.Add(time.Minute)
+	table.Expire(now)
+	if v := table.Verdict("a", now); v.Status != Clear || table.Len() != 0 {
+		t.Errorf("verdict is %+v with %d entries after the hold", v, table.Len())
+	}
+	for i := range stale {
+		stale[i].RemainingMS = 0
+	}
+	if worse := table.MergeEntries(stale, now); worse != nil || table.Len() != 0 {
+		t.Errorf("expired entries of a peer revive %v", worse)
+	}
+}
--- /dev/null
+++ b/internal/quarantine/trial.go
@@ -0,0 +1,210 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Intend announces a trial of a suspect on an engine. It returns false while the
+// digest has another run or trial anywhere, or the engine is reserved. The trial
+// may start when no peer is busy with the digest; until then it only reserves the
+// engine.
+func (t *Table) Intend(d Digest, engine string, now time.Time) bool {
+	if t.own[d] != nil || t.running(d, now) || t.peerHolds(d, now) || t.Reserved(engine, now) {
+		return false
+	}
+	t.own[d] = &ownTrial{trial: Trial{Digest: d, Holder: t.opts.Self, Engine: engine}}
+	return true
+}
+
+// Start marks an intended trial as running.
+func (t *Table) Start(d Digest) { t.own[d].running = true }
+
+// Release ends this daemon's trial of a digest.
+func (t *Table) Release(d Digest) Trial {
+	trial := t.own[d].trial
+	delete(t.own, d)
+	return trial
+}
+
+// Reserved tells whether an engine is kept for a trial.
+func (t *Table) Reserved(engine string, now time.Time) bool {
+	for _, own := range t.own {
+		if own.trial.Engine == engine {
+			return true
+		}
+	}
+	for trial, until := range t.peers {
+		if trial.Engine == engine && now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// ReservedEngines returns the engines that are kept for trials.
+func (t *Table) ReservedEngines(now time.Time) []string {
+	var out []string
+	for _, own := range t.own {
+		out = append(out, own.trial.Engine)
+	}
+	for trial, until := range t.peers {
+		if now.Before(until) {
+			out = append(out, trial.Engine)
+		}
+	}
+	return out
+}
+
+// OwnTrials returns the trials that this daemon holds or asks for.
+func (t *Table) OwnTrials() []Trial {
+	var out []Trial
+	for _, own := range t.own {
+		out = append(out, own.trial)
+	}
+	slices.SortFunc(out, func(a, b Trial) int { return cmp.Compare(a.Digest, b.Digest) })
+	return out
+}
+
+// running tells whether this daemon has a run of a digest that may still crash an
+// engine.
+func (t *Table) running(d Digest, now time.Time) bool {
+	if len(t.Active(d)) > 0 {
+		return true
+	}
+	for _, runs := range t.abandoned {
+		for _, r := range runs {
+			if r.Digest == d && now.Sub(r.ended) < unresolvedWait {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (t *Table) peerHolds(d Digest, now time.Time) bool {
+	for trial, until := range t.peers {
+		if trial.Digest == d && now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
+// admit records a peer's trial, or returns false when it has to wait. Of two
+// daemons that ask at the same time, the one with the lower incarnation goes first.
+func (t *Table) admit(trial Trial, now time.Time) bool {
+	t.peers[trial] = now.Add(trialLease)
+	if t.running(trial.Digest, now) {
+		return false
+	}
+	own := t.own[trial.Digest]
+	return own == nil || (!own.running && trial.Holder < t.opts.Self)
+}
+
+// Merge applies a peer's report. It returns the answer and the digests that the
+// report made suspect or quarantined here.
+func (t *Table) Merge(r Report, now time.Time) (ReportResult, []Digest) {
+	for _, trial := range r.Released {
+		delete(t.peers, trial)
+	}
+	worse := t.MergeEntries(r.Entries, now)
+	var result ReportResult
+	for _, trial := range r.Trials {
+		if !t.admit(trial, now) {
+			result.Busy = append(result.Busy, trial.Digest)
+		}
+	}
+	result.Entries = t.Entries(now)
+	return result, worse
+}
+
+// MergeEntries applies a peer's entries and returns the digests that they made
+// suspect or quarantined here. Entries may arrive late, repeated and in any order.
+func (t *Table) MergeEntries(entries []ReportEntry, now time.Time) []Digest {
+	var worse []Digest
+	for _, in := range entries {
+		if in.RemainingMS <= 0 {
+			continue
+		}
+		before := t.Verdict(in.Digest, now).Status
+		t.mergeEntry(in, now)
+		if t.Verdict(in.Digest, now).Status > before {
+			worse = append(worse, in.Digest)
+		}
+	}
+	return worse
+}
+
+func (t *Table) mergeEntry(in ReportEntry, now time.Time) {
+	e := t.entries[in.Digest]
+	remaining := min(time.Duration(in.RemainingMS)*time.Millisecond, t.opts.Hold)
+	if e == nil {
+		e = t.entry(in.Digest, now)
+		e.expires = now.Add(remaining)
+	}
+	for _, l := range in.Losses {
+		known, ok := e.losses[l.Loss]
+		if !ok {
+			e.add(l.Loss, &lossState{cleared: l.Cleared, at: now})
+			e.expires = later(e.expires, now.Add(remaining))
+			continue
+		}
+		known.cleared = known.cleared || l.Cleared
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Entry returns the entry of one digest, to be sent along with a trial.
+func (t *Table) Entry(d Digest, now time.Time) []ReportEntry {
+	e, ok := t.entries[d]
+	if !ok || !now.Before(e.expires) {
+		return nil
+	}
+	return []ReportEntry{e.report(d, now)}
+}
+
+// Entries returns the newest entries, for peers that may have missed them.
+func (t *Table) Entries(now time.Time) []ReportEntry {
+	return t.collect(now, func(*entry) bool { return true })
+}
+
+// TakeChanged returns the entries that this daemon changed since the last call.
+func (t *Table) TakeChanged(now time.Time) []ReportEntry {
+	out := t.collect(now, func(e *entry) bool { return e.changed })
+	for _, r := range out {
+		t.entries[r.Digest].changed = false
+	}
+	return out
+}
+
+func (t *Table) collect(now time.Time, wanted func(*entry) bool) []ReportEntry {
+	var out []ReportEntry
+	for d, e := range t.entries {
+		if wanted(e) && now.Before(e.expires) {
+			out = append(out, e.report(d, now))
+		}
+	}
+	slices.SortFunc(out, func(a, b ReportEntry) int {
+		return cmp.Or(cmp.Compare(b.RemainingMS, a.RemainingMS), cmp.Compare(a.Digest, b.Digest))
+	})
+	return out[:min(len(out), maxReportEntries)]
+}
+
+func (e *entry) report(d Digest, now time.Time) ReportEntry {
+	out := ReportEntry{Digest: d, RemainingMS: e.expires.Sub(now).Milliseconds()}
+	for loss, state := range e.losses {
+		out.Losses = append(out.Losses, ReportedLoss{Loss: loss, Cleared: state.cleared})
+	}
+	slices.SortFunc(out.Losses, func(a, b ReportedLoss) int {
+		return cmp.Or(cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return out
+}
