Let the fake engine and the memory network show more faults

The fake engine reorders chunks, ends early, sends chunks of an older attempt, crashes at a position, breaks answers off with status 500 and sends heartbeats while it prefills. A new attempt at a request ends the older one; the older one used to take the newer one's cancellation with it when it ended. A silent connection of the memory network takes 4 KB and then blocks, as TCP does; it took everything before, so a write deadline never passed. A blocked host is unreachable and no longer refuses the connection, so a partition does not look like a crash.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -48,6 +48,16 @@
 	RepeatChunks bool `json:"repeat_chunks"`
 	// DropChunk leaves out the chunk at this position once; 0 drops none.
 	DropChunk int `json:"drop_chunk"`
+	// Reorder swaps every two chunks; the end marker may overtake the last one.
+	Reorder bool `json:"reorder"`
+	// StaleChunks sends a wrong chunk of the previous attempt before each chunk.
+	StaleChunks bool `json:"stale_chunks"`
+	// EarlyEnd ends the answer at this position once; 0 ends none early.
+	EarlyEnd int `json:"early_end"`
+	// FailGenerate starts every answer and breaks it off with status 500.
+	FailGenerate bool `json:"fail_generate"`
+	// CrashAt crashes the engine at this position of an answer once; 0 does not.
+	CrashAt int `json:"crash_at"`
 	// Leaving makes the engine report that it will stop.
 	Leaving bool `json:"leaving"`
 	// DownMS keeps the engine down for that long after a crash.
@@ -68,7 +78,8 @@
 	prefill     chan struct{}
 	orders      []port.Order
 	runs        map[string]int
-	cancels     map[string]context.CancelFunc
+	running     map[string]*run
+	lost        map[string]int
 	interrupted int
 }
 
@@ -80,7 +91,8 @@
 		silenced: make(chan struct{}),
 		prefill:  make(chan struct{}, 1),
 		runs:     map[string]int{},
-		cancels:  map[string]context.CancelFunc{},
+		running:  map[string]*run{},
+		lost:     map[string]int{},
 	}
 	e.status = port.EngineStatus{
 		Engine:     opts.Name,
@@ -124,6 +136,13 @@
 	return e.runs[requestID]
 }
 
+// Lost returns how often a request with the given prompt crashed the engine.
+func (e *Engine) Lost(prompt string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lost[prompt]
+}
+
 // Started returns the number of attempts that the engine started.
 func (e *Engine) Started() int {
 	e.mu.Lock()
@@ -197,14 +216,22 @@
 	})
 }
 
+// heartbeatInterval is the time between comment lines while no token is sent.
+const heartbeatInterval = time.Second
+
 // run is one running request.
 type run struct {
 	req      port.GenerateRequest
 	ctx      context.Context
+	cancel   context.CancelFunc
 	down     <-chan struct{}
 	silenced <-chan struct{}
+	// held is a chunk that is sent after the one that follows it.
+	held  *port.Chunk
+	ended bool
 }
 
+// start begins a request. It ends an older attempt at the same request.
 func (e *Engine) start(ctx context.Context, req port.GenerateRequest) (*run, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -214,22 +241,36 @@
 	if req.Model != e.status.Model {
 		return nil, fmt.Errorf("model %q is not loaded", req.Model)
 	}
+	if older, ok := e.running[req.RequestID]; ok {
+		e.endLocked(older)
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	e.cancels[req.RequestID] = cancel
+	r := &run{req: req, ctx: ctx, cancel: cancel, down: e.down, silenced: e.silenced}
+	e.running[req.RequestID] = r
 	e.runs[req.RequestID]++
 	e.status.Running++
 	e.status.RunningTokens += int64(PromptTokens(req.Prompt))
-	return &run{req: req, ctx: ctx, down: e.down, silenced: e.silenced}, nil
+	return r, nil
 }
 
 func (e *Engine) finish(r *run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.endLocked(r)
+}
+
+// endLocked stops the work on a request, even while a write to its connection
+// blocks.
+func (e *Engine) endLocked(r *run) {
+	if r.ended {
+		return
+	}
+	r.ended = true
+	r.cancel()
 	e.status.Running--
 	e.status.RunningTokens -= int64(PromptTokens(r.req.Prompt))
-	if cancel, ok := e.cancels[r.req.RequestID]; ok {
-		cancel()
-		delete(e.cancels, r.req.RequestID)
+	if e.running[r.req.RequestID] == r {
+		delete(e.running, r.req.RequestID)
 	}
 }
 
@@ -245,25 +286,50 @@
 		return
 	}
 	defer e.finish(running)
+	if e.failsGenerate() {
+		http.Error(w, "out of memory", http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	if strings.Contains(req.Prompt, CrashMarker) {
-		e.Crash()
+		e.crashBy(req.Prompt)
+	}
+	writeHeartbeat(w)
+	if e.runPrefill(w, running) {
+		e.decode(w, running)
 	}
-	e.runPrefill(running)
-	e.decode(w, running)
+}
+
+func (e *Engine) failsGenerate() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.FailGenerate
+}
+
+// crashBy crashes the engine on behalf of a prompt.
+func (e *Engine) crashBy(prompt string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lost[prompt]++
+	e.crashLocked()
 }
 
 // wait sleeps for d. It aborts the connection when the engine crashes and hangs
 // until the client gives up when the connection was silenced.
 func (e *Engine) wait(r *run, d time.Duration) bool {
+	select {
+	case <-r.down:
+		panic(http.ErrAbortHandler)
+	default:
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-r.down:
 		panic(http.ErrAbortHandler)
 	case <-r.silenced:
-		<-r.ctx.Done()
+		e.hang(r)
 		return false
 	case <-r.ctx.Done():
 		return false
@@ -272,20 +338,57 @@
 	}
 }
 
-func (e *Engine) runPrefill(r *run) {
-	if e.opts.PrefillRate <= 0 {
-		return
-	}
+// hang waits until the request is given up or the engine crashes.
+func (e *Engine) hang(r *run) {
 	select {
-	case e.prefill <- struct{}{}:
-	case <-r.ctx.Done():
-		return
 	case <-r.down:
 		panic(http.ErrAbortHandler)
+	case <-r.ctx.Done():
+	}
+}
+
+// runPrefill waits for its turn and runs the prefill, with heartbeats meanwhile.
+func (e *Engine) runPrefill(w http.ResponseWriter, r *run) bool {
+	if e.opts.PrefillRate <= 0 {
+		return true
+	}
+	for !e.takePrefill() {
+		if !e.waitBeating(w, r, prefillPoll) {
+			return false
+		}
 	}
 	defer func() { <-e.prefill }()
 	seconds := float64(PromptTokens(r.req.Prompt)) / e.opts.PrefillRate
-	e.wait(r, time.Duration(seconds*float64(time.Second)))
+	return e.waitBeating(w, r, time.Duration(seconds*float64(time.Second)))
+}
+
+// prefillPoll is how often a waiting request looks for its turn.
+const prefillPoll = 20 * time.Millisecond
+
+func (e *Engine) takePrefill() bool {
+	select {
+	case e.prefill <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// waitBeating sleeps for d and sends heartbeats.
+func (e *Engine) waitBeating(w http.ResponseWriter, r *run, d time.Duration) bool {
+	for d > heartbeatInterval {
+		if !e.wait(r, heartbeatInterval) {
+			return false
+		}
+		writeHeartbeat(w)
+		d -= heartbeatInterval
+	}
+	return e.wait(r, d)
+}
+
+func writeHeartbeat(w http.ResponseWriter) {
+	fmt.Fprint(w, ": heartbeat\n\n")
+	flush(w)
 }
 
 func (e *Engine) decode(w http.ResponseWriter, r *run) {
@@ -294,16 +397,43 @@
 		if !e.wait(r, e.opts.TokenTime) {
 			return
 		}
+		if e.takeFault(&e.faults.CrashAt, i) {
+			e.Crash()
+			panic(http.ErrAbortHandler)
+		}
+		if e.takeFault(&e.faults.EarlyEnd, i) {
+			writeEvent(w, r.end(i, total))
+			return
+		}
 		e.sendToken(w, r, i)
 	}
-	writeEvent(w, port.Chunk{
+	writeEvent(w, r.end(max(total, r.req.From), total))
+	if r.held != nil {
+		writeEvent(w, *r.held)
+	}
+}
+
+// takeFault tells whether the fault that is set for one position is due, and
+// clears it then.
+func (e *Engine) takeFault(at *int, position int) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if *at == 0 || *at != position {
+		return false
+	}
+	*at = 0
+	return true
+}
+
+func (r *run) end(position, total int) port.Chunk {
+	return port.Chunk{
 		Attempt:      r.req.Attempt,
-		Position:     max(total, r.req.From),
+		Position:     position,
 		Done:         true,
 		FinishReason: finishReason(total, r.req.MaxTokens),
 		PromptTokens: PromptTokens(r.req.Prompt),
 		OutputTokens: total,
-	})
+	}
 }
 
 func finishReason(total, limit int) string {
@@ -314,24 +444,31 @@
 }
 
 func (e *Engine) sendToken(w http.ResponseWriter, r *run, position int) {
-	e.mu.Lock()
-	repeat := e.faults.RepeatChunks
-	drop := e.faults.DropChunk > 0 && e.faults.DropChunk == position
-	if drop {
-		e.faults.DropChunk = 0
-	}
-	e.mu.Unlock()
-	if drop {
+	if e.takeFault(&e.faults.DropChunk, position) {
 		return
 	}
+	e.mu.Lock()
+	faults := e.faults
+	e.mu.Unlock()
 	chunk := port.Chunk{
 		Attempt:  r.req.Attempt,
 		Position: position,
 		Text:     Token(r.req.Model, r.req.Prompt, position),
 		Tokens:   1,
 	}
+	if faults.StaleChunks {
+		writeEvent(w, port.Chunk{Attempt: r.req.Attempt - 1, Position: position, Text: "stale ", Tokens: 1})
+	}
+	if faults.Reorder && r.held == nil {
+		r.held = &chunk
+		return
+	}
 	writeEvent(w, chunk)
-	if repeat {
+	if r.held != nil {
+		writeEvent(w, *r.held)
+		r.held = nil
+	}
+	if faults.RepeatChunks {
 		writeEvent(w, chunk)
 	}
 }
@@ -342,6 +479,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	fmt.Fprintf(w, "data: %s\n\n", data)
+	flush(w)
+}
+
+func flush(w http.ResponseWriter) {
 	if f, ok := w.(http.Flusher); ok {
 		f.Flush()
 	}
@@ -349,8 +490,8 @@
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	if cancel, ok := e.cancels[r.PathValue("id")]; ok {
-		cancel()
+	if running, ok := e.running[r.PathValue("id")]; ok {
+		e.endLocked(running)
 	}
 	e.mu.Unlock()
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/standin/memnet.go
+++ b/internal/standin/memnet.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -104,7 +106,7 @@
 }
 
 func refusedError(address string) error {
-	return fmt.Errorf("dial %s: connection refused", address)
+	return fmt.Errorf("dial %s: %w", address, syscall.ECONNREFUSED)
 }
 
 func (h *MemHost) connect(address string) (*memListener, net.Conn, net.Conn, error) {
@@ -112,20 +114,27 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l, ok := n.listeners[address]
-	if !ok || n.blocked[[2]string{h.name, l.host.name}] {
+	if !ok {
 		return nil, nil, nil, refusedError(address)
 	}
+	if n.blocked[[2]string{h.name, l.host.name}] {
+		return nil, nil, nil, fmt.Errorf("dial %s: %w", address, syscall.EHOSTUNREACH)
+	}
 	near, far := net.Pipe()
 	lost := make(chan struct{})
 	once := &sync.Once{}
-	client := &memConn{Conn: near, net: n, hosts: [2]string{h.name, l.host.name}, lost: lost, once: once}
-	server := &memConn{Conn: far, net: n, hosts: client.hosts, lost: lost, once: once}
-	client.far, server.far = far, near
+	hosts := [2]string{h.name, l.host.name}
+	client := newMemConn(n, near, far, hosts, lost, once)
+	server := newMemConn(n, far, near, hosts, lost, once)
 	n.conns[client] = struct{}{}
 	n.conns[server] = struct{}{}
 	return l, client, server, nil
 }
 
+// sendBuffer is the number of bytes that a silent connection takes before writes
+// to it block, as a TCP send buffer does.
+const sendBuffer = 4 << 10
+
 // memConn is one end of a connection.
 type memConn struct {
 	net.Conn
@@ -135,6 +144,17 @@
 	// lost is closed when the connection has gone silent.
 	lost chan struct{}
 	once *sync.Once
+	// hole takes the place of Conn once the connection is silent. Nothing reads
+	// from or writes to its other end.
+	hole net.Conn
+
+	mu       sync.Mutex
+	buffered int
+}
+
+func newMemConn(n *MemNet, near, far net.Conn, hosts [2]string, lost chan struct{}, once *sync.Once) *memConn {
+	hole, _ := net.Pipe()
+	return &memConn{Conn: near, far: far, net: n, hosts: hosts, lost: lost, once: once, hole: hole}
 }
 
 func (c *memConn) between(a, b string) bool {
@@ -147,16 +167,57 @@
 	// Closing a pipe end never fails.
 	_ = c.Conn.Close()
 	_ = c.far.Close()
+	_ = c.hole.Close()
 }
 
-// Write drops the bytes of a silent connection.
-func (c *memConn) Write(p []byte) (int, error) {
+func (c *memConn) silent() bool {
 	select {
 	case <-c.lost:
-		return len(p), nil
+		return true
 	default:
+		return false
+	}
+}
+
+// Read blocks on a silent connection.
+func (c *memConn) Read(p []byte) (int, error) {
+	if c.silent() {
+		return c.hole.Read(p)
+	}
+	return c.Conn.Read(p)
+}
+
+// Write drops the bytes of a silent connection until its send buffer is full, and
+// blocks then.
+func (c *memConn) Write(p []byte) (int, error) {
+	if !c.silent() {
 		return c.Conn.Write(p)
 	}
+	c.mu.Lock()
+	full := c.buffered+len(p) > sendBuffer
+	if !full {
+		c.buffered += len(p)
+	}
+	c.mu.Unlock()
+	if full {
+		return c.hole.Write(p)
+	}
+	return len(p), nil
+}
+
+// SetDeadline implements net.Conn.
+func (c *memConn) SetDeadline(t time.Time) error {
+	return errors.Join(c.hole.SetDeadline(t), c.Conn.SetDeadline(t))
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *memConn) SetReadDeadline(t time.Time) error {
+	return errors.Join(c.hole.SetReadDeadline(t), c.Conn.SetReadDeadline(t))
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *memConn) SetWriteDeadline(t time.Time) error {
+	return errors.Join(c.hole.SetWriteDeadline(t), c.Conn.SetWriteDeadline(t))
 }
 
 // Close closes this end; the far end of a silent connection does not learn of it.
@@ -164,12 +225,10 @@
 	c.net.mu.Lock()
 	delete(c.net.conns, c)
 	c.net.mu.Unlock()
-	select {
-	case <-c.lost:
-		return c.Conn.SetDeadline(pastDeadline)
-	default:
-		return c.Conn.Close()
+	if c.silent() {
+		return errors.Join(c.hole.Close(), c.Conn.SetDeadline(pastDeadline))
 	}
+	return errors.Join(c.hole.Close(), c.Conn.Close())
 }
 
 type memListener struct {
