--- a/internal/adapter/engine/engine.go
+++ b/internal/adapter/engine/engine.go
@@ -14,6 +14,7 @@
 	"net/url"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -31,8 +32,18 @@
 	CacheEventsPath = "/v1/cache-events"
 )
 
-// controlTimeout bounds every request but an answer stream.
-const controlTimeout = 2 * time.Second
+const (
+	// controlTimeout bounds every request but an answer stream, on each connection.
+	controlTimeout = 2 * time.Second
+	// reusedTimeout bounds the wait for the first response byte on a connection
+	// that was idle. It may have gone silent, and a new one costs only a handshake.
+	reusedTimeout = 500 * time.Millisecond
+	// maxIdleConns bounds the idle connections to one engine.
+	maxIdleConns = 64
+)
+
+// errIdleSilent reports that a connection that was idle did not answer.
+var errIdleSilent = fmt.Errorf("%w: idle connection did not answer", port.ErrSilent)
 
 // Options configures a Dialer.
 type Options struct {
@@ -43,11 +54,10 @@
 	IdleTrust time.Duration
 }
 
-// Dialer creates clients that share one connection pool. It is safe for
+// Dialer creates clients, each with a connection pool of its own. It is safe for
 // concurrent use.
 type Dialer struct {
 	opts Options
-	http *http.Client
 
 	mu      sync.Mutex
 	clients map[string]*Client
@@ -55,17 +65,7 @@
 
 // NewDialer returns a Dialer.
 func NewDialer(opts Options) *Dialer {
-	transport := &http.Transport{
-		DialContext:         opts.Network.DialContext,
-		IdleConnTimeout:     opts.IdleTrust,
-		MaxIdleConnsPerHost: 64,
-		DisableCompression:  true,
-	}
-	return &Dialer{
-		opts:    opts,
-		http:    &http.Client{Transport: transport},
-		clients: map[string]*Client{},
-	}
+	return &Dialer{opts: opts, clients: map[string]*Client{}}
 }
 
 // Dial implements port.EngineDialer.
@@ -74,36 +74,53 @@
 	defer d.mu.Unlock()
 	c, ok := d.clients[address]
 	if !ok {
-		c = &Client{base: "http://" + address, dialer: d}
+		c = newClient(address, d.opts)
 		d.clients[address] = c
 	}
 	return c
 }
 
-// CloseIdle closes idle connections, so that the next request uses a new one.
-func (d *Dialer) CloseIdle() { d.http.CloseIdleConnections() }
-
 // Client talks to one engine. It implements port.Engine.
 type Client struct {
-	base   string
-	dialer *Dialer
+	base     string
+	progress time.Duration
+	// pooled reuses idle connections, fresh opens one per request.
+	pooled *http.Client
+	fresh  *http.Client
+}
+
+func newClient(address string, opts Options) *Client {
+	pooled := &http.Transport{
+		DialContext:         opts.Network.DialContext,
+		IdleConnTimeout:     opts.IdleTrust,
+		MaxIdleConnsPerHost: maxIdleConns,
+		DisableCompression:  true,
+	}
+	fresh := &http.Transport{
+		DialContext:        opts.Network.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}
+	return &Client{
+		base:     "http://" + address,
+		progress: opts.Progress,
+		pooled:   &http.Client{Transport: pooled},
+		fresh:    &http.Client{Transport: fresh},
+	}
 }
 
 // Generate implements port.Engine.
 func (c *Client) Generate(ctx context.Context, r port.GenerateRequest) (port.ChunkStream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
 	// The first read is covered by the same deadline as the ones that follow it.
-	watch := newWatchdog(c.dialer.opts.Progress, func() { cancel(port.ErrSilent) })
-	resp, err := c.send(ctx, http.MethodPost, GeneratePath, r)
+	watch := newWatchdog(c.progress, func() { cancel(port.ErrSilent) })
+	resp, sent, err := c.send(ctx, c.pooled, http.MethodPost, GeneratePath, r)
 	if err != nil {
 		watch.stop()
 		err = causeOf(ctx, err)
 		cancel(nil)
-		if !sent.Load() {
+		c.distrust(err)
+		if !sent {
 			return nil, fmt.Errorf("%w: %v", port.ErrNotSent, err)
 		}
 		return nil, err
@@ -113,7 +130,15 @@
 		defer cancel(nil)
 		return nil, refused(resp)
 	}
-	return newStream(ctx, cancel, resp.Body, watch), nil
+	return newStream(ctx, cancel, resp.Body, watch, c.distrust), nil
+}
+
+// distrust closes the idle connections after a silence: whatever lost the state
+// of one connection has probably lost the others too.
+func (c *Client) distrust(err error) {
+	if errors.Is(err, port.ErrSilent) {
+		c.pooled.CloseIdleConnections()
+	}
 }
 
 // refused converts a response with an error status. An engine answers 4xx and
@@ -135,37 +160,52 @@
 	return err
 }
 
-// Cancel implements port.Engine.
+// Cancel implements port.Engine. It uses a new connection, so that its success
+// also shows that new connections work.
 func (c *Client) Cancel(ctx context.Context, requestID string) error {
-	return c.control(ctx, http.MethodDelete, RequestsPath+url.PathEscape(requestID), nil, nil)
+	return c.control(ctx, c.fresh, http.MethodDelete, RequestsPath+url.PathEscape(requestID), nil, nil)
 }
 
-// Status implements port.Engine.
+// Status implements port.Engine. When a pooled connection gives no answer it
+// asks again over a new one, so that its error speaks of the engine rather than
+// of the connection.
 func (c *Client) Status(ctx context.Context) (port.EngineStatus, error) {
 	var out port.EngineStatus
-	err := c.control(ctx, http.MethodGet, StatusPath, nil, &out)
+	err := c.recovering(ctx, StatusPath, &out)
 	return out, err
 }
 
-// Order implements port.Engine.
+// Order implements port.Engine. It uses a new connection, because an order must
+// not be repeated here after a silence.
 func (c *Client) Order(ctx context.Context, o port.Order) error {
-	return c.control(ctx, http.MethodPost, OrdersPath, o, nil)
+	return c.control(ctx, c.fresh, http.MethodPost, OrdersPath, o, nil)
 }
 
 // CacheEvents implements port.Engine.
 func (c *Client) CacheEvents(ctx context.Context, from int64) ([]port.CacheEvent, error) {
 	var out []port.CacheEvent
-	err := c.control(ctx, http.MethodGet, fmt.Sprintf("%s?from=%d", CacheEventsPath, from), nil, &out)
+	err := c.recovering(ctx, fmt.Sprintf("%s?from=%d", CacheEventsPath, from), &out)
 	return out, err
 }
 
+// recovering reads path over a pooled connection and, when that one fails, over
+// a new one.
+func (c *Client) recovering(ctx context.Context, path string, out any) error {
+	err := c.control(ctx, c.pooled, http.MethodGet, path, nil, out)
+	if err == nil || ctx.Err() != nil || errors.Is(err, port.ErrUnreachable) {
+		return err
+	}
+	c.pooled.CloseIdleConnections()
+	return c.control(ctx, c.fresh, http.MethodGet, path, nil, out)
+}
+
 // control sends a short request and decodes the response into out unless nil.
-func (c *Client) control(ctx context.Context, method, path string, in, out any) error {
+func (c *Client) control(ctx context.Context, client *http.Client, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	resp, err := c.send(ctx, method, path, in)
+	resp, _, err := c.send(ctx, client, method, path, in)
 	if err != nil {
-		return err
+		return c.unreachable(client, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode == http.StatusConflict {
@@ -181,20 +221,73 @@
 	return trace.Wrap(json.NewDecoder(resp.Body).Decode(out))
 }
 
-func (c *Client) send(ctx context.Context, method, path string, in any) (*http.Response, error) {
+// unreachable marks a new connection that the engine refused or closed. A
+// timeout or a missing route speaks of the network, not of the engine.
+func (c *Client) unreachable(client *http.Client, err error) error {
+	if client == c.fresh && closedByEngine(err) {
+		return fmt.Errorf("%w: %v", port.ErrUnreachable, err)
+	}
+	return err
+}
+
+func closedByEngine(err error) bool {
+	for _, target := range []error{syscall.ECONNREFUSED, syscall.ECONNRESET, io.EOF, io.ErrUnexpectedEOF} {
+		if errors.Is(err, target) {
+			return true
+		}
+	}
+	return false
+}
+
+// send sends one request. The bool tells whether bytes may have reached the
+// engine.
+func (c *Client) send(ctx context.Context, client *http.Client, method, path string, in any) (*http.Response, bool, error) {
 	var body io.Reader
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
-			return nil, trace.Wrap(err)
+			return nil, false, trace.Wrap(err)
 		}
 		body = bytes.NewReader(data)
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	var sent atomic.Bool
+	idle := newWatchdog(reusedTimeout, func() { cancel(errIdleSilent) })
+	idle.stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			sent.Store(true)
+			if info.Reused {
+				idle.reset()
+			}
+		},
+	})
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
-		return nil, trace.Wrap(err)
+		cancel(nil)
+		return nil, false, trace.Wrap(err)
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.dialer.http.Do(req)
-	return resp, trace.Wrap(err)
+	resp, err := client.Do(req)
+	idle.stop()
+	if err != nil {
+		err = causeOf(ctx, err)
+		cancel(nil)
+		return nil, sent.Load(), trace.Wrap(err)
+	}
+	resp.Body = &cancellingBody{ReadCloser: resp.Body, cancel: cancel}
+	return resp, true, nil
+}
+
+// cancellingBody ends a request's context when its response is closed.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close implements io.Closer.
+func (b *cancellingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel(nil)
+	return err
 }
--- a/internal/adapter/engine/stream.go
+++ b/internal/adapter/engine/stream.go
@@ -51,22 +51,29 @@
 	watch  *watchdog
 	next   func() (sse.Event, error, bool)
 	stop   func()
+	// failed is told the error that ended the stream.
+	failed func(error)
 }
 
-func newStream(ctx context.Context, cancel context.CancelCauseFunc, body io.ReadCloser, watch *watchdog) *stream {
+func newStream(ctx context.Context, cancel context.CancelCauseFunc, body io.ReadCloser, watch *watchdog, failed func(error)) *stream {
 	events := sse.Read(&watchedReader{reader: body, watch: watch}, &sse.ReadConfig{MaxEventSize: maxEventBytes})
 	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](events))
-	return &stream{ctx: ctx, cancel: cancel, body: body, watch: watch, next: next, stop: stop}
+	return &stream{ctx: ctx, cancel: cancel, body: body, watch: watch, next: next, stop: stop, failed: failed}
 }
 
-// Next implements port.ChunkStream.
+// Next implements port.ChunkStream. The deadline runs only while it waits for the
+// engine, so that a slow caller does not count as a silent engine.
 func (s *stream) Next() (port.Chunk, error) {
+	s.watch.reset()
+	defer s.watch.stop()
 	event, err, ok := s.next()
 	if !ok {
 		return port.Chunk{}, io.EOF
 	}
 	if err != nil {
-		return port.Chunk{}, causeOf(s.ctx, err)
+		err = causeOf(s.ctx, err)
+		s.failed(err)
+		return port.Chunk{}, err
 	}
 	var chunk port.Chunk
 	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -10,6 +10,7 @@
 
 	"bergamotsill.example/bergamotsill/internal/admin"
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/quarantine"
 )
 
 // peerHandlers returns the methods of the peer interface.
@@ -19,6 +20,8 @@
 		admin.MethodExplain: d.adminExplain,
 		admin.MethodBurn:    d.adminBurn,
 		admin.MethodRoles:   d.adminRoles,
+
+		quarantine.MethodReport: d.suspects.receive,
 	}
 }
 
--- a/internal/daemon/completions.go
+++ b/internal/daemon/completions.go
@@ -5,8 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
+	"time"
 
 	"bergamotsill.example/bergamotsill/internal/findings"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -130,6 +133,19 @@
 	return b.String()
 }
 
+// callerWriteTimeout bounds each write to a caller. One that takes no bytes for
+// that long is given up, so that it does not hold an engine.
+const callerWriteTimeout = 10 * time.Second
+
+// clearWriteDeadline lifts the deadline that an earlier request left on a
+// connection.
+func clearWriteDeadline(conn net.Conn, state http.ConnState) {
+	if state == http.StateActive {
+		// A connection that takes no deadline is broken; the next write reports it.
+		_ = conn.SetWriteDeadline(time.Time{})
+	}
+}
+
 // responder writes one answer in the form that the caller asked for.
 type responder struct {
 	w       http.ResponseWriter
@@ -171,8 +187,12 @@
 	return r.sendData([]byte("[DONE]"))
 }
 
-// Fail tells the caller inside a stream that has begun that it is not whole.
+// Fail tells the caller inside a stream that has begun that it is not whole. An
+// answer that is not streamed is written at once, so its length shows a loss.
 func (r *responder) Fail(e *refusal.Error) error {
+	if !r.stream {
+		return nil
+	}
 	data, err := json.Marshal(e.ToBody(r.id))
 	if err != nil {
 		return err
@@ -213,9 +233,14 @@
 	} else {
 		c.Text = &text
 	}
+	data, err := json.Marshal(r.response(object, c, u))
+	if err != nil {
+		return err
+	}
 	r.begun = true
 	r.w.Header().Set("Content-Type", "application/json")
-	return json.NewEncoder(r.w).Encode(r.response(object, c, u))
+	r.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	return r.send(data)
 }
 
 func (r *responder) sendEvent(response completionResponse) error {
@@ -232,8 +257,17 @@
 		r.w.Header().Set("Content-Type", "text/event-stream")
 		r.w.Header().Set("Cache-Control", "no-cache")
 	}
-	if _, err := fmt.Fprintf(r.w, "data: %s\n\n", data); err != nil {
+	return r.send(fmt.Appendf(nil, "data: %s\n\n", data))
+}
+
+// send writes bytes within the write deadline.
+func (r *responder) send(data []byte) error {
+	controller := http.NewResponseController(r.w)
+	if err := controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
+		return err
+	}
+	if _, err := r.w.Write(data); err != nil {
 		return err
 	}
-	return http.NewResponseController(r.w).Flush()
+	return controller.Flush()
 }
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -80,6 +80,7 @@
 		return
 	}
 	c.snapshot.Store(c.state.Current())
+	c.daemon.retries.retain(c.state.Current())
 	c.daemon.metrics.Revision.Set(verdict.Revision)
 	c.daemon.log.Info("configuration in force",
 		zap.Int64("revision", verdict.Revision),
--- /dev/null
+++ b/internal/daemon/crash_test.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+// maxEnginesLost is the number of engines that one digest may crash.
+const maxEnginesLost = 2
+
+// lost returns how many engines a prompt crashed.
+func (c *cluster) lost(prompt string) int {
+	n := 0
+	for _, e := range c.engines {
+		n += e.Lost(prompt)
+	}
+	return n
+}
+
+// innocents starts requests at random times within a period.
+func (c *cluster) innocents(group *sync.WaitGroup, daemons []string, count int, period time.Duration) {
+	for i := range count {
+		prompt := fmt.Sprintf("innocent %d tokens=%d", i, 1+c.rng.IntN(100))
+		daemon := daemons[c.rng.IntN(len(daemons))]
+		delay := time.Duration(c.rng.Int64N(int64(period)))
+		group.Go(func() {
+			time.Sleep(delay)
+			if !c.checkAnswer(daemon, prompt, i%2 == 0) {
+				c.t.Errorf("%q is not answered in full", prompt)
+			}
+		})
+	}
+}
+
+// Guards against a request that crashes one engine after another while its caller
+// sends it again through other daemons, and against innocent requests that are
+// lost or refused because they were in flight at the crash.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		engines, daemons := c.settled(4, 3, standin.EngineOptions{})
+		for _, e := range engines {
+			c.engines[e].SetFaults(standin.EngineFaults{DownMS: []int64{0, 500, 3000}[c.rng.IntN(3)], RepeatChunks: c.rng.IntN(2) == 0})
+		}
+		var group sync.WaitGroup
+		c.innocents(&group, daemons, 12, 3*time.Second)
+		prompt := standin.CrashMarker + " tokens=20"
+		var last reply
+		for i := range 6 {
+			time.Sleep(time.Duration(c.rng.IntN(600)) * time.Millisecond)
+			if c.rng.IntN(3) == 0 {
+				c.net.Silence(daemons[c.rng.IntN(3)], daemons[c.rng.IntN(3)])
+			}
+			last = c.complete(daemons[(i+int(c.rng.Uint64()%2))%3], prompt)
+			if last.status == http.StatusOK {
+				c.t.Errorf("the crashing request is answered: %s", last.body)
+			}
+		}
+		if last.refusal == nil || last.refusal.Code != refusal.Quarantined || last.refusal.Outcome != refusal.NotRun {
+			c.t.Errorf("the last resend got %d: %s", last.status, last.body)
+		}
+		group.Wait()
+		if n := c.lost(prompt); n > maxEnginesLost {
+			c.t.Errorf("the request crashed %d engines, want at most %d", n, maxEnginesLost)
+		}
+	})
+}
+
+// Guards against a caller that gives up early and sends the request again through
+// another daemon before the first one has seen the crash.
+func TestImpatientCallerOfCrashingRequest(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		_, daemons := c.settled(5, 3, standin.EngineOptions{})
+		prompt := standin.CrashMarker + " tokens=20"
+		var group sync.WaitGroup
+		for i := range 8 {
+			group.Go(func() { c.complete(daemons[i%3], prompt) })
+			time.Sleep(time.Duration(20+c.rng.IntN(200)) * time.Millisecond)
+		}
+		group.Wait()
+		if n := c.lost(prompt); n > maxEnginesLost {
+			c.t.Errorf("the request crashed %d engines, want at most %d", n, maxEnginesLost)
+		}
+	})
+}
+
+// Guards against a bound that does not hold without reports: daemons that cannot
+// reach each other have a budget each, and share it once they can.
+func TestCrashBudgetWithoutPeers(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		_, daemons := c.settled(6, 2, standin.EngineOptions{})
+		c.net.Block(daemons[0], daemons[1])
+		prompts := []string{standin.CrashMarker + " first", standin.CrashMarker + " second"}
+		for i := range 6 {
+			c.complete(daemons[c.rng.IntN(2)], prompts[0])
+			time.Sleep(time.Duration(c.rng.IntN(1000)) * time.Millisecond)
+			if i == 2 {
+				c.complete(daemons[0], prompts[1])
+			}
+		}
+		if n := c.lost(prompts[0]); n > 2*maxEnginesLost {
+			c.t.Errorf("the first request crashed %d engines", n)
+		}
+		c.net.Unblock(daemons[0], daemons[1])
+		time.Sleep(3 * reportInterval)
+		before := c.lost(prompts[1])
+		got := c.complete(daemons[1], prompts[1])
+		if got.refusal == nil || got.refusal.Code != refusal.Quarantined || c.lost(prompts[1]) != before {
+			c.t.Errorf("the late report has no effect: %d %s", got.status, got.body)
+		}
+	})
+}
+
+// Guards against retries that multiply the load when every engine fails, and
+// against a refusal that says "not run" after an engine began a request.
+func TestFailureOfTheFleetDoesNotMultiplyLoad(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		const firsts, share = 60, 0.5
+		engines, daemons := c.settled(3, 1, standin.EngineOptions{})
+		for _, e := range engines {
+			c.engines[e].SetFaults(standin.EngineFaults{FailGenerate: true})
+		}
+		begin := time.Now()
+		var group sync.WaitGroup
+		for i := range firsts {
+			delay := time.Duration(c.rng.IntN(10000)) * time.Millisecond
+			group.Go(func() {
+				time.Sleep(delay)
+				got := c.complete(daemons[0], fmt.Sprintf("slot %d", i))
+				if got.refusal == nil || got.refusal.Outcome != refusal.Unknown {
+					c.t.Errorf("request %d got %d: %s", i, got.status, got.body)
+				}
+			})
+		}
+		group.Wait()
+		started := 0
+		for _, e := range engines {
+			started += c.engines[e].Started()
+		}
+		// The budget allows a share of the first attempts, ten at once and one a
+		// second.
+		bound := firsts*(1+share) + 10 + time.Since(begin).Seconds()
+		if float64(started) > bound {
+			c.t.Errorf("%d requests made %d attempts, want at most %.0f", firsts, started, bound)
+		}
+		if c.daemons[daemons[0]].metrics.RetriesDelayed.Value() == 0 {
+			c.t.Error("no retry waited for the budget")
+		}
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,10 @@
 	burn      *burn.Tracker
 	decisions *decision.Ring
 	roles     *decision.Ring
+	suspects  *suspects
+	retries   *retries
+	// generations numbers the requests to engines.
+	generations atomic.Int64
 
 	stopping atomic.Bool
 	refusing atomic.Bool
@@ -88,6 +92,8 @@
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
 	d.claims = newClaims(d)
+	d.suspects = newSuspects(d)
+	d.retries = newRetries(deps.Seed)
 	return d
 }
 
@@ -109,13 +115,14 @@
 		d.callerListener.Close()
 		return trace.Wrap(err, "listen.peer")
 	}
-	d.callerServer = &http.Server{Handler: d.callerHandler()}
+	d.callerServer = &http.Server{Handler: d.callerHandler(), ConnState: clearWriteDeadline}
 	d.peerServer = peer.NewServer(d.peerHandlers())
 	d.tomb.Go(d.serveCallers)
 	d.tomb.Go(d.servePeers)
 	d.tomb.Go(d.config.run)
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
+	d.tomb.Go(d.suspects.run)
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
 		zap.String("caller-address", d.settings.Listen.Caller),
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -17,6 +17,7 @@
 type fleet struct {
 	daemon *Daemon
 	table  atomic.Pointer[routing.Table]
+	peers  atomic.Pointer[[]port.VM]
 
 	mu        sync.Mutex
 	upstreams map[string]*routing.Upstream
@@ -29,6 +30,14 @@
 // known tells whether the VM list was read at least once.
 func (f *fleet) known() bool { return f.table.Load() != nil }
 
+// peerDaemons returns the other daemons on the VM list.
+func (f *fleet) peerDaemons() []port.VM {
+	if peers := f.peers.Load(); peers != nil {
+		return *peers
+	}
+	return nil
+}
+
 // Table returns the current routing table.
 func (f *fleet) Table() *routing.Table { return f.table.Load() }
 
@@ -48,8 +57,12 @@
 	defer f.mu.Unlock()
 	upstreams := make(map[string]*routing.Upstream, len(snapshot.VMs))
 	list := make([]*routing.Upstream, 0, len(snapshot.VMs))
+	var peers []port.VM
 	for _, vm := range snapshot.VMs {
 		if vm.Kind == port.KindDaemon {
+			if vm.ID != f.daemon.settings.Name && vm.PeerAddress != "" {
+				peers = append(peers, vm)
+			}
 			continue
 		}
 		u := f.upstream(vm)
@@ -57,6 +70,7 @@
 		list = append(list, u)
 	}
 	f.upstreams = upstreams
+	f.peers.Store(&peers)
 	f.table.Store(routing.NewTable(list))
 }
 
@@ -88,7 +102,10 @@
 func (f *fleet) readStatus(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, u := range f.engines() {
-		group.Go(func() { f.readEngine(ctx, u) })
+		group.Go(func() {
+			// The report carries a failure.
+			_ = f.readEngine(ctx, u)
+		})
 	}
 	group.Wait()
 }
@@ -105,12 +122,20 @@
 	return out
 }
 
-func (f *fleet) readEngine(ctx context.Context, u *routing.Upstream) {
+// readEngine asks one engine for its status and returns why it did not answer.
+func (f *fleet) readEngine(ctx context.Context, u *routing.Upstream) error {
+	asked := time.Now()
 	status, err := u.Engine.Status(ctx)
 	if ctx.Err() != nil {
-		return
+		return ctx.Err()
+	}
+	if last := u.Report(); err != nil && last != nil {
+		// The last known incarnation tells later whether the engine restarted.
+		status = last.Status
 	}
 	u.SetReport(&routing.Report{Status: status, Received: time.Now(), Failed: err != nil})
+	f.daemon.suspects.observe(u.VM.ID, asked, status, err)
+	return err
 }
 
 // all returns every upstream, for the status report.
--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,15 +14,27 @@
 	"bergamotsill.example/bergamotsill/internal/decision"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
+	"bergamotsill.example/bergamotsill/internal/quarantine"
 	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/retry"
 	"bergamotsill.example/bergamotsill/internal/routing"
 )
 
-// maxAttempts bounds the attempts at one request.
-const maxAttempts = 5
+const (
+	// maxAttempts bounds the attempts at one request.
+	maxAttempts = 8
+	// maxReconnects bounds the resumptions at one engine after a silence, a cut
+	// connection or missing chunks; after that another engine is tried.
+	maxReconnects = 2
+	// cancelTimeout bounds the cancellation of work that nobody waits for.
+	cancelTimeout = 2 * time.Second
+)
 
-// errCallerGone reports that the answer could not be passed on.
-var errCallerGone = errors.New("caller is gone")
+// Errors that end an attempt.
+var (
+	errCallerGone   = errors.New("caller is gone")
+	errChunksLacked = errors.New("chunks are missing")
+)
 
 // generation is one request to an engine. It keeps the snapshot it started with.
 type generation struct {
@@ -31,20 +45,43 @@
 	maxTokens int
 	out       *responder
 
-	assembler  answer.Assembler
-	excluded   map[string]bool
+	// engineID is the request id towards engines. It is the daemon's own, because
+	// two callers may choose the same id.
+	engineID string
+	digest   quarantine.Digest
+	// deadline is the time after which no attempt starts.
+	deadline time.Time
+
+	assembler answer.Assembler
+	attempt   int
+	failures  int
+	// ran is set once an engine may have run the request.
+	ran bool
+	// excluded holds the engines that are not tried again for now.
+	excluded map[string]bool
+	// reconnects counts resumptions by engine.
+	reconnects map[string]int
+	// resumeAt is the engine that should continue the answer, or nil.
+	resumeAt   *routing.Upstream
 	firstToken time.Time
-	last       port.Chunk
 }
 
 // generate runs a request until its answer is whole.
 func (d *Daemon) generate(ctx context.Context, g *generation) error {
+	g.engineID = fmt.Sprintf("%s-%d", d.incarnation, d.generations.Add(1))
+	g.digest = quarantine.DigestOf(g.profile.Model, g.prompt)
+	g.deadline = retry.Deadline(g.call.started, time.Duration(g.profile.TotalMS)*time.Millisecond)
 	g.excluded = map[string]bool{}
+	g.reconnects = map[string]int{}
+	d.retries.first(g.profile)
 	err := d.attempts(ctx, g)
 	if err == nil {
-		err = g.out.Finish(g.last)
+		err = g.out.Finish(g.assembler.Last())
 	}
 	d.account(g, err)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		d.metrics.CallersSilent.Add(1)
+	}
 	if err != nil && g.out.Begun() {
 		// The caller is told inside the stream; it may be gone.
 		_ = g.out.Fail(refusal.From(err))
@@ -53,74 +90,144 @@
 	return err
 }
 
+// refuse returns a refusal that says whether an engine may have run the request.
+func (g *generation) refuse(code refusal.Code, format string, args ...any) *refusal.Error {
+	if g.ran {
+		return refusal.NewUnknown(code, format, args...)
+	}
+	return refusal.New(code, format, args...).ForAttempt().After(time.Second)
+}
+
+// attempts runs attempts until the answer is whole or may not be continued.
 func (d *Daemon) attempts(ctx context.Context, g *generation) error {
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		u := d.route(g, attempt)
-		if u == nil {
-			return g.refuseNoUpstream(attempt)
+	for {
+		u, release, err := d.place(ctx, g)
+		if err != nil {
+			return err
 		}
-		err := d.attempt(ctx, g, u, attempt)
+		run, err := d.runAttempt(ctx, g, u)
 		if err == nil {
+			release()
 			return nil
 		}
-		if ctx.Err() != nil || errors.Is(err, errCallerGone) {
-			return refusal.NewUnknown(refusal.Incomplete, "the caller left before the answer was whole")
+		err = d.afterFailure(ctx, g, u, run, err)
+		release()
+		if err == nil {
+			err = d.awaitRetry(ctx, g)
+		}
+		if err != nil {
+			return err
 		}
-		g.call.log.Warn("attempt failed",
-			zap.String("upstream", u.VM.ID),
-			zap.Int("attempt", attempt),
-			zap.Int("position", g.assembler.Next()),
-			zap.Error(err),
-		)
-		g.excluded[u.VM.ID] = true
 	}
-	return refusal.NewUnknown(refusal.Incomplete, "the answer is not whole after %d attempts", maxAttempts)
 }
 
-func (g *generation) refuseNoUpstream(attempt int) error {
-	if attempt == 1 {
+// place returns the engine for the next attempt and counts it as in flight until
+// release is called.
+func (d *Daemon) place(ctx context.Context, g *generation) (u *routing.Upstream, release func(), err error) {
+	for tries := 1; ; tries++ {
+		switch v := d.suspects.verdict(g.digest); v.Status {
+		case quarantine.Quarantined:
+			d.metrics.QuarantineRefusals.Add(1)
+			return nil, nil, g.refuse(refusal.Quarantined, "the request was in flight at two engine crashes").After(v.Remaining)
+		case quarantine.Suspect:
+			if u, release = d.suspects.isolate(ctx, g); u == nil {
+				err = d.noEngine(g)
+			}
+		default:
+			u, release, err = d.placeAmongOthers(g)
+		}
+		if u != nil {
+			d.recordRoute(g, u.VM.ID)
+			return u, release, nil
+		}
+		if err != nil {
+			d.recordRoute(g, "none")
+			return nil, nil, err
+		}
+		if err := d.pause(ctx, g, tries); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// placeAmongOthers chooses an engine that is not kept for a trial. It returns
+// neither an engine nor an error when the request has to wait.
+func (d *Daemon) placeAmongOthers(g *generation) (*routing.Upstream, func(), error) {
+	u := g.resumeAt
+	if u == nil || d.suspects.reserved(u.VM.ID) {
+		u = d.pick(g, d.suspects.avoid(g.excluded))
+	}
+	if u == nil {
+		return nil, nil, d.noEngine(g)
+	}
+	end := u.Begin()
+	// A trial that reserved the engine meanwhile waits for requests that began.
+	if d.suspects.reserved(u.VM.ID) {
+		end()
+		return nil, nil, nil
+	}
+	return u, end, nil
+}
+
+// noEngine returns nil when an engine will be free after a trial, or when an
+// accepted answer may continue on an engine that failed before.
+func (d *Daemon) noEngine(g *generation) error {
+	if d.pick(g, g.excluded) != nil {
+		return nil
+	}
+	if !g.ran {
 		return refusal.New(refusal.NoUpstream, "no engine of pool %q serves model %q", g.profile.Pool, g.profile.Model).After(time.Second)
 	}
-	return refusal.NewUnknown(refusal.Incomplete, "no engine is left to resume the answer")
+	clear(g.excluded)
+	return nil
 }
 
-func (d *Daemon) route(g *generation, attempt int) *routing.Upstream {
-	u := d.fleet.Table().Pick(routing.Request{
+func (d *Daemon) pick(g *generation, excluded map[string]bool) *routing.Upstream {
+	return d.fleet.Table().Pick(routing.Request{
 		Pool:       g.profile.Pool,
 		Model:      g.profile.Model,
 		DataCentre: d.settings.DataCentre,
-		Excluded:   g.excluded,
+		Excluded:   excluded,
 	})
-	verdict := "none"
-	if u != nil {
-		verdict = u.VM.ID
-	}
+}
+
+func (d *Daemon) recordRoute(g *generation, verdict string) {
 	d.decisions.Add(decision.Record{
 		Time:    time.Now(),
 		Subject: g.call.id,
 		Stage:   "routing",
 		Verdict: verdict,
 		Inputs: []decision.Input{
-			decision.In("attempt", attempt),
+			decision.In("attempt", g.attempt+1),
+			decision.In("engine-request-id", g.engineID),
 			decision.In("profile", g.profile.Name),
 			decision.In("revision", g.snapshot.Revision),
 			decision.In("position", g.assembler.Next()),
 		},
 	})
-	return u
 }
 
-// attempt runs one attempt at an engine from the position reached.
-func (d *Daemon) attempt(ctx context.Context, g *generation, u *routing.Upstream, number int) error {
-	defer u.Begin()()
+// runAttempt runs one attempt at an engine from the position reached.
+func (d *Daemon) runAttempt(ctx context.Context, g *generation, u *routing.Upstream) (*quarantine.Run, error) {
+	g.attempt++
 	d.metrics.Attempts.Add(1)
-	if number > 1 {
+	if g.attempt > 1 {
 		d.metrics.Resumed.Add(1)
 	}
-	g.assembler.Begin(number)
+	ctx, run := d.suspects.begin(ctx, g.digest, u)
+	err := d.stream(ctx, g, u)
+	if err != nil && errors.Is(context.Cause(ctx), errSuspected) {
+		err = errSuspected
+	}
+	g.ran = d.suspects.end(run, err) || g.ran
+	return run, err
+}
+
+func (d *Daemon) stream(ctx context.Context, g *generation, u *routing.Upstream) error {
+	g.assembler.Begin(g.attempt)
 	stream, err := u.Engine.Generate(ctx, port.GenerateRequest{
-		RequestID: g.call.id,
-		Attempt:   number,
+		RequestID: g.engineID,
+		Attempt:   g.attempt,
 		Model:     g.profile.Model,
 		Prompt:    g.prompt,
 		MaxTokens: g.maxTokens,
@@ -140,17 +247,20 @@
 		if err != nil {
 			return err
 		}
-		switch g.assembler.Accept(chunk) {
-		case answer.Deliver:
-			if err := g.deliver(chunk); err != nil {
+		result := g.assembler.Accept(chunk)
+		for _, ready := range result.Ready {
+			if err := g.deliver(ready); err != nil {
 				return err
 			}
+		}
+		switch result.Verdict {
 		case answer.Drop:
 			d.metrics.ChunksDropped.Add(1)
+		case answer.Buffer:
+			d.metrics.ChunksReordered.Add(1)
 		case answer.Gap:
-			return errors.New("chunks are missing")
+			return errChunksLacked
 		case answer.End:
-			g.last = chunk
 			return nil
 		}
 	}
@@ -161,11 +271,96 @@
 		g.firstToken = time.Now()
 	}
 	if err := g.out.Write(chunk.Text); err != nil {
-		return errCallerGone
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	return nil
+}
+
+// afterFailure stops the engine's work on a failed attempt and decides where the
+// answer may continue. It returns a refusal when it may not.
+func (d *Daemon) afterFailure(ctx context.Context, g *generation, u *routing.Upstream, run *quarantine.Run, cause error) error {
+	g.failures++
+	g.resumeAt = nil
+	d.countFailure(cause)
+	if ctx.Err() != nil || errors.Is(cause, errCallerGone) {
+		d.abandon(ctx, g, u)
+		return fmt.Errorf("%w: %w", g.refuse(refusal.Incomplete, "the caller left before the answer was whole"), cause)
+	}
+	g.call.log.Warn("attempt failed",
+		zap.String("upstream", u.VM.ID),
+		zap.Int("attempt", g.attempt),
+		zap.Int("position", g.assembler.Next()),
+		zap.Error(cause),
+	)
+	notRun := errors.Is(cause, port.ErrNotSent) || errors.Is(cause, port.ErrNotRun)
+	if notRun || !d.settle(ctx, g, u, run) {
+		g.excluded[u.VM.ID] = true
+	} else if g.reconnects[u.VM.ID]++; g.reconnects[u.VM.ID] > maxReconnects {
+		g.excluded[u.VM.ID] = true
+	} else {
+		g.resumeAt = u
+	}
+	if g.attempt >= maxAttempts {
+		return g.refuse(refusal.Incomplete, "the answer is not whole after %d attempts", g.attempt)
 	}
 	return nil
 }
 
+func (d *Daemon) countFailure(cause error) {
+	switch {
+	case errors.Is(cause, port.ErrSilent):
+		d.metrics.SilentConnections.Add(1)
+	case errors.Is(cause, errChunksLacked):
+		d.metrics.ChunksMissing.Add(1)
+	}
+}
+
+// abandon stops the engine's work on a request whose caller left, without keeping
+// the caller's connection.
+func (d *Daemon) abandon(ctx context.Context, g *generation, u *routing.Upstream) {
+	go func() {
+		d.settle(ctx, g, u, nil)
+	}()
+}
+
+// settle cancels an attempt over a new connection and finds out whether the
+// engine survived it. It tells whether the engine can be reached and runs on.
+// Peers know of a crash before it returns, so that a resend of the caller through
+// another daemon meets the same crash budget.
+func (d *Daemon) settle(ctx context.Context, g *generation, u *routing.Upstream, run *quarantine.Run) bool {
+	// The engine's work has to be cancelled even if the caller leaves meanwhile.
+	ctx = context.WithoutCancel(ctx)
+	alive := d.cancelAttempt(ctx, g, u) && d.survived(ctx, u, run)
+	d.suspects.publish(ctx)
+	return alive
+}
+
+// cancelAttempt cancels a request at an engine. A crash that refuses the
+// connection is recorded.
+func (d *Daemon) cancelAttempt(ctx context.Context, g *generation, u *routing.Upstream) bool {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	asked := time.Now()
+	err := u.Engine.Cancel(ctx, g.engineID)
+	d.metrics.Cancels.Add(1)
+	if err != nil {
+		d.metrics.CancelsFailed.Add(1)
+		d.suspects.observe(u.VM.ID, asked, port.EngineStatus{}, err)
+		return false
+	}
+	return true
+}
+
+// survived asks an engine for its status and tells whether it is the incarnation
+// that ran the attempt.
+func (d *Daemon) survived(ctx context.Context, u *routing.Upstream, run *quarantine.Run) bool {
+	if d.fleet.readEngine(ctx, u) != nil {
+		return false
+	}
+	report := u.Report()
+	return run == nil || (report != nil && report.Status.Incarnation == run.Incarnation)
+}
+
 // account counts the result for the burn report.
 func (d *Daemon) account(g *generation, err error) {
 	d.burn.Count(g.profile, g.result(err))
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -18,6 +18,10 @@
 	"bergamotsill.example/bergamotsill/internal/settings"
 )
 
+// idleTrust is how long an idle connection to an engine may be used again. Status
+// polls are more frequent, so one connection stays open.
+const idleTrust = time.Second
+
 // Main runs a daemon until SIGTERM or SIGINT. It returns after a graceful stop.
 func Main(ctx context.Context, settingsPath, version string) error {
 	s, err := settings.Load(settingsPath)
@@ -49,7 +53,7 @@
 	engines := engine.NewDialer(engine.Options{
 		Network:   nw,
 		Progress:  s.Timing.Progress.Std(),
-		IdleTrust: s.Timing.Progress.Std(),
+		IdleTrust: idleTrust,
 	})
 	return Dependencies{
 		Network:  nw,
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -21,6 +21,32 @@
 	Resumed  expvar.Int
 	// ChunksDropped counts late and repeated chunks.
 	ChunksDropped expvar.Int
+	// ChunksReordered counts chunks that waited for an earlier one, ChunksMissing
+	// attempts that were resumed because a chunk was lost.
+	ChunksReordered expvar.Int
+	ChunksMissing   expvar.Int
+	// SilentConnections counts attempts without progress within the deadline.
+	SilentConnections expvar.Int
+	// Cancels counts cancellations sent to engines; CancelsFailed those that were
+	// not confirmed.
+	Cancels       expvar.Int
+	CancelsFailed expvar.Int
+	// CallersSilent counts callers that took no bytes within the write deadline.
+	CallersSilent expvar.Int
+	// RetriesDelayed counts retries that waited for their budget.
+	RetriesDelayed expvar.Int
+	// CrashSuspects counts digests in flight at a crash of an engine, Trials their
+	// isolated runs, QuarantineRefusals the requests refused as quarantined.
+	CrashSuspects      expvar.Int
+	Trials             expvar.Int
+	QuarantineRefusals expvar.Int
+	// QuarantineEntries is the number of digests in the table, QuarantineEvicted
+	// the number that was forgotten because the table was full.
+	QuarantineEntries expvar.Int
+	QuarantineEvicted expvar.Int
+	// QuarantineReports and QuarantineReportsFailed count reports to peers.
+	QuarantineReports       expvar.Int
+	QuarantineReportsFailed expvar.Int
 	// LogErrors counts failed operations on the log service.
 	LogErrors expvar.Int
 	// Revision is the configuration revision in force.
@@ -36,6 +62,20 @@
 	m.vars.Set("attempts", &m.Attempts)
 	m.vars.Set("resumed", &m.Resumed)
 	m.vars.Set("chunks_dropped", &m.ChunksDropped)
+	m.vars.Set("chunks_reordered", &m.ChunksReordered)
+	m.vars.Set("chunks_missing", &m.ChunksMissing)
+	m.vars.Set("silent_connections", &m.SilentConnections)
+	m.vars.Set("cancels", &m.Cancels)
+	m.vars.Set("cancels_failed", &m.CancelsFailed)
+	m.vars.Set("callers_silent", &m.CallersSilent)
+	m.vars.Set("retries_delayed", &m.RetriesDelayed)
+	m.vars.Set("crash_suspects", &m.CrashSuspects)
+	m.vars.Set("trials", &m.Trials)
+	m.vars.Set("quarantine_refusals", &m.QuarantineRefusals)
+	m.vars.Set("quarantine_entries", &m.QuarantineEntries)
+	m.vars.Set("quarantine_evicted", &m.QuarantineEvicted)
+	m.vars.Set("quarantine_reports", &m.QuarantineReports)
+	m.vars.Set("quarantine_reports_failed", &m.QuarantineReportsFailed)
 	m.vars.Set("log_errors", &m.LogErrors)
 	m.vars.Set("revision", &m.Revision)
 	return m
--- /dev/null
+++ b/internal/daemon/quarantine.go
@@ -0,0 +1,390 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/quarantine"
+	"bergamotsill.example/bergamotsill/internal/routing"
+)
+
+const (
+	// reportTimeout bounds one report to a peer. A caller's answer may wait for it.
+	reportTimeout = 500 * time.Millisecond
+	// reportInterval is the time between renewals of trials, repeated reports and
+	// exchanges with one peer in turn.
+	reportInterval = time.Second
+	// drainPoll is how often a trial looks whether its engine has become idle.
+	drainPoll = 20 * time.Millisecond
+)
+
+// errSuspected reports that an attempt was cancelled because its digest had
+// become a suspect elsewhere.
+var errSuspected = errors.New("request became suspect of crashing an engine")
+
+// suspects runs the quarantine table and shares it with peers.
+type suspects struct {
+	daemon *Daemon
+
+	mu      sync.Mutex
+	table   *quarantine.Table
+	cancels map[*quarantine.Run]context.CancelCauseFunc
+	// behind holds the peers that missed a report, by VM id.
+	behind map[string]bool
+	// released are trials whose end no peer has been told yet.
+	released []quarantine.Trial
+	// turn counts the exchanges with one peer in turn.
+	turn int
+
+	// publishing holds a token while a report is under way, so that a caller's answer
+	// waits for it.
+	publishing chan struct{}
+}
+
+func newSuspects(d *Daemon) *suspects {
+	return &suspects{
+		daemon: d,
+		table: quarantine.NewTable(quarantine.Options{
+			Self:       d.incarnation,
+			MaxEntries: d.settings.Limits.QuarantineEntries,
+			Hold:       d.settings.Timing.QuarantineHold.Std(),
+		}),
+		cancels: map[*quarantine.Run]context.CancelCauseFunc{},
+		behind:  map[string]bool{},
+
+		publishing: make(chan struct{}, 1),
+	}
+}
+
+// verdict returns the status of a digest.
+func (s *suspects) verdict(digest quarantine.Digest) quarantine.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Verdict(digest, time.Now())
+}
+
+// begin records an attempt. The returned context is cancelled with errSuspected
+// when the digest becomes suspect elsewhere.
+func (s *suspects) begin(ctx context.Context, digest quarantine.Digest, u *routing.Upstream) (context.Context, *quarantine.Run) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	incarnation := ""
+	if r := u.Report(); r != nil {
+		incarnation = r.Status.Incarnation
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	run := s.table.Begin(digest, u.VM.ID, incarnation)
+	s.cancels[run] = cancel
+	return ctx, run
+}
+
+// end records the result of an attempt and tells whether the engine may still be
+// running it.
+func (s *suspects) end(run *quarantine.Run, err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancels[run](nil)
+	delete(s.cancels, run)
+	switch {
+	case err == nil:
+		s.table.Complete(run)
+	case errors.Is(err, port.ErrNotSent) || errors.Is(err, port.ErrNotRun):
+		s.table.Refused(run)
+	default:
+		s.table.Abandon(run, time.Now())
+		return true
+	}
+	return false
+}
+
+// observe records what an engine answered when it was asked for its status.
+func (s *suspects) observe(engine string, asked time.Time, status port.EngineStatus, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	var worse []quarantine.Digest
+	switch {
+	case err == nil:
+		worse = s.table.Observe(engine, status.Incarnation, asked, now)
+	case errors.Is(err, port.ErrUnreachable):
+		worse = s.table.Unreachable(engine, asked, now)
+	}
+	if len(worse) == 0 {
+		return
+	}
+	s.daemon.metrics.CrashSuspects.Add(int64(len(worse)))
+	s.daemon.log.Warn("engine crashed with requests in flight",
+		zap.String("engine", engine),
+		zap.Int("suspects", len(worse)),
+	)
+	s.cancelLocked(worse)
+}
+
+// cancelLocked cancels the attempts of digests that must not run unisolated.
+func (s *suspects) cancelLocked(digests []quarantine.Digest) {
+	for _, digest := range digests {
+		for _, run := range s.table.Active(digest) {
+			s.cancels[run](errSuspected)
+		}
+	}
+}
+
+// reserved tells whether an engine is kept for a trial.
+func (s *suspects) reserved(engine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Reserved(engine, time.Now())
+}
+
+// avoid returns excluded together with the engines that are kept for trials.
+func (s *suspects) avoid(excluded map[string]bool) map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	engines := s.table.ReservedEngines(time.Now())
+	if len(engines) == 0 {
+		return excluded
+	}
+	out := make(map[string]bool, len(excluded)+len(engines))
+	for id := range excluded {
+		out[id] = true
+	}
+	for _, id := range engines {
+		out[id] = true
+	}
+	return out
+}
+
+// isolate reserves an engine for a trial of a suspect. It returns nil when the
+// trial has to wait; else the engine serves nothing else of this daemon until
+// release is called.
+func (s *suspects) isolate(ctx context.Context, g *generation) (u *routing.Upstream, release func()) {
+	u = s.idlest(g)
+	if u == nil {
+		return nil, nil
+	}
+	report, ok := s.intend(g.digest, u)
+	if !ok {
+		return nil, nil
+	}
+	busy := s.exchange(ctx, report)
+	if busy || s.verdict(g.digest).Status != quarantine.Suspect {
+		s.release(g.digest)
+		return nil, nil
+	}
+	s.mu.Lock()
+	s.table.Start(g.digest)
+	s.mu.Unlock()
+	if !s.drained(ctx, g, u) || !s.refresh(ctx, u) {
+		s.release(g.digest)
+		return nil, nil
+	}
+	s.daemon.metrics.Trials.Add(1)
+	end := u.Begin()
+	return u, func() {
+		end()
+		s.release(g.digest)
+	}
+}
+
+// intend announces a trial and returns the report that asks peers for it. The
+// report carries the digest's entry, in case a peer missed it.
+func (s *suspects) intend(digest quarantine.Digest, u *routing.Upstream) (quarantine.Report, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.table.Intend(digest, u.VM.ID, now) {
+		return quarantine.Report{}, false
+	}
+	trial := quarantine.Trial{Digest: digest, Holder: s.daemon.incarnation, Engine: u.VM.ID}
+	return quarantine.Report{Entries: s.table.Entry(digest, now), Trials: []quarantine.Trial{trial}}, true
+}
+
+func (s *suspects) release(digest quarantine.Digest) {
+	s.mu.Lock()
+	s.released = append(s.released, s.table.Release(digest))
+	s.mu.Unlock()
+	go s.publish(s.daemon.context())
+}
+
+// idlest returns an engine for a trial: one without work of this daemon if there
+// is one. It leaves another engine for other requests unless the pool has only
+// one that is usable.
+func (s *suspects) idlest(g *generation) *routing.Upstream {
+	excluded := map[string]bool{}
+	for id := range s.avoid(g.excluded) {
+		excluded[id] = true
+	}
+	var chosen *routing.Upstream
+	for u := s.daemon.pick(g, excluded); u != nil; u = s.daemon.pick(g, excluded) {
+		excluded[u.VM.ID] = true
+		if chosen == nil {
+			chosen = u
+		}
+		if u.InFlight() == 0 {
+			chosen = u
+			break
+		}
+	}
+	if chosen == nil || !s.sparesOthers(g, chosen) {
+		return nil
+	}
+	return chosen
+}
+
+// sparesOthers tells whether a trial on an engine leaves another one for other
+// requests, or whether there is no other one anyway.
+func (s *suspects) sparesOthers(g *generation, u *routing.Upstream) bool {
+	only := map[string]bool{u.VM.ID: true}
+	return s.daemon.pick(g, s.avoid(only)) != nil || s.daemon.pick(g, only) == nil
+}
+
+// drained waits until an engine has no work of this daemon.
+func (s *suspects) drained(ctx context.Context, g *generation, u *routing.Upstream) bool {
+	for u.InFlight() > 0 {
+		if ctx.Err() != nil || time.Now().After(g.deadline) {
+			return false
+		}
+		sleep(ctx, drainPoll)
+	}
+	return true
+}
+
+// refresh reads an engine's incarnation, so that a crash in a trial is not
+// mistaken for an earlier one.
+func (s *suspects) refresh(ctx context.Context, u *routing.Upstream) bool {
+	return s.daemon.fleet.readEngine(ctx, u) == nil
+}
+
+// publish tells all peers what this daemon changed, and waits for those of its
+// data centre.
+func (s *suspects) publish(ctx context.Context) {
+	s.publishing <- struct{}{}
+	defer func() { <-s.publishing }()
+	for {
+		report := s.takeChanges()
+		if len(report.Entries) == 0 && len(report.Released) == 0 {
+			return
+		}
+		s.exchange(ctx, report)
+	}
+}
+
+func (s *suspects) takeChanges() quarantine.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := quarantine.Report{Entries: s.table.TakeChanged(time.Now()), Released: s.released}
+	s.released = nil
+	return report
+}
+
+// exchange sends a report to all peers and merges their answers. It waits for the
+// peers of the data centre and tells whether one of them is busy with a trial's
+// digest.
+func (s *suspects) exchange(ctx context.Context, report quarantine.Report) bool {
+	ctx = context.WithoutCancel(ctx)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	busy := false
+	for _, vm := range s.daemon.fleet.peerDaemons() {
+		ask := func() {
+			result, err := s.report(ctx, vm, report)
+			mu.Lock()
+			defer mu.Unlock()
+			busy = busy || (err == nil && len(result.Busy) > 0)
+		}
+		if vm.DataCentre == s.daemon.settings.DataCentre {
+			group.Go(ask)
+		} else {
+			go ask()
+		}
+	}
+	group.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	return busy
+}
+
+// report sends one report to one peer. A peer that misses it gets all entries
+// later.
+func (s *suspects) report(ctx context.Context, vm port.VM, report quarantine.Report) (quarantine.ReportResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var result quarantine.ReportResult
+	err := s.daemon.deps.Peers(vm.PeerAddress).Call(ctx, quarantine.MethodReport, report, &result)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.daemon.metrics.QuarantineReportsFailed.Add(1)
+		s.behind[vm.ID] = true
+		return result, err
+	}
+	s.daemon.metrics.QuarantineReports.Add(1)
+	s.cancelLocked(s.table.MergeEntries(result.Entries, time.Now()))
+	return result, nil
+}
+
+// receive answers a peer's report.
+func (s *suspects) receive(_ context.Context, params json.RawMessage) (any, error) {
+	var in quarantine.Report
+	if err := json.Unmarshal(params, &in); err != nil {
+		return nil, trace.BadParameter("params: %v", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result, worse := s.table.Merge(in, time.Now())
+	s.cancelLocked(worse)
+	return result, nil
+}
+
+func (s *suspects) run() error {
+	every(s.daemon.context(), reportInterval, s.tick)
+	return nil
+}
+
+// tick renews trials, repeats reports to peers that missed one, and exchanges all
+// entries with one peer in turn, which also informs a peer that has restarted.
+func (s *suspects) tick(ctx context.Context) {
+	s.expire()
+	s.publish(ctx)
+	peers := s.daemon.fleet.peerDaemons()
+	var group sync.WaitGroup
+	for _, vm := range peers {
+		if report, due := s.due(vm, peers); due {
+			group.Go(func() {
+				// A failure marks the peer for the next tick.
+				_, _ = s.report(ctx, vm, report)
+			})
+		}
+	}
+	group.Wait()
+}
+
+func (s *suspects) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Expire(time.Now())
+	s.turn++
+	s.daemon.metrics.QuarantineEntries.Set(int64(s.table.Len()))
+	s.daemon.metrics.QuarantineEvicted.Set(s.table.Evicted())
+}
+
+// due returns what one peer has to be told in this tick.
+func (s *suspects) due(vm port.VM, peers []port.VM) (quarantine.Report, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := quarantine.Report{Trials: s.table.OwnTrials()}
+	inTurn := peers[s.turn%len(peers)].ID == vm.ID
+	starting := s.turn <= len(peers)
+	if s.behind[vm.ID] || inTurn {
+		report.Entries = s.table.Entries(time.Now())
+		delete(s.behind, vm.ID)
+	}
+	return report, len(report.Trials) > 0 || len(report.Entries) > 0 || (inTurn && starting)
+}
--- /dev/null
+++ b/internal/daemon/requests_test.go
@@ -0,0 +1,276 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+// stream sends a prompt, under a request id of the caller's choice, and returns
+// the text of the events. The answer is whole if it ends with [DONE]; failed tells
+// whether an error event came.
+func (c *cluster) stream(ctx context.Context, daemon, id, prompt string) (r reply, text string, whole, failed bool) {
+	body, err := json.Marshal(completionRequest{Model: testProfile, Prompt: prompt, Stream: true})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	header := http.Header{refusal.HeaderRequestID: {id}}
+	r = c.do(ctx, daemon, http.MethodPost, "/v1/completions", header, body)
+	var b strings.Builder
+	for line := range strings.Lines(string(r.body)) {
+		data, ok := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !ok {
+			continue
+		}
+		var event struct {
+			completionResponse
+			Error *refusal.BodyError `json:"error"`
+		}
+		switch {
+		case data == "[DONE]":
+			whole = true
+		case json.Unmarshal([]byte(data), &event) != nil:
+			c.t.Errorf("malformed event %q", data)
+		case event.Error != nil:
+			failed = true
+		default:
+			b.WriteString(*event.Choices[0].Text)
+		}
+	}
+	return r, b.String(), whole, failed
+}
+
+// settled starts a cluster of the given size in one data centre.
+func (c *cluster) settled(engines, daemons int, opts standin.EngineOptions) (engineNames, daemonNames []string) {
+	for i := range engines {
+		engineNames = append(engineNames, fmt.Sprintf("engine-%d", i+1))
+		c.addEngine(engineNames[i], "anand", opts)
+	}
+	for i := range daemons {
+		daemonNames = append(daemonNames, fmt.Sprintf("daemon-%d", i+1))
+		c.addDaemon(daemonNames[i], "anand")
+	}
+	c.publish("r1", 0, document())
+	c.awaitReady()
+	time.Sleep(3 * time.Second)
+	return engineNames, daemonNames
+}
+
+// running returns the number of requests that engines work on.
+func (c *cluster) running() int {
+	n := 0
+	for _, e := range c.engines {
+		n += e.Status().Running
+	}
+	return n
+}
+
+// answerFaults are the faults that the fuzz test switches on, several at a time.
+var answerFaults = []func(c *cluster, rng *rand.Rand, daemon, engine string){
+	func(c *cluster, rng *rand.Rand, _, engine string) {
+		c.engines[engine].SetFaults(standin.EngineFaults{
+			RepeatChunks: rng.IntN(2) == 0,
+			Reorder:      rng.IntN(2) == 0,
+			StaleChunks:  rng.IntN(2) == 0,
+			DropChunk:    rng.IntN(80),
+			EarlyEnd:     rng.IntN(80),
+		})
+	},
+	func(c *cluster, _ *rand.Rand, _, engine string) {
+		c.engines[engine].SetFaults(standin.EngineFaults{Silent: true})
+	},
+	func(c *cluster, _ *rand.Rand, daemon, engine string) { c.net.Silence(daemon, engine) },
+	func(c *cluster, rng *rand.Rand, daemon, engine string) {
+		c.net.Block(daemon, engine)
+		time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+		c.net.Unblock(daemon, engine)
+	},
+}
+
+// Guards against an answer that looks whole and is not, against an answer of
+// another request under the same id, and against engine work that goes on after
+// the request has ended.
+func TestAnswersAreWholeUnderFaults(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		opts := standin.EngineOptions{PrefillRate: 500}
+		engines, daemons := c.settled(4, 2, opts)
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		whole, total := 0, 24
+		for i := range total {
+			prompt := fmt.Sprintf("history %d %s tokens=%d", i, strings.Repeat("x", c.rng.IntN(900)), 1+c.rng.IntN(200))
+			daemon := daemons[c.rng.IntN(len(daemons))]
+			delay := time.Duration(c.rng.IntN(6000)) * time.Millisecond
+			group.Go(func() {
+				time.Sleep(delay)
+				if c.checkAnswer(daemon, prompt, i%2 == 0) {
+					mu.Lock()
+					defer mu.Unlock()
+					whole++
+				}
+			})
+		}
+		// A request that is in flight at two crashes is quarantined, so only one
+		// engine crashes.
+		c.engines[engines[0]].SetFaults(standin.EngineFaults{CrashAt: 1 + c.rng.IntN(120), DownMS: c.rng.Int64N(3000)})
+		for range 6 {
+			time.Sleep(time.Duration(c.rng.IntN(1500)) * time.Millisecond)
+			fault := answerFaults[c.rng.IntN(len(answerFaults))]
+			fault(c, c.rng, daemons[c.rng.IntN(len(daemons))], engines[c.rng.IntN(len(engines))])
+		}
+		group.Wait()
+		if whole != total {
+			c.t.Errorf("%d of %d answers are whole", whole, total)
+		}
+		c.await("engines are idle", 10*time.Second, func() bool { return c.running() == 0 })
+	})
+}
+
+// checkAnswer sends a request and compares the answer with the oracle. It returns
+// whether the answer is whole. All callers choose the same request id.
+func (c *cluster) checkAnswer(daemon, prompt string, streamed bool) bool {
+	want := standin.Answer(testModel, prompt, 4000)
+	if !streamed {
+		got := c.complete(daemon, prompt)
+		if got.status == http.StatusOK && got.text() != want {
+			c.t.Errorf("answer to %.12q is %q, want %q", prompt, got.text(), want)
+		}
+		if got.status != http.StatusOK {
+			c.t.Logf("%.12q answered %d: %s", prompt, got.status, got.body)
+		}
+		return got.status == http.StatusOK
+	}
+	got, text, whole, failed := c.stream(context.Background(), daemon, "same-id", prompt)
+	if whole && text != want {
+		c.t.Errorf("stream to %.12q is %q, want %q", prompt, text, want)
+	}
+	if !strings.HasPrefix(want, text) {
+		c.t.Errorf("stream to %.12q is %q, not a part of %q", prompt, text, want)
+	}
+	if whole == failed && got.status == http.StatusOK {
+		c.t.Errorf("stream to %.12q: whole is %t, error event is %t", prompt, whole, failed)
+	}
+	if !whole {
+		c.t.Logf("%.12q answered %d: %s", prompt, got.status, got.body[max(0, len(got.body)-300):])
+	}
+	return whole
+}
+
+// longPrompt asks for more tokens than any send buffer takes.
+const longPrompt = "season history tokens=3900"
+
+// Guards against an engine that works on for a caller that has left or has gone
+// silent, also when the connection to the engine is silent too.
+func TestEngineIsFreedWhenCallerIsGone(t *testing.T) {
+	cases := map[string]struct {
+		silenceEngine bool
+		silenceCaller bool
+		bound         time.Duration
+	}{
+		"caller leaves": {bound: 100 * time.Millisecond},
+		"caller leaves, connection to engine lost": {silenceEngine: true, bound: 100 * time.Millisecond},
+		"caller is silent":                         {silenceCaller: true, bound: callerWriteTimeout + time.Second},
+		"caller is silent, engine connection lost": {silenceCaller: true, silenceEngine: true, bound: 20 * time.Second},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, 1, func(c *cluster) {
+				c.settled(1, 1, standin.EngineOptions{})
+				ctx, leave := context.WithCancel(context.Background())
+				defer leave()
+				var group sync.WaitGroup
+				group.Go(func() { c.stream(ctx, "daemon-1", "", longPrompt) })
+				time.Sleep(time.Second)
+				if c.running() != 1 {
+					t.Fatal("the engine does not work")
+				}
+				if tc.silenceEngine {
+					c.net.Silence("daemon-1", "engine-1")
+				}
+				if tc.silenceCaller {
+					c.net.Silence(callerHost, "daemon-1")
+				} else {
+					leave()
+				}
+				silent := &c.daemons["daemon-1"].metrics.CallersSilent
+				c.await("the engine is free", tc.bound, func() bool {
+					return c.running() == 0 && tc.silenceCaller == (silent.Value() == 1)
+				})
+				if n := c.daemons["daemon-1"].metrics.SilentConnections.Value(); n > 0 && !tc.silenceEngine {
+					t.Errorf("%d connections to engines count as silent", n)
+				}
+				leave()
+				group.Wait()
+			})
+		})
+	}
+}
+
+// Guards against an idle connection that has gone silent and makes an engine look
+// dead, or a request wait for the progress deadline.
+func TestSilentIdleConnections(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		engines, _ := c.settled(2, 1, standin.EngineOptions{})
+		for i := range 10 {
+			time.Sleep(time.Duration(c.rng.IntN(700)) * time.Millisecond)
+			for _, e := range engines {
+				c.net.Silence("daemon-1", e)
+			}
+			begin := time.Now()
+			if !c.checkAnswer("daemon-1", fmt.Sprintf("slot %d tokens=3", i), false) {
+				c.t.Error("a request failed")
+			}
+			if took := time.Since(begin); took > time.Second {
+				c.t.Errorf("the answer took %s", took)
+			}
+			for _, e := range engines {
+				c.net.Silence("daemon-1", e)
+			}
+			for range 20 {
+				time.Sleep(50 * time.Millisecond)
+				for _, u := range c.daemons["daemon-1"].fleet.engines() {
+					if u.Report().Failed {
+						c.t.Fatalf("%s looks dead", u.VM.ID)
+					}
+				}
+			}
+		}
+	})
+}
+
+// Guards against a caller that reads slowly and makes its engine look silent, so
+// that work is done twice.
+func TestSlowCallerKeepsItsEngine(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		c.settled(1, 1, standin.EngineOptions{})
+		body, err := json.Marshal(completionRequest{Model: testProfile, Prompt: "history tokens=900", Stream: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		url := "http://" + c.daemons["daemon-1"].settings.Listen.Caller + "/v1/completions"
+		resp, err := c.client.Post(url, "application/json", bytes.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		time.Sleep(8 * time.Second)
+		text, err := io.ReadAll(resp.Body)
+		if err != nil || !strings.HasSuffix(string(text), "data: [DONE]\n\n") {
+			t.Errorf("the answer is not whole: %v", err)
+		}
+		if n := c.engines["engine-1"].Started(); n != 1 {
+			t.Errorf("the engine started %d attempts, want 1", n)
+		}
+	})
+}
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -14,6 +14,8 @@
 	ErrNotRun = errors.New("request refused by upstream")
 	// ErrStaleFencing reports that an engine refused an order with an old fencing number.
 	ErrStaleFencing = errors.New("stale fencing number")
+	// ErrUnreachable reports that the upstream refused or closed a new connection.
+	ErrUnreachable = errors.New("upstream refuses connections")
 	// ErrSilent reports that a connection made no progress within its deadline.
 	ErrSilent = errors.New("connection made no progress")
 )
