--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -427,8 +427,8 @@
 
 func (p *permit) usage(g *generation) admission.Usage {
 	u := admission.Usage{PromptTokens: p.request.PromptTokens, OutputTokens: g.assembler.Next()}
-	if g.last.Done {
-		u = admission.Usage{PromptTokens: g.last.PromptTokens, OutputTokens: g.last.OutputTokens, Whole: true}
+	if g.assembler.Last().Done {
+		u = admission.Usage{PromptTokens: g.assembler.Last().PromptTokens, OutputTokens: g.assembler.Last().OutputTokens, Whole: true}
 	}
 	return u
 }
@@ -436,7 +436,7 @@
 // observe adapts the engine's limit to an answer of a single attempt. Answers that
 // were resumed say nothing about one engine.
 func (p *permit) observe(now time.Time, g *generation) {
-	if p.upstream == nil || g.firstToken.Before(p.sent) || !g.last.Done {
+	if p.upstream == nil || g.firstToken.Before(p.sent) || !g.assembler.Last().Done {
 		return
 	}
 	first := g.firstToken.Sub(p.sent)
@@ -446,12 +446,12 @@
 	}
 	waiting := p.queue.queue.Waiting() > 0
 	reading := limits.reading[g.profile.Rank.Priority()]
-	alone := time.Duration(float64(g.last.PromptTokens) / reading.Value() * float64(time.Second))
+	alone := time.Duration(float64(g.assembler.Last().PromptTokens) / reading.Value() * float64(time.Second))
 	if p.priority() == g.profile.Rank.Priority() {
 		queued := admission.Sample{Sent: p.sent, Delay: first - alone, Target: admission.EngineWait(g.profile)}
 		reading.Observe(now, queued, waiting)
 	}
-	if n := g.last.OutputTokens - 1; n > 0 {
+	if n := g.assembler.Last().OutputTokens - 1; n > 0 {
 		interval := now.Sub(g.firstToken) / time.Duration(n)
 		target := time.Duration(g.profile.TokenMS) * time.Millisecond
 		limits.held.Observe(now, admission.Sample{Sent: p.sent, Delay: interval, Target: target}, waiting)
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -126,6 +126,7 @@
 		return
 	}
 	c.snapshot.Store(next)
+	c.daemon.retries.retain(next)
 	c.daemon.metrics.Revision.Set(next.Revision)
 	c.daemon.log.Info("configuration in force", zap.Int64("revision", next.Revision))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,6 +60,10 @@
 	burn      *burn.Tracker
 	decisions *decision.Ring
 	roles     *decision.Ring
+	suspects  *suspects
+	retries   *retries
+	// generations numbers the requests to engines.
+	generations atomic.Int64
 
 	stopping atomic.Bool
 	requests *gate
@@ -92,6 +96,8 @@
 	d.admission = newAdmitter(d)
 	d.gossip = newGossip(d)
 	d.claims = newClaims(d)
+	d.suspects = newSuspects(d)
+	d.retries = newRetries(deps.Seed)
 	return d
 }
 
@@ -116,7 +122,8 @@
 	d.callerServer = &http.Server{
 		Handler: d.callerHandler(),
 		// Failed handshakes and the like are JSON lines too.
-		ErrorLog: zap.NewStdLog(d.log),
+		ErrorLog:  zap.NewStdLog(d.log),
+		ConnState: clearWriteDeadline,
 	}
 	d.peerServer = peer.NewServer(d.peerHandlers())
 	d.tomb.Go(d.serveCallers)
@@ -130,6 +137,7 @@
 	d.tomb.Go(d.admission.run)
 	d.tomb.Go(d.gossip.run)
 	d.claims.start()
+	d.tomb.Go(d.suspects.run)
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
 		zap.String("caller-address", d.settings.Listen.Caller),
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -17,6 +17,10 @@
 	"bergamotsill.example/bergamotsill/internal/settings"
 )
 
+// idleTrust is how long an idle connection to an engine may be used again. Status
+// polls are more frequent, so one connection stays open.
+const idleTrust = time.Second
+
 // Main runs a daemon until SIGTERM or SIGINT. It returns after a graceful stop.
 func Main(ctx context.Context, settingsPath, version string) error {
 	s, err := settings.Load(settingsPath)
@@ -57,7 +61,7 @@
 	engines := engine.NewDialer(engine.Options{
 		Network:   l.Upstreams,
 		Progress:  s.Timing.Progress.Std(),
-		IdleTrust: s.Timing.Progress.Std(),
+		IdleTrust: idleTrust,
 	})
 	return Dependencies{
 		Callers:  l.Callers,
