Test crashes whose caller left, and control calls on silent connections

The fake engine now crashes after the prefill, so that a caller can leave before the crash. That a peer is busy with a digest is proved by TestTrialsExcludeEachOther only: on the memory network, cancelled runs end at once.

--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -53,8 +56,11 @@
 		var last reply
 		for i := range 6 {
 			time.Sleep(time.Duration(c.rng.IntN(600)) * time.Millisecond)
+			// Connections between daemons go silent, too, and reports get lost there.
+			hosts := append(slices.Clone(daemons), engines...)
+			c.net.Silence(daemons[c.rng.IntN(len(daemons))], hosts[c.rng.IntN(len(hosts))])
 			if c.rng.IntN(3) == 0 {
-				c.net.Silence(daemons[c.rng.IntN(3)], daemons[c.rng.IntN(3)])
+				c.engines[engines[c.rng.IntN(len(engines))]].SetFaults(standin.EngineFaults{Silent: true, DropChunk: 5, Reorder: true})
 			}
 			last = c.complete(daemons[(i+int(c.rng.Uint64()%2))%3], prompt)
 			if last.status == http.StatusOK {
@@ -71,16 +77,40 @@
 	})
 }
 
-// Guards against a caller that gives up early and sends the request again through
-// another daemon before the first one has seen the crash.
+// Guards against a caller that leaves around the time of the crash, so that the
+// daemon has no reason to try again, and sends the request through other daemons.
 func TestImpatientCallerOfCrashingRequest(t *testing.T) {
 	forSeeds(t, func(c *cluster) {
-		_, daemons := c.settled(5, 3, standin.EngineOptions{})
+		// The prefill of the 7 tokens takes 10 ms.
+		_, daemons := c.settled(5, 3, standin.EngineOptions{PrefillRate: 700})
 		prompt := standin.CrashMarker + " tokens=20"
-		var group sync.WaitGroup
+		body, err := json.Marshal(completionRequest{Model: testProfile, Prompt: prompt})
+		if err != nil {
+			c.t.Fatal(err)
+		}
 		for i := range 8 {
+			patience := time.Duration(8+c.rng.IntN(6)) * time.Millisecond
+			ctx, leave := context.WithTimeout(context.Background(), patience)
+			c.do(ctx, daemons[i%3], http.MethodPost, "/v1/completions", nil, body)
+			leave()
+			time.Sleep(time.Duration(c.rng.IntN(20)) * time.Millisecond)
+		}
+		if n := c.lost(prompt); n > maxEnginesLost {
+			c.t.Errorf("the request crashed %d engines, want at most %d", n, maxEnginesLost)
+		}
+	})
+}
+
+// Guards against a digest that runs at several daemons at once when the first of
+// its engines crashes.
+func TestSuspectIsCancelledElsewhere(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		_, daemons := c.settled(5, 3, standin.EngineOptions{PrefillRate: 7})
+		prompt := standin.CrashMarker + " tokens=20"
+		var group sync.WaitGroup
+		for i := range 6 {
 			group.Go(func() { c.complete(daemons[i%3], prompt) })
-			time.Sleep(time.Duration(20+c.rng.IntN(200)) * time.Millisecond)
+			time.Sleep(time.Duration(1+c.rng.IntN(300)) * time.Millisecond)
 		}
 		group.Wait()
 		if n := c.lost(prompt); n > maxEnginesLost {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -14,7 +14,7 @@
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
-// CrashMarker in a prompt crashes the engine that runs it.
+// CrashMarker in a prompt crashes the engine that runs it, after its prefill.
 const CrashMarker = "crash-the-engine"
 
 // EngineOptions configures an Engine.
@@ -292,13 +292,14 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
+	writeHeartbeat(w)
+	if !e.runPrefill(w, running) {
+		return
+	}
 	if strings.Contains(req.Prompt, CrashMarker) {
 		e.crashBy(req.Prompt)
 	}
-	writeHeartbeat(w)
-	if e.runPrefill(w, running) {
-		e.decode(w, running)
-	}
+	e.decode(w, running)
 }
 
 func (e *Engine) failsGenerate() bool {
