--- a/internal/bench/cmd/main.go
+++ b/internal/bench/cmd/main.go
@@ -36,5 +36,8 @@
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(filepath.Join(dir, "bench.json"), append(data, '\n'), 0o644)
+	if err := os.WriteFile(filepath.Join(dir, "bench.json"), append(data, '\n'), 0o644); err != nil {
+		return err
+	}
+	return bench.WritePlot(filepath.Join(dir, "bench.svg"), results)
 }
--- /dev/null
+++ b/internal/bench/plot.go
@@ -0,0 +1,60 @@
+package bench
+
+import (
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 14 * vg.Inch
+	plotHeight = 6 * vg.Inch
+	barWidth   = vg.Inch / 8
+	// plottedPolicies is the number of policies shown, without the ablations.
+	plottedPolicies = 5
+)
+
+// WritePlot draws the goodput of the policies as a share of the upper bound; the
+// file's extension chooses the format.
+func WritePlot(path string, results []Result) error {
+	bounds := map[string]float64{}
+	var sections []string
+	for _, r := range results {
+		if r.Policy == upperBound {
+			section := r.Fleet + "\n" + r.Scenario
+			bounds[section] = r.Goodput
+			sections = append(sections, section)
+		}
+	}
+	p := plot.New()
+	p.Title.Text = "Goodput as a share of the upper bound"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top = true
+	p.NominalX(sections...)
+	for i, policy := range policies()[:plottedPolicies] {
+		values := make(plotter.Values, len(sections))
+		for j, section := range sections {
+			values[j] = shareOf(results, policy.name, section, bounds[section])
+		}
+		bars, err := plotter.NewBarChart(values, barWidth)
+		if err != nil {
+			return err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		bars.Offset = vg.Length(i-plottedPolicies/2) * barWidth
+		p.Add(bars)
+		p.Legend.Add(policy.name, bars)
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+func shareOf(results []Result, policy, section string, bound float64) float64 {
+	for _, r := range results {
+		if r.Policy == policy && r.Fleet+"\n"+r.Scenario == section {
+			return ratio(r.Goodput, bound)
+		}
+	}
+	return 0
+}
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -15,7 +15,7 @@
 // switched off each.
 func policies() []policy {
 	return []policy{
-		{name: "bergamotsill", decide: newOwn(without{})},
+		{name: "bergamotsill", decide: newOwn(without{}), control: planRoles},
 		{name: "mixed least-conn", decide: newBaseline(true)},
 		{name: "fixed split", decide: newBaseline(true), split: true},
 		{name: "threshold roles", decide: newBaseline(true), split: true, control: thresholdRoles},
@@ -40,7 +40,7 @@
 	}
 	var out []policy
 	for _, l := range list {
-		out = append(out, policy{name: l.name, decide: newOwn(l.off)})
+		out = append(out, policy{name: l.name, decide: newOwn(l.off), control: planRoles})
 	}
-	return out
+	return append(out, policy{name: "- role changes", decide: newOwn(without{})})
 }
--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -14,11 +14,19 @@
 		if section := r.Fleet + " " + r.Scenario; section != last {
 			last = section
 			fmt.Fprintf(w, "\n%s\t\n", section)
-			fmt.Fprintln(w, "policy\tgoodput\tuseful\troles\turgent\tstandard\tbackgr\tkept u\tkept s\tkept b\trefused\tlate\tlost\twasted Mtok\t")
+			fmt.Fprintln(w, "policy\tgoodput\tuseful\troles\turgent\tstandard\tbackgr\tkept u/of\tkept s/of\tkept b/of\trefused\tlate\tlost\twasted Mtok\t")
 		}
-		fmt.Fprintf(w, "%s\t%.3f\t%.2f\t%d\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%d\t%.1f\t\n",
+		fmt.Fprintf(w, "%s\t%.3f\t%.2f\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f\t\n",
 			r.Policy, r.Goodput, r.Useful, r.RoleChanges, r.Within[0], r.Within[1], r.Within[2],
-			r.Kept[0], r.Kept[1], r.Kept[2], r.Refused, r.Late, r.Lost, float64(r.Wasted)/1e6)
+			r.kept(0), r.kept(1), r.kept(2), r.Refused, r.Late, r.Lost, float64(r.Wasted)/1e6)
 	}
 	return w.Flush()
 }
+
+// kept shows the kept goodput of a rank and its guarantee.
+func (r Result) kept(rank int) string {
+	if r.Guarantee[rank] == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f/%.2f", r.Kept[rank], r.Guarantee[rank])
+}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -13,7 +13,8 @@
 	Policy   string `json:"policy"`
 	// Goodput is the worth of answers within target per engine second.
 	Goodput float64 `json:"goodput"`
-	// Useful is the share of engine time spent on answers within target.
+	// Useful is the share of engine time until the last answer that was spent on
+	// answers within target.
 	Useful      float64 `json:"useful"`
 	RoleChanges int     `json:"role_changes"`
 	// Within is the share of requests answered within target by rank.
@@ -59,7 +60,7 @@
 		out.Within[rank] = ratio(good[rank], count[rank])
 		out.Goodput += out.worth[rank] / engineTime
 	}
-	out.Useful = useful.Seconds() / engineTime
+	out.Useful = useful.Seconds() / (max(w.length, w.lastEnd).Seconds() * float64(w.fleet.engineCount()))
 	out.RoleChanges = w.roleChanges
 	return out
 }
--- /dev/null
+++ b/internal/bench/rolecontrol.go
@@ -0,0 +1,72 @@
+package bench
+
+import (
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/roles"
+)
+
+// planInterval is the time between two decisions of a lease holder.
+const planInterval = time.Second
+
+// engineSpeeds returns what a fake engine does in each role. Half of the fixed time
+// of a step of a mixed engine goes to the prompts that it reads.
+func engineSpeeds() roles.Speeds {
+	base, perAnswer, perPrompt := stepBase.Seconds(), stepPerAnswer.Seconds(), stepPerPrompt.Seconds()
+	mixed, prefill, decode := float64(chunkTokens[port.RoleMixed]), float64(chunkTokens[port.RolePrefill]), float64(chunkTokens[port.RoleDecode])
+	return roles.Speeds{
+		port.RoleMixed:   {Prompt: 1 / (perPrompt + base/2/mixed), Output: 1 / (perAnswer + base/2/typicalBatch)},
+		port.RolePrefill: {Prompt: 1 / (perPrompt + base/prefill), Output: 1 / (perAnswer + base/typicalBatch)},
+		port.RoleDecode:  {Prompt: 1 / (perPrompt + base/decode), Output: 1 / (perAnswer + base/maxBatch)},
+	}
+}
+
+// planRoles lets a lease holder per data centre carry out what package roles
+// proposes.
+func planRoles(w *world) {
+	opts := roles.DefaultOptions(engineSpeeds())
+	opts.ChangeTime += changeTime
+	for dc := range w.fleet.engines {
+		holder := &leaseHolder{w: w, dc: dc, planner: roles.NewPlanner(opts), estimator: roles.NewEstimator(roles.DefaultEstimatorOptions())}
+		w.repeat(planInterval, holder.plan)
+	}
+}
+
+type leaseHolder struct {
+	w         *world
+	dc        int
+	planner   *roles.Planner
+	estimator *roles.Estimator
+	next      int
+}
+
+// plan looks at the requests that arrived in the data centre since the last time.
+func (l *leaseHolder) plan() {
+	prompt, output := 0.0, 0.0
+	for ; l.next < len(l.w.requests) && l.w.requests[l.next].arrived <= l.w.clock.now; l.next++ {
+		r := l.w.requests[l.next]
+		if l.w.nodes[r.daemon].dc == l.dc {
+			prompt += float64(r.prompt)
+			output += float64(r.output)
+		}
+	}
+	now := l.w.clock.Time()
+	l.estimator.Observe(now, prompt, output)
+	in := roles.Input{
+		Allowed:    []port.Role{port.RoleMixed, port.RolePrefill, port.RoleDecode},
+		MinServing: l.w.fleet.engines[l.dc] - 1, Fast: l.estimator.Fast(), Slow: l.estimator.Slow(),
+	}
+	byID := map[string]*engine{}
+	for _, e := range l.w.engines {
+		if e.dc == l.dc {
+			byID[e.id] = e
+			in.Engines = append(in.Engines, roles.Engine{ID: e.id, Role: e.role, Since: epoch.Add(e.since), Serving: e.serving() && !e.draining})
+		}
+	}
+	p := l.planner.Propose(now, in)
+	if p.Verdict == roles.Change {
+		l.w.roleChanges++
+		byID[p.Engine].change(p.To, func() {})
+	}
+}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -15,15 +15,26 @@
 	Only string
 }
 
+// upperBound names the row that no policy can exceed.
+const upperBound = "upper bound"
+
 // cell is one run: a policy in a scenario of a fleet.
 type cell struct {
 	fleet    fleet
 	scenario scenario
 	policy   policy
 	upper    bool
+	alone    *aloneRuns
 	result   Result
 }
 
+// aloneRuns are the runs of each rank alone on the fleet under this system. The
+// cells of a scenario share them.
+type aloneRuns struct {
+	once  sync.Once
+	worth [3]float64
+}
+
 // Run plays all scenarios under all policies and returns one result for each.
 func Run(o Options) []Result {
 	var cells []*cell
@@ -33,13 +44,14 @@
 				continue
 			}
 			list := policies()
-			if o.Ablations {
+			if o.Ablations && sc.ablate {
 				list = append(list, ablations()...)
 			}
+			alone := &aloneRuns{}
 			for _, p := range list {
-				cells = append(cells, &cell{fleet: f, scenario: sc, policy: p})
+				cells = append(cells, &cell{fleet: f, scenario: sc, policy: p, alone: alone})
 			}
-			cells = append(cells, &cell{fleet: f, scenario: sc, policy: policy{name: "upper bound"}, upper: true})
+			cells = append(cells, &cell{fleet: f, scenario: sc, policy: policy{name: upperBound}, upper: true})
 		}
 	}
 	var group sync.WaitGroup
@@ -83,25 +95,34 @@
 	return w.measure()
 }
 
-// compareAlone plays the load of each rank alone on the fleet, under this system,
-// and relates the rank's goodput in the flood to it.
+// compareAlone relates the goodput of each rank in a flood to the rank's goodput
+// alone on the fleet under this system.
 func (c *cell) compareAlone(seed uint64) {
 	if c.scenario.alone == nil {
 		return
 	}
+	c.alone.once.Do(func() { c.playAlone(seed) })
 	for rank := range c.result.Kept {
+		demand := 0.0
+		for _, p := range c.scenario.phases {
+			demand = max(demand, p.load[rank])
+		}
+		c.result.Kept[rank] = ratio(c.result.worth[rank], c.alone.worth[rank])
+		c.result.Guarantee[rank] = min(1, c.fleet.shares[rank]/min(1, demand))
+	}
+}
+
+// playAlone plays the load of each rank alone, a flood at the fleet's capacity.
+func (c *cell) playAlone(seed uint64) {
+	for rank := range c.alone.worth {
 		sc := c.scenario
 		sc.phases = nil
-		demand := 0.0
 		for _, p := range c.scenario.phases {
 			alone := phase{length: p.length}
 			alone.load[rank] = min(p.load[rank], 1)
-			demand = max(demand, p.load[rank])
 			sc.phases = append(sc.phases, alone)
 		}
 		own := cell{fleet: c.fleet, policy: policies()[0]}
-		alone := own.play(&sc, seed)
-		c.result.Kept[rank] = ratio(c.result.worth[rank], alone.worth[rank])
-		c.result.Guarantee[rank] = min(1, c.fleet.shares[rank]/min(1, demand))
+		c.alone.worth[rank] = own.play(&sc, seed).worth[rank]
 	}
 }
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -16,6 +16,8 @@
 	uneven float64
 	// alone is the load of each rank in the comparison without a flood.
 	alone *[3]float64
+	// ablate adds the rows with one mechanism switched off.
+	ablate bool
 }
 
 func (s *scenario) length() time.Duration {
@@ -51,7 +53,7 @@
 func scenarios(seed uint64) []scenario {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	return []scenario{
-		{name: "mix", phases: mixPhases(rng), cut: -1},
+		{name: "mix", phases: mixPhases(rng), cut: -1, ablate: true},
 		flood("flood-background", 2, 10),
 		flood("flood-urgent", 0, 5),
 		{
@@ -67,7 +69,7 @@
 			faults: lossFaults(),
 		},
 		{
-			name: "cut", cut: 1, uneven: 10, phases: []phase{{4 * time.Minute, [3]float64{0.2, 0.35, 0.15}}},
+			name: "cut", cut: 1, uneven: 10, ablate: true, phases: []phase{{4 * time.Minute, [3]float64{0.2, 0.35, 0.15}}},
 		},
 	}
 }
@@ -111,7 +113,7 @@
 	high := calm
 	high[rank] = times
 	return scenario{
-		name: name, cut: -1, alone: &calm,
+		name: name, cut: -1, alone: &calm, ablate: true,
 		phases: []phase{{30 * time.Second, calm}, {floodLength, high}, {30 * time.Second, calm}},
 	}
 }
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -52,7 +52,9 @@
 	cut         int
 	roleChanges int
 	length      time.Duration
-	requests    []*request
+	// lastEnd is when the last attempt ended.
+	lastEnd  time.Duration
+	requests []*request
 }
 
 // node is one daemon.
@@ -114,6 +116,7 @@
 
 func (n *node) end(j *job, back time.Duration, ok bool) {
 	n.decider.ended(j, ok)
+	n.w.lastEnd = n.w.clock.now
 	r := j.request
 	if ok {
 		r.settle(n.w.clock.now + back)
