Predict the wait of a long prompt from what engines have to read

Without other waiting work, a long prompt that does not fit beside the ones being read was predicted to wait for its whole cost at the rank's rate, and refused. It waits until the engines have read enough, which the reading speed tells.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -474,6 +474,9 @@
 	if missing <= 0 && q.readable(t) || (q.Running() == 0 || r.running == 0 && q.opts.MinShares[t.rank] > 0) && ahead == 0 {
 		return 0
 	}
+	if missing <= 0 && q.Waiting() == 0 {
+		return q.readingWait(t)
+	}
 	if missing <= 0 || !q.readable(t) {
 		missing = ahead + t.cost
 	}
@@ -485,6 +488,20 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// readingWait returns the time until the engines have read enough for the next
+// request, when nothing else waits.
+func (q *Queue) readingWait(t *Ticket) time.Duration {
+	ahead := 0.0
+	for priority := range t.rank + 1 {
+		ahead += q.unread[priority]
+	}
+	speed := q.capacity.Reading[t.rank] * q.capacity.Share
+	seconds := (ahead+float64(t.PromptTokens))/speed - EngineWait(t.Profile).Seconds()
+	// A prompt that is longer than the limit starts when it is the only one.
+	seconds = max(0, min(seconds, ahead/speed))
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // readable tells whether the prompt of a new request fits now.
 func (q *Queue) readable(t *Ticket) bool {
 	r := &q.ranks[t.rank]
