--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 GO ?= go
 SEEDS ?= 20
 SEED ?= 1
+SIZES ?= 6,24,96,380
 
-.PHONY: build test lint fuzz bench
+.PHONY: build test lint fuzz demo bench scale
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -20,6 +21,14 @@
 fuzz:
 	BERGAMOT_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m ./...
 
+# Runs the Feed Board example on loopback; logs go to out/demo.
+demo: build
+	scripts/demo.sh
+
 # Compares the policies under seeded loads; writes out/bench.json and out/bench.svg.
 bench:
 	$(GO) run ./internal/bench/cmd -seed $(SEED) -out out
+
+# Prints the control cost per daemon at SIZES daemons.
+scale:
+	BERGAMOT_SCALE=$(SIZES) $(GO) test -count=1 -timeout 30m -v -run TestScale ./internal/daemon
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,8 @@
 
 // Dependencies are the outside systems of a daemon.
 type Dependencies struct {
+	// Callers accepts connections of callers, Network those of peers.
+	Callers  network.Network
 	Network  network.Network
 	Log      port.Log
 	VMs      port.VMList
@@ -104,22 +106,30 @@
 // Start opens the listeners and starts all components.
 func (d *Daemon) Start() error {
 	var err error
-	if d.callerListener, err = d.deps.Network.Listen(d.settings.Listen.Caller); err != nil {
+	if d.callerListener, err = d.deps.Callers.Listen(d.settings.Listen.Caller); err != nil {
 		return trace.Wrap(err, "listen.caller")
 	}
 	if d.peerListener, err = d.deps.Network.Listen(d.settings.Listen.Peer); err != nil {
 		d.callerListener.Close()
 		return trace.Wrap(err, "listen.peer")
 	}
-	d.callerServer = &http.Server{Handler: d.callerHandler()}
+	d.callerServer = &http.Server{
+		Handler: d.callerHandler(),
+		// Failed handshakes and the like are JSON lines too.
+		ErrorLog: zap.NewStdLog(d.log),
+	}
 	d.peerServer = peer.NewServer(d.peerHandlers())
 	d.tomb.Go(d.serveCallers)
 	d.tomb.Go(d.servePeers)
 	d.tomb.Go(d.config.run)
+	d.tomb.Go(d.config.runPeers)
+	d.tomb.Go(d.config.runCheckpoints)
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
+	d.tomb.Go(d.runBurn)
 	d.tomb.Go(d.admission.run)
 	d.tomb.Go(d.gossip.run)
+	d.claims.start()
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
 		zap.String("caller-address", d.settings.Listen.Caller),
@@ -165,6 +175,7 @@
 		d.log.Warn("caller connections closed before they were idle", zap.Error(err))
 	}
 	d.log.Info("all requests finished")
+	d.claims.stop(ctx)
 	d.gossip.leave(ctx)
 	return d.kill()
 }
--- a/internal/engineview/view.go
+++ b/internal/engineview/view.go
@@ -5,6 +5,8 @@
 
 import (
 	"cmp"
+	"encoding/json"
+	"math"
 	"slices"
 	"time"
 
@@ -39,12 +41,19 @@
 	AgeMS int64 `json:"a"`
 }
 
+// feedback is how many sends a change counts for when another daemon sends it too
+// (Demers et al., "Epidemic algorithms for replicated database maintenance", 1987).
+const feedback = 8
+
 // record is what the view holds of one engine.
 type record struct {
-	vm  string
-	key uint32
+	vm         string
+	dataCentre string
+	key        uint32
 	// state is the newest observation, load the newest observation of the load.
 	state Observation
+	// sum identifies the slow part of state; 0 means that nothing is known.
+	sum   byte
 	load  time.Time
 	sends int
 }
@@ -63,12 +72,12 @@
 	return &View{records: map[string]*record{}, byKey: map[uint32]*record{}, maxSends: maxSends}
 }
 
-// Retain forgets all engines but the named ones.
-func (v *View) Retain(vms []string) {
+// Retain forgets all engines but the given ones, and takes in their data centres.
+func (v *View) Retain(vms []port.VM) {
 	keep := make(map[string]bool, len(vms))
 	for _, vm := range vms {
-		keep[vm] = true
-		v.record(vm)
+		keep[vm.ID] = true
+		v.record(vm.ID).dataCentre = vm.DataCentre
 	}
 	for vm, r := range v.records {
 		if !keep[vm] {
@@ -103,9 +112,21 @@
 		r.load = o.At
 	}
 	r.state = o
+	r.sum = checksum(o)
 	return true
 }
 
+// checksum returns a value other than 0 that identifies the slow part of an
+// observation.
+func checksum(o Observation) byte {
+	// A status holds only plain values, so that it can always be encoded.
+	data, _ := json.Marshal(o.slow())
+	if o.Failed {
+		data = append(data, '!')
+	}
+	return byte(xxhash.Sum64(data)%math.MaxUint8) + 1
+}
+
 // Get returns the newest observation of an engine.
 func (v *View) Get(vm string) (Observation, bool) {
 	r, ok := v.records[vm]
@@ -148,6 +169,17 @@
 	}
 }
 
+// Select returns the state of the engines with the given keys.
+func (v *View) Select(keys []uint32, now time.Time) []Change {
+	var out []Change
+	for _, key := range keys {
+		if r, ok := v.byKey[key]; ok && !r.state.At.IsZero() {
+			out = append(out, r.change(now))
+		}
+	}
+	return out
+}
+
 // All returns the state of every engine, for a daemon that has just started.
 func (v *View) All(now time.Time) []Change {
 	out := make([]Change, 0, len(v.records))
@@ -160,6 +192,17 @@
 	return out
 }
 
+// Adopt takes in the state of every engine from a peer that knows it, so that
+// nothing of it needs to be passed on.
+func (v *View) Adopt(changes []Change, now time.Time) {
+	v.Apply(changes, now)
+	for _, c := range changes {
+		if r, ok := v.records[c.VM]; ok {
+			r.sends = v.maxSends
+		}
+	}
+}
+
 // Apply takes in changes from a peer.
 func (v *View) Apply(changes []Change, now time.Time) {
 	for _, c := range changes {
@@ -174,6 +217,9 @@
 	}
 	o := Observation{Failed: c.Failed, At: now.Add(-time.Duration(c.AgeMS) * time.Millisecond)}
 	o.Status = withLoad(c.Status, r.state.Status)
+	if !r.state.At.IsZero() && o.slow() == r.state.slow() && o.Failed == r.state.Failed {
+		r.sends = min(r.sends+feedback, v.maxSends)
+	}
 	load := r.load
 	v.Observe(c.VM, o)
 	// A change carries no load, so the age of the known load stays.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/url"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -42,44 +44,63 @@
 // Settings configures one daemon. They are read once at start.
 type Settings struct {
 	// Name is unique among daemons.
-	Name       string `json:"name"`
+	Name string `json:"name"`
+	// DataCentre is the data centre of the daemon's VM.
 	DataCentre string `json:"data_centre"`
-	Region     string `json:"region"`
+	// Region is the region of the data centre.
+	Region string `json:"region"`
 
 	Listen   Listen   `json:"listen"`
 	Platform Platform `json:"platform"`
-	// Peers are host:port peer addresses to start from, beside the VM list.
-	Peers    []string `json:"peers"`
-	TLS      TLS      `json:"tls"`
-	Limits   Limits   `json:"limits"`
-	Timing   Timing   `json:"timing"`
-	Claims   Claims   `json:"claims"`
-	LogLevel string   `json:"log_level"`
+	// Peers are IP:port peer addresses to start from, beside the VM list.
+	Peers  []string `json:"peers"`
+	TLS    TLS      `json:"tls"`
+	Limits Limits   `json:"limits"`
+	Timing Timing   `json:"timing"`
+	Claims Claims   `json:"claims"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"log_level"`
 }
 
-// Listen holds host:port addresses with a numeric IP.
+// Listen holds IP:port addresses.
 type Listen struct {
+	// Caller is the address for callers.
 	Caller string `json:"caller"`
-	Peer   string `json:"peer"`
+	// Peer is the address for other daemons and for operators.
+	Peer string `json:"peer"`
 }
 
 // Platform holds the base URLs of the platform's services.
 type Platform struct {
-	Log         string `json:"log"`
-	VMList      string `json:"vm_list"`
+	// Log is the base URL of the log service.
+	Log string `json:"log"`
+	// VMList is the base URL of the VM list.
+	VMList string `json:"vm_list"`
+	// WeightStore is the base URL of the weight store.
 	WeightStore string `json:"weight_store"`
 }
 
-// TLS names PEM files. All empty means plain TCP. The files are read again when
-// they change.
+// TLS names PEM files and the links that use them. The files are read again when
+// they change; a bad new file keeps the old one.
 type TLS struct {
+	// Certificate holds the daemon's certificate chain, Key its private key.
 	Certificate string `json:"certificate"`
 	Key         string `json:"key"`
-	CA          string `json:"ca"`
+	// CA holds the certificates that sign those of peers, upstreams and platform.
+	CA string `json:"ca"`
+	// Callers, Peers, Upstreams and Platform switch TLS on for one kind of link.
+	// Peers authenticate each other.
+	Callers   bool `json:"callers"`
+	Peers     bool `json:"peers"`
+	Upstreams bool `json:"upstreams"`
+	Platform  bool `json:"platform"`
+	// PeerName is the DNS name that the certificates of peers and operators must
+	// carry. When it is empty, every certificate that the CA signed is accepted.
+	PeerName string `json:"peer_name"`
 }
 
-// Enabled tells whether TLS is configured.
-func (t TLS) Enabled() bool { return t != TLS{} }
+// Enabled tells whether any link uses TLS.
+func (t TLS) Enabled() bool { return t.Callers || t.Peers || t.Upstreams || t.Platform }
 
 // Limits bound the daemon's memory.
 type Limits struct {
@@ -95,11 +116,15 @@
 
 // Timing holds intervals and deadlines.
 type Timing struct {
+	// Lease is how long a daemon may issue engine orders without renewing.
 	Lease Duration `json:"lease"`
 	// ClockDrift is the margin that a challenger adds to the lease.
-	ClockDrift     Duration `json:"clock_drift"`
-	ProbeInterval  Duration `json:"probe_interval"`
+	ClockDrift Duration `json:"clock_drift"`
+	// ProbeInterval is the time between two probes of peers.
+	ProbeInterval Duration `json:"probe_interval"`
+	// StatusInterval is the time between two reads of an engine's status.
 	StatusInterval Duration `json:"status_interval"`
+	// VMListInterval is the time between two reads of the VM list.
 	VMListInterval Duration `json:"vm_list_interval"`
 	// Progress is the longest silence allowed on an answer stream.
 	Progress Duration `json:"progress"`
@@ -118,6 +143,23 @@
 	Partitions int `json:"partitions"`
 	// AnswerBytes bounds a recorded answer.
 	AnswerBytes int64 `json:"answer_bytes"`
+	// Calls bounds the claimed calls that run or wait to be recorded.
+	Calls int `json:"calls"`
+	// CheckpointRecords is the number of records on a claim stream after which its
+	// state is written again. It must be well below what the log retains.
+	CheckpointRecords int64 `json:"checkpoint_records"`
+	// Retention is how long the log keeps records. A claim window longer than half
+	// of it is cut to that, since recorded answers stay on the log alone.
+	Retention Duration `json:"retention"`
+	// Wait is how long a resend waits for a call that runs.
+	Wait Duration `json:"wait"`
+	// CallTimeout bounds a claimed call at an upstream.
+	CallTimeout Duration `json:"call_timeout"`
+}
+
+// Window returns the window in force for a configured one.
+func (c Claims) Window(configured time.Duration) time.Duration {
+	return min(configured, c.Retention.Std()/2)
 }
 
 // Default returns settings with every optional value filled in.
@@ -140,7 +182,15 @@
 			UnfencedSettle: Duration(30 * time.Second),
 			QuarantineHold: Duration(10 * time.Minute),
 		},
-		Claims:   Claims{Partitions: 16, AnswerBytes: 64 << 10},
+		Claims: Claims{
+			Partitions:        16,
+			AnswerBytes:       64 << 10,
+			Calls:             1024,
+			CheckpointRecords: 2000,
+			Retention:         Duration(72 * time.Hour),
+			Wait:              Duration(5 * time.Second),
+			CallTimeout:       Duration(time.Minute),
+		},
 		LogLevel: "info",
 	}
 }
@@ -156,16 +206,22 @@
 
 // Parse checks settings; file names the input in findings.
 func Parse(file string, data []byte) (Settings, error) {
+	s, list := Check(file, data)
+	return s, list.Err()
+}
+
+// Check decodes settings and returns every finding.
+func Check(file string, data []byte) (Settings, *findings.List) {
 	s := Default()
 	list := findings.Decode(file, data, &s)
 	s.check(list)
-	return s, list.Err()
+	return s, list
 }
 
 func (s *Settings) check(list *findings.List) {
-	required(list, "name", s.Name)
-	required(list, "data_centre", s.DataCentre)
-	required(list, "region", s.Region)
+	checkName(list, "name", s.Name)
+	checkName(list, "data_centre", s.DataCentre)
+	checkName(list, "region", s.Region)
 	address(list, "listen.caller", s.Listen.Caller)
 	address(list, "listen.peer", s.Listen.Peer)
 	baseURL(list, "platform.log", s.Platform.Log)
@@ -173,8 +229,8 @@
 	baseURL(list, "platform.weight_store", s.Platform.WeightStore)
 	s.checkPeers(list)
 	s.checkTLS(list)
-	s.checkLimits(list)
-	s.checkTiming(list)
+	checkRanges(list, s)
+	s.checkRelations(list)
 	switch s.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
@@ -196,35 +252,30 @@
 }
 
 func (s *Settings) checkTLS(list *findings.List) {
-	if !s.TLS.Enabled() {
-		return
+	t := s.TLS
+	if t.Enabled() {
+		required(list, "tls.certificate", t.Certificate)
+		required(list, "tls.key", t.Key)
+		required(list, "tls.ca", t.CA)
+	} else if t != (TLS{}) {
+		list.Add("tls", "no link is switched on: set callers, peers, upstreams or platform")
 	}
-	required(list, "tls.certificate", s.TLS.Certificate)
-	required(list, "tls.key", s.TLS.Key)
-	required(list, "tls.ca", s.TLS.CA)
-}
-
-func (s *Settings) checkLimits(list *findings.List) {
-	positive(list, "limits.body_bytes", s.Limits.BodyBytes)
-	positive(list, "limits.queue_requests", int64(s.Limits.QueueRequests))
-	positive(list, "limits.quarantine_entries", int64(s.Limits.QuarantineEntries))
-	positive(list, "limits.decision_records", int64(s.Limits.DecisionRecords))
-	positive(list, "claims.partitions", int64(s.Claims.Partitions))
-	positive(list, "claims.answer_bytes", s.Claims.AnswerBytes)
+	if t.PeerName != "" && !t.Peers {
+		list.Add("tls.peer_name", "has no effect unless peers is true")
+	}
+	s.checkScheme(list, "platform.log", s.Platform.Log)
+	s.checkScheme(list, "platform.vm_list", s.Platform.VMList)
+	s.checkScheme(list, "platform.weight_store", s.Platform.WeightStore)
 }
 
-func (s *Settings) checkTiming(list *findings.List) {
-	t := s.Timing
-	positive(list, "timing.lease", int64(t.Lease))
-	positive(list, "timing.clock_drift", int64(t.ClockDrift))
-	positive(list, "timing.probe_interval", int64(t.ProbeInterval))
-	positive(list, "timing.status_interval", int64(t.StatusInterval))
-	positive(list, "timing.vm_list_interval", int64(t.VMListInterval))
-	positive(list, "timing.progress", int64(t.Progress))
-	positive(list, "timing.unfenced_settle", int64(t.UnfencedSettle))
-	positive(list, "timing.quarantine_hold", int64(t.QuarantineHold))
-	if t.BalancerDelay < 0 {
-		list.Add("timing.balancer_delay", "must not be negative")
+// checkScheme reports a URL whose scheme contradicts tls.platform.
+func (s *Settings) checkScheme(list *findings.List, path, value string) {
+	secure := strings.HasPrefix(value, "https:")
+	if s.TLS.Platform && !secure {
+		list.Add(path, "must start with https since tls.platform is true")
+	}
+	if !s.TLS.Platform && secure {
+		list.Add(path, "must start with http unless tls.platform is true")
 	}
 }
 
@@ -234,12 +285,6 @@
 	}
 }
 
-func positive(list *findings.List, path string, value int64) {
-	if value <= 0 {
-		list.Add(path, "must be greater than 0")
-	}
-}
-
 func address(list *findings.List, path, value string) {
 	host, port, err := net.SplitHostPort(value)
 	if err != nil {
@@ -249,14 +294,23 @@
 	if net.ParseIP(host) == nil {
 		list.Add(path, "expected a numeric IP address, found %q", host)
 	}
-	if _, err := net.LookupPort("tcp", port); err != nil {
-		list.Add(path, "bad port %q", port)
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		list.Add(path, "expected a port from 1 to 65535, found %q", port)
 	}
 }
 
 func baseURL(list *findings.List, path, value string) {
 	u, err := url.Parse(value)
-	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
-		list.Add(path, "expected an http or https URL, found %q", value)
+	if err != nil {
+		list.Add(path, "expected an http or https URL")
+		return
+	}
+	if (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		list.Add(path, "expected an http or https URL, found %q", u.Redacted())
+		return
+	}
+	// A password in the URL would reach the logs with error messages.
+	if u.User != nil || u.RawQuery != "" || u.Fragment != "" {
+		list.Add(path, "must not hold a user name, a password, a query or a fragment")
 	}
 }
