Give the paused writer of a test a random source of its own

The race detector reported that the test shared the cluster's source with a daemon that was being started. go test -race reported no other race in the tests of claims, appenders, stops and resends.

--- a/internal/daemon/claim_rules_test.go
+++ b/internal/daemon/claim_rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -208,7 +209,7 @@
 // after it was killed there.
 func TestResendWhileWriterIsPausedOrDead(t *testing.T) {
 	forSeeds(t, func(c *cluster) {
-		paused := &pauses{rng: c.rng, share: 1, least: 15 * time.Second, limit: 20 * time.Second}
+		paused := &pauses{rng: rand.New(rand.NewPCG(c.rng.Uint64(), 1)), share: 1, least: 15 * time.Second, limit: 20 * time.Second}
 		c.pausingCalls(paused)
 		c.claimCluster(1, 2)
 		service := c.services["service-0"]
