--- a/internal/daemon/claim_peers.go
+++ b/internal/daemon/claim_peers.go
@@ -70,7 +70,7 @@
 func (c *claims) liveDaemons() []string {
 	var out []string
 	own := c.daemon.settings.Listen.Peer
-	for _, vm := range c.daemon.fleet.Daemons() {
+	for _, vm := range c.daemon.fleet.daemons() {
 		if vm.State == port.VMLive && vm.PeerAddress != "" && vm.PeerAddress != own {
 			out = append(out, vm.PeerAddress)
 		}
@@ -225,7 +225,7 @@
 
 // listed tells whether the VM list shows a daemon with the given peer address.
 func (c *claims) listed(address string) bool {
-	for _, vm := range c.daemon.fleet.Daemons() {
+	for _, vm := range c.daemon.fleet.daemons() {
 		if vm.PeerAddress == address {
 			return true
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"encoding/hex"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +25,8 @@
 
 // Dependencies are the outside systems of a daemon.
 type Dependencies struct {
+	// Callers accepts connections of callers, Network those of peers.
+	Callers  network.Network
 	Network  network.Network
 	Log      port.Log
 	VMs      port.VMList
@@ -53,15 +54,15 @@
 	tomb      tomb.Tomb
 	config    *configFollower
 	fleet     *fleet
+	admission *admitter
+	gossip    *gossip
 	claims    *claims
 	burn      *burn.Tracker
 	decisions *decision.Ring
 	roles     *decision.Ring
 
 	stopping atomic.Bool
-	refusing atomic.Bool
-	// requests counts requests that are being served.
-	requests sync.WaitGroup
+	requests *gate
 
 	callerServer   *http.Server
 	peerServer     *peer.Server
@@ -80,6 +81,7 @@
 		burn:        burn.NewTracker(),
 		decisions:   decision.NewRing(s.Limits.DecisionRecords),
 		roles:       decision.NewRing(s.Limits.DecisionRecords),
+		requests:    newGate(),
 	}
 	d.log = deps.Logger.With(
 		zap.String("daemon", s.Name),
@@ -87,6 +89,8 @@
 	)
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
+	d.admission = newAdmitter(d)
+	d.gossip = newGossip(d)
 	d.claims = newClaims(d)
 	return d
 }
@@ -102,20 +106,29 @@
 // Start opens the listeners and starts all components.
 func (d *Daemon) Start() error {
 	var err error
-	if d.callerListener, err = d.deps.Network.Listen(d.settings.Listen.Caller); err != nil {
+	if d.callerListener, err = d.deps.Callers.Listen(d.settings.Listen.Caller); err != nil {
 		return trace.Wrap(err, "listen.caller")
 	}
 	if d.peerListener, err = d.deps.Network.Listen(d.settings.Listen.Peer); err != nil {
 		d.callerListener.Close()
 		return trace.Wrap(err, "listen.peer")
 	}
-	d.callerServer = &http.Server{Handler: d.callerHandler()}
+	d.callerServer = &http.Server{
+		Handler: d.callerHandler(),
+		// Failed handshakes and the like are JSON lines too.
+		ErrorLog: zap.NewStdLog(d.log),
+	}
 	d.peerServer = peer.NewServer(d.peerHandlers())
 	d.tomb.Go(d.serveCallers)
 	d.tomb.Go(d.servePeers)
 	d.tomb.Go(d.config.run)
+	d.tomb.Go(d.config.runPeers)
+	d.tomb.Go(d.config.runCheckpoints)
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
+	d.tomb.Go(d.runBurn)
+	d.tomb.Go(d.admission.run)
+	d.tomb.Go(d.gossip.run)
 	d.claims.start()
 	d.log.Info("daemon started",
 		zap.String("incarnation", d.incarnation),
@@ -153,27 +166,20 @@
 // finish. It has no time limit; cancelling ctx ends running requests.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.stopping.Store(true)
-	d.log.Info("daemon stopping")
+	d.log.Info("daemon stopping", zap.Int("active-requests", d.requests.Active()))
 	sleep(ctx, d.settings.Timing.BalancerDelay.Std())
-	d.refusing.Store(true)
-	d.waitForRequests(ctx)
+	d.requests.Close()
+	d.requests.Wait(ctx)
+	// A handler returns before its last bytes are sent; Shutdown waits for those.
+	if err := d.callerServer.Shutdown(ctx); err != nil {
+		d.log.Warn("caller connections closed before they were idle", zap.Error(err))
+	}
 	d.log.Info("all requests finished")
 	d.claims.stop(ctx)
+	d.gossip.leave(ctx)
 	return d.kill()
 }
 
-func (d *Daemon) waitForRequests(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		d.requests.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
-
 // Kill ends the daemon at once, cutting running requests, as a crash would.
 func (d *Daemon) Kill() error { return d.kill() }
 
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -6,15 +6,14 @@
 	"syscall"
 	"time"
 
-	"github.com/gravitational/trace"
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/engine"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 	"bergamotsill.example/bergamotsill/internal/adapter/platform"
 	"bergamotsill.example/bergamotsill/internal/adapter/service"
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/settings"
 )
 
@@ -24,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	logger, err := newLogger(s.LogLevel)
+	logger, err := jsonlog.New(s.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -32,7 +31,11 @@
 	defer func() { _ = logger.Sync() }()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	d := New(s, Connect(s, network.TCP{}, logger, version))
+	keys, err := loadKeys(s.TLS, logger)
+	if err != nil {
+		return err
+	}
+	d := New(s, connect(s, links(s.TLS, network.TCP{}, keys), logger, version))
 	if err := d.Start(); err != nil {
 		return err
 	}
@@ -44,37 +47,29 @@
 	}
 }
 
-// Connect returns the dependencies that the settings name, reached over nw.
+// Connect returns the dependencies that the settings name, reached over nw
+// without TLS.
 func Connect(s settings.Settings, nw network.Network, logger *zap.Logger, version string) Dependencies {
+	return connect(s, network.NewLinks(nw, nil, network.LinkOptions{}), logger, version)
+}
+
+func connect(s settings.Settings, l network.Links, logger *zap.Logger, version string) Dependencies {
 	engines := engine.NewDialer(engine.Options{
-		Network:   nw,
+		Network:   l.Upstreams,
 		Progress:  s.Timing.Progress.Std(),
 		IdleTrust: s.Timing.Progress.Std(),
 	})
 	return Dependencies{
-		Network:  nw,
-		Log:      platform.NewLog(s.Platform.Log, nw),
-		VMs:      platform.NewVMList(s.Platform.VMList, nw),
-		Weights:  platform.NewWeightStore(s.Platform.WeightStore, nw),
+		Callers:  l.Callers,
+		Network:  l.Peers,
+		Log:      platform.NewLog(s.Platform.Log, l.Platform),
+		VMs:      platform.NewVMList(s.Platform.VMList, l.Platform),
+		Weights:  platform.NewWeightStore(s.Platform.WeightStore, l.Platform),
 		Engines:  engines.Dial,
-		Services: service.NewDialer(nw),
-		Peers:    peer.NewDialer(nw).Dial,
+		Services: service.NewDialer(l.Upstreams),
+		Peers:    peer.NewDialer(l.Peers).Dial,
 		Logger:   logger,
 		Seed:     uint64(time.Now().UnixNano()),
 		Version:  version,
 	}
 }
-
-// newLogger returns a logger that writes JSON lines to standard error.
-func newLogger(level string) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	if err := cfg.Level.UnmarshalText([]byte(level)); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	cfg.Sampling = nil
-	cfg.DisableStacktrace = true
-	cfg.EncoderConfig.TimeKey = "time"
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	logger, err := cfg.Build()
-	return logger, trace.Wrap(err)
-}
--- a/internal/profile/document.go
+++ b/internal/profile/document.go
@@ -3,6 +3,7 @@
 package profile
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"slices"
@@ -30,6 +31,7 @@
 
 // RankPolicy configures one rank.
 type RankPolicy struct {
+	// Name is urgent, standard or background.
 	Name Rank `json:"name"`
 	// MinShare is the share of a data centre's capacity, 0 to 1, that the rank
 	// keeps while it has work.
@@ -38,6 +40,7 @@
 
 // Pool describes the engines, or the services, of one pool.
 type Pool struct {
+	// Name is the pool's name on the VM list.
 	Name string `json:"name"`
 	// Models are the models that the pool's engines may load.
 	Models []string `json:"models,omitempty"`
@@ -49,13 +52,46 @@
 	MinServing int `json:"min_serving,omitempty"`
 	// Roles are the roles that the engines may take; empty means mixed only.
 	Roles []port.Role `json:"roles,omitempty"`
+	// Versions are the model versions that engines must run. Models without an
+	// entry keep the version that is loaded. Since schema version 2.
+	Versions []ModelVersion `json:"versions,omitempty"`
+}
+
+// ModelVersion names the version that engines with a model must run.
+type ModelVersion struct {
+	// Model is one of the pool's models.
+	Model string `json:"model"`
+	// Version is the version that engines with the model load.
+	Version string `json:"version"`
+}
+
+// Version returns the version that engines with the model must run, or "".
+func (p *Pool) Version(model string) string {
+	for _, v := range p.Versions {
+		if v.Model == model {
+			return v.Version
+		}
+	}
+	return ""
+}
+
+// Withdrawn lists what gets no new work.
+type Withdrawn struct {
+	// Upstreams are ids of VMs.
+	Upstreams []string `json:"upstreams,omitempty"`
+	// DataCentres withdraw all upstreams in them.
+	DataCentres []string `json:"data_centres,omitempty"`
 }
 
 // Profile describes one kind of work and how it is treated.
 type Profile struct {
-	Name  string `json:"name"`
-	Rank  Rank   `json:"rank"`
-	Pool  string `json:"pool"`
+	// Name is what callers put into the field model of a request.
+	Name string `json:"name"`
+	// Rank is urgent, standard or background.
+	Rank Rank `json:"rank"`
+	// Pool names the pool whose engines serve the profile.
+	Pool string `json:"pool"`
+	// Model is the model that serves the profile; the pool must list it.
 	Model string `json:"model"`
 	// FirstTokenMS, TokenMS and TotalMS are targets in milliseconds: until the
 	// first token, between tokens, and for the whole answer.
@@ -63,24 +99,30 @@
 	TokenMS      int64 `json:"token_ms"`
 	TotalMS      int64 `json:"total_ms"`
 	// Worth weighs an answer within its target.
-	Worth           float64 `json:"worth"`
-	MaxOutputTokens int     `json:"max_output_tokens"`
-	MaxPromptTokens int     `json:"max_prompt_tokens"`
+	Worth float64 `json:"worth"`
+	// MaxOutputTokens bounds the answer, MaxPromptTokens the prompt.
+	MaxOutputTokens int `json:"max_output_tokens"`
+	MaxPromptTokens int `json:"max_prompt_tokens"`
 	// RetryShare bounds retries as a share, 0 to 1, of first attempts.
 	RetryShare float64 `json:"retry_share"`
 }
 
 // CallPattern matches calls by method and path.
 type CallPattern struct {
+	// Method is POST, PUT, PATCH or DELETE.
 	Method string `json:"method"`
-	Path   string `json:"path"`
+	// Path is the whole path, without a query.
+	Path string `json:"path"`
 }
 
 // ServiceRoute maps a path prefix to a pool of plain services.
 type ServiceRoute struct {
-	Name       string `json:"name"`
+	// Name identifies the route in logs and refusals.
+	Name string `json:"name"`
+	// PathPrefix selects the calls of the route; the longest prefix wins.
 	PathPrefix string `json:"path_prefix"`
-	Pool       string `json:"pool"`
+	// Pool names the pool of services that serve the route.
+	Pool string `json:"pool"`
 	// ClaimWindowS is how long, in seconds, an idempotency key is remembered.
 	ClaimWindowS int64 `json:"claim_window_s"`
 	// NonRepeatable lists the calls that run at most once per key.
@@ -94,36 +136,80 @@
 
 // Organisation sets an organisation's weight within a rank.
 type Organisation struct {
-	Name   string  `json:"name"`
+	// Name is what callers send in the header Bergamot-Organisation.
+	Name string `json:"name"`
+	// Weight is the organisation's share in relation to others; unlisted ones have
+	// weight 1.
 	Weight float64 `json:"weight"`
 }
 
 // Document is one whole configuration.
 type Document struct {
-	Ranks         []RankPolicy   `json:"ranks"`
-	Pools         []Pool         `json:"pools"`
-	Profiles      []Profile      `json:"profiles"`
-	Services      []ServiceRoute `json:"services,omitempty"`
+	// Ranks are the policies of the ranks; one without a policy has no minimum share.
+	Ranks []RankPolicy `json:"ranks"`
+	// Pools are the pools of engines and of services.
+	Pools []Pool `json:"pools"`
+	// Profiles are the kinds of work that callers may name.
+	Profiles []Profile `json:"profiles"`
+	// Services are the routes to plain services.
+	Services []ServiceRoute `json:"services,omitempty"`
+	// Organisations are those with a weight other than 1.
 	Organisations []Organisation `json:"organisations,omitempty"`
+	// Withdrawn is known since schema version 2.
+	Withdrawn Withdrawn `json:"withdrawn,omitzero"`
 }
 
-// SchemaVersion is the newest version of Document that this program knows.
-const SchemaVersion = 1
+// SchemaVersion is the newest version of Document that this program knows. The
+// rules of a published version never change, because every daemon must decide
+// alike about a record; a new field or rule needs a new version.
+const SchemaVersion = 2
 
-// ParseDocument decodes and checks a document. The list holds every finding.
+// ParseDocument decodes and checks a document of the newest schema version. The
+// list holds every finding.
 func ParseDocument(file string, data []byte) (*Document, *findings.List) {
+	return ParseVersion(SchemaVersion, file, data)
+}
+
+// ParseVersion decodes a document and checks it by the rules of a schema version
+// between 1 and SchemaVersion.
+func ParseVersion(schema int, file string, data []byte) (*Document, *findings.List) {
 	doc := &Document{}
 	list := findings.Decode(file, data, doc)
+	if schema < 2 {
+		checkNoVersion2Fields(list, data)
+	}
 	doc.check(list)
 	return doc, list
 }
 
+// checkNoVersion2Fields reports fields that programs with schema version 1
+// refuse as unknown.
+func checkNoVersion2Fields(list *findings.List, data []byte) {
+	var later struct {
+		Withdrawn json.RawMessage `json:"withdrawn"`
+		Pools     []struct {
+			Versions json.RawMessage `json:"versions"`
+		} `json:"pools"`
+	}
+	// A document of another shape has findings already.
+	_ = json.Unmarshal(data, &later)
+	if later.Withdrawn != nil {
+		list.Add("withdrawn", "requires schema version 2")
+	}
+	for i, p := range later.Pools {
+		if p.Versions != nil {
+			list.Add(fmt.Sprintf("pools[%d].versions", i), "requires schema version 2")
+		}
+	}
+}
+
 func (d *Document) check(list *findings.List) {
 	d.checkRanks(list)
 	pools := d.checkPools(list)
 	d.checkProfiles(list, pools)
 	d.checkServices(list, pools)
 	d.checkOrganisations(list)
+	d.checkWithdrawn(list)
 }
 
 // names reports empty and duplicate names of one section.
@@ -185,10 +271,35 @@
 				list.Add(fmt.Sprintf("%s.roles[%d]", place, j), "unknown role %q", r)
 			}
 		}
+		p.checkVersions(list, place)
 	}
 	return pools
 }
 
+func (p *Pool) checkVersions(list *findings.List, place string) {
+	seen := newNames(list, place+".versions")
+	for i, v := range p.Versions {
+		place := seen.add(i, v.Model)
+		if !slices.Contains(p.Models, v.Model) {
+			list.Add(place+".model", "model %q is not in pool %q", v.Model, p.Name)
+		}
+		if v.Version == "" {
+			list.Add(place+".version", "is required")
+		}
+	}
+}
+
+func (d *Document) checkWithdrawn(list *findings.List) {
+	upstreams := newNames(list, "withdrawn.upstreams")
+	for i, id := range d.Withdrawn.Upstreams {
+		upstreams.add(i, id)
+	}
+	dataCentres := newNames(list, "withdrawn.data_centres")
+	for i, name := range d.Withdrawn.DataCentres {
+		dataCentres.add(i, name)
+	}
+}
+
 func (d *Document) checkProfiles(list *findings.List, pools map[string]*Pool) {
 	if len(d.Profiles) == 0 {
 		list.Add("profiles", "at least one profile is required")
--- a/internal/standin/root.go
+++ b/internal/standin/root.go
@@ -8,13 +8,18 @@
 
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
 // crashExitCode is the exit code of an engine process that a request crashed.
 const crashExitCode = 70
 
+// logLevelFlag names the flag of the level of all commands that serve.
+const logLevelFlag = "log-level"
+
 // NewRoot returns the root command of bergamot-standin.
 func NewRoot(version string) *cobra.Command {
 	root := &cobra.Command{
@@ -24,10 +29,34 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newPlatformCommand(), newEngineCommand(), newServiceCommand())
+	root.PersistentFlags().String(logLevelFlag, "info", "debug, info, warn or error")
+	root.AddCommand(
+		newPlatformCommand(),
+		newEngineCommand(),
+		newServiceCommand(),
+		newCheckPortsCommand(),
+		newGetCommand(),
+		newAwaitCommand(),
+	)
 	return root
 }
 
+// serve answers requests at an address and logs them under the process's name.
+func serve(cmd *cobra.Command, listen, name string, h http.Handler) error {
+	level, err := cmd.Flags().GetString(logLevelFlag)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	logger, err := jsonlog.New(level)
+	if err != nil {
+		return err
+	}
+	logger = logger.With(zap.String("process", name))
+	logger.Info("serving", zap.String("address", listen))
+	server := &http.Server{Addr: listen, Handler: LogRequests(h, logger), ErrorLog: zap.NewStdLog(logger)}
+	return trace.Wrap(server.ListenAndServe())
+}
+
 func newPlatformCommand() *cobra.Command {
 	var listen, vms string
 	var retention int
@@ -35,13 +64,13 @@
 	cmd := &cobra.Command{
 		Use:   "platform",
 		Short: "Serve the log service, the VM list and the weight store",
-		RunE: func(*cobra.Command, []string) error {
-			list, err := readVMs(vms)
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			list, err := ReadVMs(vms)
 			if err != nil {
 				return err
 			}
 			p := NewPlatform(NewLog(retention), NewVMList(lag, list))
-			return http.ListenAndServe(listen, p.Handler())
+			return serve(cmd, listen, "platform", p.Handler())
 		},
 	}
 	flags := cmd.Flags()
@@ -52,7 +81,8 @@
 	return cmd
 }
 
-func readVMs(path string) ([]port.VM, error) {
+// ReadVMs reads a JSON list of VMs. An empty path is an empty list.
+func ReadVMs(path string) ([]port.VM, error) {
 	if path == "" {
 		return nil, nil
 	}
@@ -73,10 +103,10 @@
 	cmd := &cobra.Command{
 		Use:   "engine",
 		Short: "Serve a fake model engine",
-		RunE: func(*cobra.Command, []string) error {
+		RunE: func(cmd *cobra.Command, _ []string) error {
 			opts.Role = port.Role(role)
 			opts.Crash = func() { os.Exit(crashExitCode) }
-			return http.ListenAndServe(listen, NewEngine(opts).Handler())
+			return serve(cmd, listen, opts.Name, NewEngine(opts).Handler())
 		},
 	}
 	flags := cmd.Flags()
@@ -94,15 +124,19 @@
 
 func newServiceCommand() *cobra.Command {
 	var listen, name string
+	var delay time.Duration
 	cmd := &cobra.Command{
 		Use:   "service",
 		Short: "Serve a fake plain service",
-		RunE: func(*cobra.Command, []string) error {
-			return http.ListenAndServe(listen, NewService(name).Handler())
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			service := NewService(name)
+			service.SetFaults(ServiceFaults{DelayMS: delay.Milliseconds()})
+			return serve(cmd, listen, name, service.Handler())
 		},
 	}
 	flags := cmd.Flags()
 	flags.StringVar(&listen, "listen", "127.0.0.1:7200", "IP:port")
 	flags.StringVar(&name, "name", "service", "name in answers")
+	flags.DurationVar(&delay, "delay", 0, "time before a call is executed")
 	return cmd
 }
