Issue engine orders under a lease, after a drain that every daemon acknowledged

Cause: nothing carried out a change of an engine's model version, and nothing kept two daemons from ordering different things or interrupting requests.

The lease holder of a data centre records a drain, collects drain.ack from every daemon on the VM list (or waits until it has been off the list for the settle time), waits until the engine shows no work, records the order, reads it back and sends it, then records its outcome. A new holder raises the engine's fencing number and completes pending orders before anything else. An order carries its own offset plus 1 as its fencing number, so engines also refuse a late repetition of an earlier order of the same lease. An engine that ignores fencing is bound to one incarnation from before its order is recorded until the outcome, and nobody else orders until that incarnation released it or is proved gone. One engine changes at a time, within min_serving and the weight store's rate. Every daemon follows the control streams of all data centres, and a starting one routes to no engine until it knows the open drains. order.Planner supplies changes; VersionPlanner rolls engines to pools[].versions. routing.Upstream gets SetClosed and TryBegin, also used for the configuration's withdrawn section.

Ruled out: the claim's fencing number on all orders of a lease, because a repeated send that arrives late would pass the check.

The test of waiting for every daemon was seen to fail without the acknowledgements. A first version of the followers waited up to 4 s on an empty stream before drains counted as known; TestServesFromEndToEnd failed, so the first read does not wait.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -21,6 +21,8 @@
 		admin.MethodRoles:   d.adminRoles,
 
 		methodConfigRecords: d.config.serveRecords,
+		methodDrainAck:      d.orders.serveAck,
+		methodDrains:        d.orders.serveDrains,
 	}
 }
 
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -53,8 +53,15 @@
 	client   *http.Client
 	// adjust changes the settings of daemons that are started.
 	adjust func(*settings.Settings)
+	// connect changes the dependencies of daemons that are started.
+	connect func(settings.Settings, *Dependencies)
 }
 
+// virtualClock is the clock of a synctest bubble, on which leases are measured.
+type virtualClock struct{}
+
+func (virtualClock) Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // inCluster runs f with a new cluster on virtual time and closes it after.
 func inCluster(t *testing.T, seed uint64, f func(*cluster)) {
 	t.Helper()
@@ -204,6 +211,10 @@
 	}
 	deps := Connect(s, c.net.Host(vm.ID), zap.NewNop(), "test")
 	deps.Seed = c.rng.Uint64()
+	deps.Clock = virtualClock{}
+	if c.connect != nil {
+		c.connect(s, &deps)
+	}
 	d := New(s, deps)
 	if err := d.Start(); err != nil {
 		c.t.Fatal(err)
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -67,6 +67,7 @@
 		daemon:     d,
 		stream:     profile.Stream,
 		limits:     profile.Limits,
+		wait:       readWait,
 		machine:    state,
 		rng:        rand.New(rand.NewPCG(d.deps.Seed, 1)),
 		apply:      c.applyRecord,
@@ -126,6 +127,7 @@
 		return
 	}
 	c.snapshot.Store(next)
+	c.daemon.fleet.refreshClosed()
 	c.daemon.metrics.Revision.Set(next.Revision)
 	c.daemon.log.Info("configuration in force", zap.Int64("revision", next.Revision))
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,7 +33,9 @@
 	Engines  port.EngineDialer
 	Services port.ServiceDialer
 	Peers    port.PeerDialer
-	Logger   *zap.Logger
+	// Clock measures leases.
+	Clock  port.Clock
+	Logger *zap.Logger
 	// Seed seeds every random choice of the daemon.
 	Seed uint64
 	// Version is the program's version.
@@ -53,6 +55,7 @@
 	tomb      tomb.Tomb
 	config    *configFollower
 	fleet     *fleet
+	orders    *orders
 	claims    *claims
 	burn      *burn.Tracker
 	decisions *decision.Ring
@@ -87,6 +90,7 @@
 	)
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
+	d.orders = newOrders(d)
 	d.claims = newClaims(d)
 	return d
 }
@@ -116,6 +120,9 @@
 	d.tomb.Go(d.config.run)
 	d.tomb.Go(d.config.runPeers)
 	d.tomb.Go(d.config.runCheckpoints)
+	d.tomb.Go(d.orders.run)
+	d.tomb.Go(d.orders.runLease)
+	d.tomb.Go(d.orders.runController)
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
 	d.log.Info("daemon started",
@@ -140,7 +147,7 @@
 
 // Ready tells whether the daemon accepts new work.
 func (d *Daemon) Ready() bool {
-	return !d.stopping.Load() && d.config.Snapshot() != nil && d.fleet.known()
+	return !d.stopping.Load() && d.config.Snapshot() != nil && d.fleet.known() && d.orders.known()
 }
 
 // Wait blocks until the daemon has ended and returns why it failed, or nil.
@@ -155,6 +162,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.stopping.Store(true)
 	d.log.Info("daemon stopping")
+	d.orders.handOver(ctx)
 	sleep(ctx, d.settings.Timing.BalancerDelay.Std())
 	d.refusing.Store(true)
 	d.waitForRequests(ctx)
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,8 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*routing.Upstream
+	// replaced holds upstreams that were replaced with requests in flight.
+	replaced []*routing.Upstream
 }
 
 func newFleet(d *Daemon) *fleet {
@@ -60,6 +63,7 @@
 		list = append(list, u)
 	}
 	f.upstreams = upstreams
+	f.closeUpstreams()
 	f.table.Store(routing.NewTable(list))
 }
 
@@ -93,10 +97,48 @@
 	}
 	if ok && u.VM.Address == vm.Address {
 		next.SetReport(u.Report())
+		// Requests that are begun from here on are counted at the new one.
+		u.SetClosed(true)
+		f.replaced = append(f.replaced, u)
 	}
 	return next
 }
 
+// refreshClosed closes drained and withdrawn upstreams to new requests and opens
+// the others.
+func (f *fleet) refreshClosed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closeUpstreams()
+}
+
+// closeUpstreams does the work of refreshClosed; the lock is held.
+func (f *fleet) closeUpstreams() {
+	snapshot := f.daemon.config.Snapshot()
+	for _, u := range f.upstreams {
+		withdrawn := snapshot != nil && snapshot.Withdrawn(u.VM)
+		drained := u.VM.Kind == port.KindEngine && f.daemon.orders.drained(u.VM)
+		u.SetClosed(withdrawn || drained)
+	}
+}
+
+// inFlight returns the number of requests that this daemon has in flight at a VM.
+func (f *fleet) inFlight(id string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := int64(0)
+	if u, ok := f.upstreams[id]; ok {
+		total = u.InFlight()
+	}
+	f.replaced = slices.DeleteFunc(f.replaced, func(u *routing.Upstream) bool { return u.InFlight() == 0 })
+	for _, u := range f.replaced {
+		if u.VM.ID == id {
+			total += u.InFlight()
+		}
+	}
+	return total
+}
+
 func (f *fleet) runStatus() error {
 	every(f.daemon.context(), f.daemon.settings.Timing.StatusInterval.Std(), f.readStatus)
 	return nil
@@ -131,6 +173,13 @@
 	u.SetReport(&routing.Report{Status: status, Received: time.Now(), Failed: err != nil})
 }
 
+// upstreamByID returns the upstream on a VM, or nil.
+func (f *fleet) upstreamByID(id string) *routing.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstreams[id]
+}
+
 // all returns every upstream, for the status report.
 func (f *fleet) all() []*routing.Upstream {
 	f.mu.Lock()
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -18,19 +18,22 @@
 const (
 	// readLimit is the number of records asked for in one read of the log.
 	readLimit = 500
-	// readWait is how long a read of the log waits for a new record.
-	readWait = time.Second
+	// readWait is how long a read of the log waits for a new record, and
+	// remoteReadWait how long one of another data centre's control stream does,
+	// of which a daemon follows several.
+	readWait       = time.Second
+	remoteReadWait = 4 * time.Second
 	// logRetryDelay is the pause after a failed operation on the log.
 	logRetryDelay = 250 * time.Millisecond
-	// minReadPatience bounds the time that a read may take beyond readWait. It is
+	// minReadPatience bounds the time that a read may take beyond its wait. It is
 	// well below the 4 s in which a configuration must be in force, because an
 	// open connection to the log may have gone silent while new ones work.
 	minReadPatience = time.Second
 	// maxReadPatience lets reads of a slow log succeed after some failures.
 	maxReadPatience = 8 * time.Second
-	// logFreshness is the age of the last read up to which the log counts as
-	// reachable: readWait and some time for the answer.
-	logFreshness = 1500 * time.Millisecond
+	// readMargin is the time for the answer to a read beyond its wait. The log
+	// counts as unreachable when the last read is older than both.
+	readMargin = 500 * time.Millisecond
 
 	checkpointInterval = time.Second
 	// minCheckpointDelay and maxCheckpointDelay bound the time after which other
@@ -55,6 +58,8 @@
 	daemon *Daemon
 	stream string
 	limits replay.Limits
+	// wait is how long a read waits for a new record.
+	wait time.Duration
 	// apply decides about one record; the follower's lock is held.
 	apply func(port.Record)
 	// caughtUp is called without the lock after each read that reached the end.
@@ -78,7 +83,7 @@
 func (f *follower) run() error {
 	ctx := f.daemon.context()
 	for ctx.Err() == nil {
-		if err := f.readOnce(ctx, readWait); err != nil {
+		if err := f.readOnce(ctx); err != nil {
 			sleep(ctx, logRetryDelay)
 		}
 	}
@@ -86,10 +91,15 @@
 }
 
 // readOnce reads one page of the stream and applies it.
-func (f *follower) readOnce(ctx context.Context, wait time.Duration) error {
+func (f *follower) readOnce(ctx context.Context) error {
 	f.mu.Lock()
 	from := f.machine.ReadOffset()
 	patience := max(f.patience, minReadPatience)
+	wait := f.wait
+	if f.read.IsZero() {
+		// The first read only finds out where the stream ends.
+		wait = 0
+	}
 	f.mu.Unlock()
 	limited, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
@@ -145,7 +155,7 @@
 // fresh tells whether the log was read to a known point a moment ago. The lock
 // is held.
 func (f *follower) fresh() bool {
-	return !f.read.IsZero() && time.Since(f.read) < logFreshness
+	return !f.read.IsZero() && time.Since(f.read) < f.wait+readMargin
 }
 
 // reading tells whether the machine follows the log without a gap.
--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -22,6 +22,10 @@
 // errCallerGone reports that the answer could not be passed on.
 var errCallerGone = errors.New("caller is gone")
 
+// errUpstreamClosed reports that an engine was drained or withdrawn after it was
+// chosen; nothing was sent to it.
+var errUpstreamClosed = errors.New("engine is closed to new requests")
+
 // generation is one request to an engine. It keeps the snapshot it started with.
 type generation struct {
 	call      *call
@@ -112,7 +116,11 @@
 
 // attempt runs one attempt at an engine from the position reached.
 func (d *Daemon) attempt(ctx context.Context, g *generation, u *routing.Upstream, number int) error {
-	defer u.Begin()()
+	end, ok := u.TryBegin()
+	if !ok {
+		return errUpstreamClosed
+	}
+	defer end()
 	d.metrics.Attempts.Add(1)
 	if number > 1 {
 		d.metrics.Resumed.Add(1)
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/adapter/engine"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
@@ -59,6 +60,7 @@
 		Engines:  engines.Dial,
 		Services: service.NewDialer(nw),
 		Peers:    peer.NewDialer(nw).Dial,
+		Clock:    clock.Boot{},
 		Logger:   logger,
 		Seed:     uint64(time.Now().UnixNano()),
 		Version:  version,
--- /dev/null
+++ b/internal/order/record.go
@@ -0,0 +1,50 @@
+// Package order decides, from the order of records on a control stream, which
+// engine orders and drains are in force and what the lease holder does next.
+package order
+
+import (
+	"bergamotsill.example/bergamotsill/internal/decision"
+	"bergamotsill.example/bergamotsill/internal/lease"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// Stream returns the stream that carries the orders of a data centre.
+func Stream(dataCentre string) string { return "control/" + dataCentre }
+
+// Kinds of record, beside those of package lease.
+const (
+	// KindDrain asks all daemons to send an engine no new work.
+	KindDrain    lease.Kind = "drain"
+	KindDrainEnd lease.Kind = "drain-end"
+	// KindOrder announces an order before it is sent.
+	KindOrder   lease.Kind = "order"
+	KindOutcome lease.Kind = "order-outcome"
+	// KindBind reserves an engine that ignores fencing for one incarnation.
+	KindBind       lease.Kind = "unfenced-bind"
+	KindUnbind     lease.Kind = "unfenced-release"
+	KindCheckpoint lease.Kind = "checkpoint"
+)
+
+// Outcomes of an order.
+const (
+	OutcomeDone = "done"
+	// OutcomeGone means that the engine's VM has left before the order was done.
+	OutcomeGone = "engine gone"
+)
+
+// Record is the content of a record on a control stream. The embedded fields name
+// the writer and its lease.
+type Record struct {
+	lease.Record
+	// Engine is the VM id of the engine.
+	Engine string      `json:"engine,omitempty"`
+	Order  *port.Order `json:"order,omitempty"`
+	// Unfenced is set when the engine ignores fencing.
+	Unfenced bool `json:"unfenced,omitempty"`
+	// OrderID and Outcome belong to KindOutcome.
+	OrderID string `json:"order_id,omitempty"`
+	Outcome string `json:"outcome,omitempty"`
+	// Reasons tell why the holder wrote the record.
+	Reasons    []decision.Input `json:"reasons,omitempty"`
+	Checkpoint *Checkpoint      `json:"checkpoint,omitempty"`
+}
--- /dev/null
+++ b/internal/order/state.go
@@ -0,0 +1,198 @@
+package order
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/lease"
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/replay"
+)
+
+// Limits tell when a checkpoint is due. A holder renews its lease every few
+// seconds, so most checkpoints are due by their number of records.
+var Limits = replay.Limits{Records: 256, Age: 10 * time.Minute}
+
+// Pending is an order that was announced and has no outcome yet.
+type Pending struct {
+	Order port.Order `json:"order"`
+	// Token is the fencing number to send: the offset of the record plus 1. It is
+	// above those of all earlier orders of the same lease, so that an engine also
+	// refuses a late repetition of an earlier order.
+	Token    int64 `json:"token"`
+	Unfenced bool  `json:"unfenced,omitempty"`
+}
+
+// EngineState is what the stream says about one engine.
+type EngineState struct {
+	Engine string `json:"engine"`
+	// Drain is the offset of the open drain plus 1, 0 for none.
+	Drain   int64    `json:"drain,omitempty"`
+	Pending *Pending `json:"pending,omitempty"`
+	// Bound is the only incarnation that may send orders to an engine that ignores
+	// fencing, "" for none; BoundDaemon is its VM id.
+	Bound       string `json:"bound,omitempty"`
+	BoundDaemon string `json:"bound_daemon,omitempty"`
+}
+
+func (e EngineState) settled() bool { return e.Drain == 0 && e.Pending == nil && e.Bound == "" }
+
+// Checkpoint is the result of all records below an offset.
+type Checkpoint struct {
+	Covers  int64         `json:"covers"`
+	Lease   lease.Lease   `json:"lease"`
+	Engines []EngineState `json:"engines,omitempty"`
+	// LastLoad is when the last order to load a model was announced.
+	LastLoad time.Time `json:"last_load,omitzero"`
+}
+
+// State applies records of a control stream in offset order. It is not safe for
+// concurrent use.
+type State struct {
+	replay.Cursor
+	// Lease holds the lease and this daemon's timing of it.
+	Lease *lease.Machine
+
+	engines  map[string]EngineState
+	lastLoad time.Time
+}
+
+// NewState returns a State that expects offset 0 next.
+func NewState(opts lease.Options) *State {
+	return &State{Lease: lease.NewMachine(opts), engines: map[string]EngineState{}}
+}
+
+// Engine returns what the stream says about an engine.
+func (s *State) Engine(id string) EngineState {
+	e := s.engines[id]
+	e.Engine = id
+	return e
+}
+
+// Engines returns all engines with a drain, a pending order or a binding.
+func (s *State) Engines() []EngineState {
+	out := make([]EngineState, 0, len(s.engines))
+	for _, e := range s.engines {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Engine < out[j].Engine })
+	return out
+}
+
+// LastLoad returns when the last order to load a model was announced.
+func (s *State) LastLoad() time.Time { return s.lastLoad }
+
+// Checkpoint returns the result of all records below Next.
+func (s *State) Checkpoint() *Checkpoint {
+	return &Checkpoint{Covers: s.Next(), Lease: s.Lease.Lease(), Engines: s.Engines(), LastLoad: s.lastLoad}
+}
+
+// Restore takes over a checkpoint, read at time now, if that takes the state
+// forward.
+func (s *State) Restore(c *Checkpoint, now time.Duration) {
+	if !s.Usable(c.Covers) {
+		return
+	}
+	s.engines = map[string]EngineState{}
+	for _, e := range c.Engines {
+		s.engines[e.Engine] = e
+	}
+	s.lastLoad = c.LastLoad
+	s.Lease.Restore(c.Lease, now)
+	s.Cursor.Restore(c.Covers)
+}
+
+// Apply applies a record read at time now and tells whether it was accepted.
+// Records that do not follow the last one applied are ignored, except that a
+// recovering state takes over a checkpoint.
+func (s *State) Apply(rec port.Record, now time.Duration) bool {
+	var r Record
+	// A malformed record has no effect on any reader.
+	if err := json.Unmarshal(rec.Data, &r); err != nil {
+		r = Record{}
+	}
+	checkpoint := r.Kind == KindCheckpoint && r.Checkpoint != nil
+	if checkpoint && rec.Offset >= s.Base() {
+		s.Saw(r.Checkpoint.Covers, rec.Time)
+	}
+	if rec.Offset > s.Next() && s.Recovering() {
+		s.Scan(rec.Offset)
+		if checkpoint {
+			s.Restore(r.Checkpoint, now)
+		}
+		return false
+	}
+	if rec.Offset != s.Next() {
+		return false
+	}
+	s.Advance(rec.Time)
+	switch r.Kind {
+	case lease.KindClaim, lease.KindRenew, lease.KindRelease:
+		return s.Lease.Apply(rec.ID, rec.Offset, r.Record, now)
+	}
+	e, accepted := s.decide(rec.Offset, r)
+	if accepted {
+		s.store(e)
+		s.noteLoad(r, rec.Time)
+	}
+	return accepted
+}
+
+func (s *State) store(e EngineState) {
+	if e.settled() {
+		delete(s.engines, e.Engine)
+		return
+	}
+	s.engines[e.Engine] = e
+}
+
+func (s *State) noteLoad(r Record, at time.Time) {
+	if r.Kind == KindOrder && r.Order.Kind == port.OrderLoadModel {
+		s.lastLoad = at
+	}
+}
+
+// decide returns an engine's state after a record, and whether the record was
+// accepted. Only the holder's records have effect, with one exception: an
+// incarnation may always give up its own binding.
+func (s *State) decide(offset int64, r Record) (EngineState, bool) {
+	e := s.Engine(r.Engine)
+	if r.Kind == KindUnbind && e.Bound != "" && e.Bound == r.Holder {
+		e.Bound, e.BoundDaemon = "", ""
+		return e, true
+	}
+	if r.Engine == "" || !s.Lease.Lease().Authorises(r.Holder, r.Fencing) {
+		return e, false
+	}
+	switch {
+	case r.Kind == KindDrain && e.Drain == 0:
+		e.Drain = offset + 1
+	case r.Kind == KindDrainEnd && e.Drain > 0 && e.Pending == nil:
+		e.Drain = 0
+	case r.Kind == KindBind && e.Bound == "":
+		e.Bound, e.BoundDaemon = r.Holder, r.Daemon
+	case r.Kind == KindUnbind && e.Bound != "":
+		// The holder has proof that the bound incarnation is gone.
+		e.Bound, e.BoundDaemon = "", ""
+	case r.Kind == KindOrder && e.mayOrder(r):
+		e.Pending = &Pending{Order: *r.Order, Token: offset + 1, Unfenced: r.Unfenced}
+	case r.Kind == KindOutcome && e.Pending != nil && e.Pending.Order.ID == r.OrderID:
+		e.Pending = nil
+	default:
+		return e, false
+	}
+	return e, true
+}
+
+// mayOrder tells whether an order may follow. An engine that some incarnation is
+// bound to takes orders of no other one.
+func (e EngineState) mayOrder(r Record) bool {
+	if r.Order == nil || e.Drain == 0 || e.Pending != nil {
+		return false
+	}
+	if r.Unfenced {
+		return e.Bound == r.Holder
+	}
+	return e.Bound == ""
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -16,6 +16,7 @@
 	Service port.Service
 
 	inFlight atomic.Int64
+	closed   atomic.Bool
 	status   atomic.Pointer[Report]
 }
 
@@ -39,6 +40,22 @@
 	return func() { u.inFlight.Add(-1) }
 }
 
+// SetClosed tells whether the upstream is closed to new requests, because it is
+// drained or withdrawn.
+func (u *Upstream) SetClosed(closed bool) { u.closed.Store(closed) }
+
+// TryBegin counts a request as in flight unless the upstream is closed. A caller
+// that closes an upstream and then sees no request in flight knows that none
+// follows, because the request is counted before the check.
+func (u *Upstream) TryBegin() (end func(), ok bool) {
+	end = u.Begin()
+	if u.closed.Load() {
+		end()
+		return nil, false
+	}
+	return end, true
+}
+
 // InFlight returns the number of requests that this daemon has in flight.
 func (u *Upstream) InFlight() int64 { return u.inFlight.Load() }
 
@@ -81,7 +98,7 @@
 }
 
 func (u *Upstream) usable(r Request) bool {
-	if u.VM.State == port.VMLeaving || r.Excluded[u.VM.ID] {
+	if u.closed.Load() || u.VM.State == port.VMLeaving || r.Excluded[u.VM.ID] {
 		return false
 	}
 	if u.VM.Kind != port.KindEngine {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -58,15 +58,19 @@
 type Engine struct {
 	opts EngineOptions
 
-	mu          sync.Mutex
-	status      port.EngineStatus
-	faults      EngineFaults
-	generation  int
-	down        chan struct{}
-	downUntil   time.Time
-	silenced    chan struct{}
-	prefill     chan struct{}
-	orders      []port.Order
+	mu         sync.Mutex
+	status     port.EngineStatus
+	faults     EngineFaults
+	generation int
+	down       chan struct{}
+	downUntil  time.Time
+	silenced   chan struct{}
+	prefill    chan struct{}
+	orders     []port.Order
+	// fencing is the highest fencing number of an executed order, also when the
+	// engine ignores them.
+	fencing     int64
+	conflicts   int
 	runs        map[string]int
 	cancels     map[string]context.CancelFunc
 	interrupted int
@@ -117,6 +121,14 @@
 	return append([]port.Order(nil), e.orders...)
 }
 
+// Conflicts returns how many orders the engine executed although a different one
+// was in progress or one with a higher fencing number had been executed.
+func (e *Engine) Conflicts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.conflicts
+}
+
 // Runs returns how often the engine started a request with the given id.
 func (e *Engine) Runs(requestID string) int {
 	e.mu.Lock()
@@ -165,6 +177,10 @@
 	e.generation++
 	e.downUntil = time.Now().Add(time.Duration(e.faults.DownMS) * time.Millisecond)
 	e.status.Incarnation = e.incarnation()
+	if e.status.Phase == port.PhaseChanging {
+		// The restarted engine has its old role and model.
+		e.status.LastOrder = ""
+	}
 	e.status.Phase = port.PhaseServing
 	if e.opts.Crash != nil {
 		e.opts.Crash()
@@ -415,6 +431,10 @@
 
 func (e *Engine) beginChange(o port.Order) {
 	e.orders = append(e.orders, o)
+	if e.status.Phase == port.PhaseChanging || o.Fencing < e.fencing {
+		e.conflicts++
+	}
+	e.fencing = max(e.fencing, o.Fencing)
 	e.status.LastOrder = o.ID
 	e.status.Phase = port.PhaseChanging
 	e.interrupted += e.status.Running
