--- a/internal/bench/own.go
+++ b/internal/bench/own.go
@@ -235,7 +235,7 @@
 // start sends an admitted request.
 func (o *ownNode) start(t *admission.Ticket, r *request) {
 	for e, u := range o.upstreams {
-		u.SetDraining(e.draining || e.down)
+		u.SetClosed(e.draining || e.down)
 	}
 	request := o.routingRequest(r)
 	choice := o.table.Choose(request)
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -31,6 +31,8 @@
 		membership.MethodEngines: d.gossip.handleEngines,
 
 		methodConfigRecords: d.config.serveRecords,
+		methodDrainAck:      d.orders.serveAck,
+		methodDrains:        d.orders.serveDrains,
 
 		methodClaimAppend: d.claims.serveAppend,
 		methodClaimStatus: d.claims.serveStatus,
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -60,8 +60,15 @@
 	adjust func(*settings.Settings)
 	// wrap replaces dependencies of daemons that are started.
 	wrap func(*Dependencies)
+	// connect changes the dependencies of daemons that are started.
+	connect func(settings.Settings, *Dependencies)
 }
 
+// virtualClock is the clock of a synctest bubble, on which leases are measured.
+type virtualClock struct{}
+
+func (virtualClock) Now() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // inCluster runs f with a new cluster on virtual time and closes it after.
 func inCluster(t *testing.T, seed uint64, f func(*cluster)) {
 	t.Helper()
@@ -213,9 +220,13 @@
 	}
 	deps := Connect(s, c.net.Host(vm.ID), zap.NewNop(), "test")
 	deps.Seed = c.rng.Uint64()
+	deps.Clock = virtualClock{}
 	if c.wrap != nil {
 		c.wrap(&deps)
 	}
+	if c.connect != nil {
+		c.connect(s, &deps)
+	}
 	d := New(s, deps)
 	if err := d.Start(); err != nil {
 		c.t.Fatal(err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -34,7 +34,9 @@
 	Engines  port.EngineDialer
 	Services port.ServiceDialer
 	Peers    port.PeerDialer
-	Logger   *zap.Logger
+	// Clock measures leases.
+	Clock  port.Clock
+	Logger *zap.Logger
 	// Seed seeds every random choice of the daemon.
 	Seed uint64
 	// Version is the program's version.
@@ -56,6 +58,7 @@
 	fleet     *fleet
 	admission *admitter
 	gossip    *gossip
+	orders    *orders
 	claims    *claims
 	burn      *burn.Tracker
 	decisions *decision.Ring
@@ -95,6 +98,7 @@
 	d.fleet = newFleet(d)
 	d.admission = newAdmitter(d)
 	d.gossip = newGossip(d)
+	d.orders = newOrders(d)
 	d.claims = newClaims(d)
 	d.suspects = newSuspects(d)
 	d.retries = newRetries(deps.Seed)
@@ -131,6 +135,9 @@
 	d.tomb.Go(d.config.run)
 	d.tomb.Go(d.config.runPeers)
 	d.tomb.Go(d.config.runCheckpoints)
+	d.tomb.Go(d.orders.run)
+	d.tomb.Go(d.orders.runLease)
+	d.tomb.Go(d.orders.runController)
 	d.tomb.Go(d.fleet.runVMList)
 	d.tomb.Go(d.fleet.runStatus)
 	d.tomb.Go(d.runBurn)
@@ -160,7 +167,7 @@
 
 // Ready tells whether the daemon accepts new work.
 func (d *Daemon) Ready() bool {
-	return !d.stopping.Load() && d.config.Snapshot() != nil && d.fleet.known()
+	return !d.stopping.Load() && d.config.Snapshot() != nil && d.fleet.known() && d.orders.known()
 }
 
 // Wait blocks until the daemon has ended and returns why it failed, or nil.
@@ -175,6 +182,7 @@
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.stopping.Store(true)
 	d.log.Info("daemon stopping", zap.Int("active-requests", d.requests.Active()))
+	d.orders.handOver(ctx)
 	sleep(ctx, d.settings.Timing.BalancerDelay.Std())
 	d.requests.Close()
 	d.requests.Wait(ctx)
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -35,6 +35,11 @@
 	daemon *Daemon
 	table  atomic.Pointer[routing.Table]
 
+	// list is the VM list and as of when it is known to be current. It is read
+	// without the lock, because components that hold a lock of their own read it
+	// while closeUpstreams, which holds this one, asks them.
+	list atomic.Pointer[port.VMSnapshot]
+
 	mu        sync.Mutex
 	upstreams map[string]*routing.Upstream
 	vms       []port.VM
@@ -45,6 +50,8 @@
 	confirmed time.Time
 	fetching  atomic.Bool
 	watched   watchList
+	// replaced holds upstreams that were replaced with requests in flight.
+	replaced []*routing.Upstream
 }
 
 // watchList holds the engines that this daemon polls. It is computed anew when
@@ -132,13 +139,13 @@
 	if snapshot.Time.Before(f.at) {
 		return
 	}
-	f.at = snapshot.Time
-	f.confirmed = time.Now()
 	if hash == f.hash && f.known() {
+		f.confirm(snapshot.Time)
 		return
 	}
 	f.hash = hash
 	f.vms = snapshot.VMs
+	f.confirm(snapshot.Time)
 	f.rebuild()
 	f.daemon.gossip.addVMs(snapshot.VMs)
 	f.daemon.admission.observeVMs(snapshot.VMs)
@@ -163,15 +170,14 @@
 		list = append(list, u)
 	}
 	f.upstreams = upstreams
+	f.closeUpstreams()
 	f.table.Store(routing.NewTable(list))
 }
 
 // daemons returns the listed VMs that run a daemon with a peer address.
 func (f *fleet) daemons() []port.VM {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	var out []port.VM
-	for _, vm := range f.vms {
+	for _, vm := range f.latest().VMs {
 		if vm.Kind == port.KindDaemon && vm.PeerAddress != "" {
 			out = append(out, vm)
 		}
@@ -194,6 +200,9 @@
 	}
 	if ok && u.VM.Address == vm.Address {
 		next.SetReport(u.Report())
+		// Requests that are begun from here on are counted at the new one.
+		u.SetClosed(true)
+		f.replaced = append(f.replaced, u)
 	}
 	return next
 }
@@ -206,8 +215,7 @@
 	newer := m.VMsHash != 0 && theirs.After(f.at)
 	same := m.VMsHash == f.hash
 	if newer && same {
-		f.at = theirs
-		f.confirmed = time.Now()
+		f.confirm(theirs)
 	}
 	f.mu.Unlock()
 	if newer && !same && f.fetching.CompareAndSwap(false, true) {
@@ -231,9 +239,58 @@
 }
 
 func (f *fleet) handleVMs(context.Context, json.RawMessage) (any, error) {
+	return f.latest(), nil
+}
+
+// latest returns the VM list and as of when it is known to be current. The time is
+// zero before a list was read.
+func (f *fleet) latest() port.VMSnapshot {
+	if list := f.list.Load(); list != nil {
+		return *list
+	}
+	return port.VMSnapshot{}
+}
+
+// confirm notes that the list is current as of a time; the lock is held.
+func (f *fleet) confirm(at time.Time) {
+	f.at = at
+	f.confirmed = time.Now()
+	f.list.Store(&port.VMSnapshot{Time: at, VMs: f.vms})
+}
+
+// refreshClosed closes drained and withdrawn upstreams to new requests and opens
+// the others.
+func (f *fleet) refreshClosed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closeUpstreams()
+}
+
+// closeUpstreams does the work of refreshClosed; the lock is held.
+func (f *fleet) closeUpstreams() {
+	snapshot := f.daemon.config.Snapshot()
+	for _, u := range f.upstreams {
+		withdrawn := snapshot != nil && snapshot.Withdrawn(u.VM)
+		drained := u.VM.Kind == port.KindEngine && f.daemon.orders.drained(u.VM)
+		u.SetClosed(withdrawn || drained)
+	}
+}
+
+// inFlight returns the number of requests that this daemon has in flight at a VM.
+func (f *fleet) inFlight(id string) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return port.VMSnapshot{Time: f.at, VMs: f.vms}, nil
+	total := int64(0)
+	if u, ok := f.upstreams[id]; ok {
+		total = u.InFlight()
+	}
+	f.replaced = slices.DeleteFunc(f.replaced, func(u *routing.Upstream) bool { return u.InFlight() == 0 })
+	for _, u := range f.replaced {
+		if u.VM.ID == id {
+			total += u.InFlight()
+		}
+	}
+	return total
 }
 
 func (f *fleet) runStatus() error {
@@ -330,6 +387,13 @@
 	return slices.DeleteFunc(f.daemons(), func(vm port.VM) bool { return vm.DataCentre != dataCentre })
 }
 
+// upstreamByID returns the upstream on a VM, or nil.
+func (f *fleet) upstreamByID(id string) *routing.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstreams[id]
+}
+
 // all returns every upstream, for the status report.
 func (f *fleet) all() []*routing.Upstream {
 	f.mu.Lock()
--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -161,15 +161,16 @@
 // neither an engine nor an error when the request has to wait.
 func (d *Daemon) placeAmongOthers(g *generation) (*routing.Upstream, func(), error) {
 	u := g.resumeAt
-	if u == nil || d.suspects.reserved(u.VM.ID) {
+	if u == nil || u.Closed() || d.suspects.reserved(u.VM.ID) {
 		u = d.pick(g, d.suspects.avoid(g.excluded))
 	}
 	if u == nil {
 		return nil, nil, d.noEngine(g)
 	}
 	end := g.permit.begin(u)
-	// A trial that reserved the engine meanwhile waits for requests that began.
-	if d.suspects.reserved(u.VM.ID) {
+	// A drain that closed the engine meanwhile, or a trial that reserved it, waits
+	// for requests that began.
+	if u.Closed() || d.suspects.reserved(u.VM.ID) {
 		end()
 		return nil, nil, nil
 	}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/adapter/engine"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
@@ -72,6 +73,7 @@
 		Engines:  engines.Dial,
 		Services: service.NewDialer(l.Upstreams),
 		Peers:    peer.NewDialer(l.Peers).Dial,
+		Clock:    clock.Boot{},
 		Logger:   logger,
 		Seed:     uint64(time.Now().UnixNano()),
 		Version:  version,
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -185,8 +185,13 @@
 		s.release(g.digest)
 		return nil, nil
 	}
-	s.daemon.metrics.Trials.Add(1)
 	end := g.permit.begin(u)
+	if u.Closed() {
+		end()
+		s.release(g.digest)
+		return nil, nil
+	}
+	s.daemon.metrics.Trials.Add(1)
 	return u, func() {
 		end()
 		s.release(g.digest)
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -122,7 +122,7 @@
 	case 0:
 		u.VM.State = port.VMLeaving
 	case 1:
-		u.SetDraining(true)
+		u.SetClosed(true)
 	case 2:
 		report.Status.Phase = port.PhaseChanging
 	case 3:
@@ -251,7 +251,7 @@
 			t.Errorf("with %d and %d tokens queued and a delay of %s: picked %s", c.queued, c.queuedRemote, c.delay, got.VM.ID)
 		}
 	}
-	local.SetDraining(true)
+	local.SetClosed(true)
 	if table.Pick(Request{Pool: "pool", Model: testModel, DataCentre: "a", Now: testNow}) != remote {
 		t.Errorf("a data centre without engines does not use another one")
 	}
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -23,11 +23,11 @@
 
 	inFlight atomic.Int64
 	// tokens counts prompt and predicted output tokens in flight.
-	tokens   atomic.Int64
-	limit    atomic.Int64
-	sent     sentLog
-	status   atomic.Pointer[Report]
-	draining atomic.Bool
+	tokens atomic.Int64
+	limit  atomic.Int64
+	sent   sentLog
+	status atomic.Pointer[Report]
+	closed atomic.Bool
 }
 
 // Report is an engine's status and when this daemon received it.
@@ -57,8 +57,14 @@
 // Report returns the newest report, or nil.
 func (u *Upstream) Report() *Report { return u.status.Load() }
 
-// SetDraining excludes the upstream from new work, or includes it again.
-func (u *Upstream) SetDraining(draining bool) { u.draining.Store(draining) }
+// SetClosed tells whether the upstream is closed to new requests, because it is
+// drained or withdrawn.
+func (u *Upstream) SetClosed(closed bool) { u.closed.Store(closed) }
+
+// Closed tells whether the upstream is closed to new requests. A request that is
+// counted with Begin before it asks cannot be missed by a caller that closes the
+// upstream and then sees no request in flight.
+func (u *Upstream) Closed() bool { return u.closed.Load() }
 
 // SetLimit sets the work, in tokens, that this daemon may have in flight at the
 // upstream before others are preferred; 0 means no limit.
@@ -105,7 +111,7 @@
 
 // Serving tells whether the upstream takes new work.
 func (u *Upstream) Serving() bool {
-	if u.VM.State == port.VMLeaving || u.draining.Load() {
+	if u.VM.State == port.VMLeaving || u.closed.Load() {
 		return false
 	}
 	if u.VM.Kind != port.KindEngine {
--- a/tools/testreport/main.go
+++ b/tools/testreport/main.go
@@ -132,9 +132,31 @@
 		return
 	}
 	r.failed = append(r.failed, e.name())
-	if b, ok := r.output[e.name()]; ok {
-		fmt.Fprintln(r.out, b.String())
+	r.print(e.name())
+	if e.Test == "" {
+		r.printUnfinished(e.Package)
+	}
+}
+
+// printUnfinished shows the output of tests that had not ended when their package
+// failed, for example by a timeout.
+func (r *report) printUnfinished(pkg string) {
+	for name := range r.output {
+		if strings.HasPrefix(name, pkg+" ") {
+			r.print(name)
+		}
+	}
+}
+
+// print shows the end of the output of a test or package.
+func (r *report) print(name string) {
+	const maxBytes = 20_000
+	b, ok := r.output[name]
+	if !ok {
+		return
 	}
+	text := b.String()
+	fmt.Fprintln(r.out, text[max(0, len(text)-maxBytes):])
 }
 
 // explained tells whether a failure of the package follows from one of its tests.
