--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -308,23 +308,29 @@
 func TestTakeoverFromPausedHolder(t *testing.T) {
 	forFencing(t, func(r *orderRun) {
 		r.traffic()
-		r.roll()
-		r.await("a daemon holds the lease", time.Minute, func() bool { return r.holder() != "" })
-		old := r.holder()
-		r.gates[old].close()
-		r.await("an order is about to be sent", 3*time.Minute, func() bool { return r.gates[old].waiting() > 0 })
-		whole := r.rng.IntN(2) == 0
-		r.pause(old, true, whole)
-		r.await("another daemon holds the lease", time.Minute, func() bool { return r.holder() != "" && r.holder() != old })
-		r.roll()
-		time.Sleep(time.Duration(30+r.rng.IntN(60)) * time.Second)
-		r.gates[old].open()
-		time.Sleep(5 * time.Second)
-		r.pause(old, false, whole)
+		r.takeOver(false)
+		r.takeOver(true)
 		r.finish()
 	})
 }
 
+// takeOver pauses the holder before it sends an order, lets another daemon take
+// over with a different wish, and ends the pause.
+func (r *orderRun) takeOver(whole bool) {
+	r.roll()
+	r.await("a daemon holds the lease", time.Minute, func() bool { return r.holder() != "" })
+	old := r.holder()
+	r.gates[old].close()
+	r.await("an order is about to be sent", 3*time.Minute, func() bool { return r.gates[old].waiting() > 0 })
+	r.pause(old, true, whole)
+	r.await("another daemon holds the lease", time.Minute, func() bool { return r.holder() != "" && r.holder() != old })
+	r.roll()
+	time.Sleep(time.Duration(30+r.rng.IntN(60)) * time.Second)
+	r.gates[old].open()
+	time.Sleep(5 * time.Second)
+	r.pause(old, false, whole)
+}
+
 // Guards against a change that a daemon without the log does not know of, and
 // against one that stops serving while it waits for that daemon.
 func TestChangeWaitsForEveryDaemon(t *testing.T) {
