--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/anishathalye/porcupine"
+
 	"bergamotsill.example/bergamotsill/internal/lease"
 	"bergamotsill.example/bergamotsill/internal/order"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -50,6 +55,29 @@
 	return g.held
 }
 
+// pass waits while the gate is closed.
+func (g *orderGate) pass(ctx context.Context) error {
+	g.mu.Lock()
+	closed := g.closed
+	if closed == nil {
+		g.mu.Unlock()
+		return nil
+	}
+	g.held++
+	g.mu.Unlock()
+	defer func() {
+		g.mu.Lock()
+		g.held--
+		g.mu.Unlock()
+	}()
+	select {
+	case <-closed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // gatedLog refuses the appends of a muted daemon.
 type gatedLog struct {
 	port.Log
@@ -66,29 +94,86 @@
 // gatedEngine sends orders through a gate.
 type gatedEngine struct {
 	port.Engine
-	gate *orderGate
+	address string
+	gate    *orderGate
+	history *orderHistory
 }
 
+// Order counts an order as called when it has passed the gate.
 func (e gatedEngine) Order(ctx context.Context, o port.Order) error {
-	e.gate.mu.Lock()
-	closed := e.gate.closed
-	if closed == nil || o.Kind == port.OrderRaiseFencing {
-		e.gate.mu.Unlock()
-		return e.Engine.Order(ctx, o)
+	if o.Kind != port.OrderRaiseFencing {
+		if err := e.gate.pass(ctx); err != nil {
+			return err
+		}
 	}
-	e.gate.held++
-	e.gate.mu.Unlock()
-	defer func() {
-		e.gate.mu.Lock()
-		e.gate.held--
-		e.gate.mu.Unlock()
-	}()
-	select {
-	case <-closed:
-		return e.Engine.Order(ctx, o)
-	case <-ctx.Done():
-		return ctx.Err()
+	call := time.Now()
+	err := e.Engine.Order(ctx, o)
+	e.history.add(fencedWrite{e.address, o.Fencing}, call, err)
+	return err
+}
+
+// fencedWrite is an order as the input of fencedModel.
+type fencedWrite struct {
+	engine  string
+	fencing int64
+}
+
+// Results of an order.
+const (
+	writeAccepted = iota
+	writeRefused
+	writeUnknown
+)
+
+// orderHistory holds the orders that all daemons sent, for porcupine.
+type orderHistory struct {
+	mu         sync.Mutex
+	operations []porcupine.Operation
+}
+
+func (h *orderHistory) add(w fencedWrite, call time.Time, err error) {
+	op := porcupine.Operation{Input: w, Call: call.UnixNano(), Output: writeAccepted, Return: time.Now().UnixNano()}
+	switch {
+	case errors.Is(err, port.ErrStaleFencing):
+		op.Output = writeRefused
+	case err != nil:
+		// The order may still take effect.
+		op.Output, op.Return = writeUnknown, call.Add(time.Hour).UnixNano()
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	op.ClientId = len(h.operations)
+	h.operations = append(h.operations, op)
+}
+
+// fencedModel is one engine that accepts orders whose fencing number is not below
+// the highest one accepted.
+var fencedModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{int64(0)} },
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		engines := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			name := op.Input.(fencedWrite).engine
+			engines[name] = append(engines[name], op)
+		}
+		return slices.Collect(maps.Values(engines))
+	},
+	Step: func(state, input, output any) []any {
+		highest, fencing := state.(int64), input.(fencedWrite).fencing
+		stale := fencing < highest
+		switch {
+		case output == writeAccepted && !stale:
+			return []any{fencing}
+		case output == writeRefused && stale:
+			return []any{highest}
+		case output == writeUnknown && !stale:
+			return []any{highest, fencing}
+		case output == writeUnknown:
+			return []any{highest}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
 }
 
 // orderRun is a cluster whose engines are rolled from version to version.
@@ -105,6 +190,7 @@
 	announced map[string]announcement
 	lastLoad  time.Time
 	revision  int64
+	history   orderHistory
 	stop      chan struct{}
 	work      sync.WaitGroup
 }
@@ -130,7 +216,7 @@
 		r.gates[s.Name] = g
 		dial := deps.Engines
 		deps.Log = gatedLog{deps.Log, g}
-		deps.Engines = func(address string) port.Engine { return gatedEngine{dial(address), g} }
+		deps.Engines = func(address string) port.Engine { return gatedEngine{dial(address), address, g, &r.history} }
 	}
 	for i := range 3 {
 		c.addEngine(fmt.Sprintf("engine-%d", i), controlDataCentre, standin.EngineOptions{
@@ -276,7 +362,14 @@
 	for _, seed := range seeds(t) {
 		for _, fenced := range []bool{true, false} {
 			t.Run(fmt.Sprintf("seed=%d fenced=%t", seed, fenced), func(t *testing.T) {
-				inCluster(t, seed, func(c *cluster) { f(newOrderRun(c, fenced)) })
+				var r *orderRun
+				inCluster(t, seed, func(c *cluster) {
+					r = newOrderRun(c, fenced)
+					f(r)
+				})
+				if fenced && porcupine.CheckOperationsTimeout(fencedModel.ToModel(), r.history.operations, time.Minute) != porcupine.Ok {
+					t.Errorf("history of %d orders is not that of engines that check fencing", len(r.history.operations))
+				}
 			})
 		}
 	}
@@ -308,23 +401,29 @@
 func TestTakeoverFromPausedHolder(t *testing.T) {
 	forFencing(t, func(r *orderRun) {
 		r.traffic()
-		r.roll()
-		r.await("a daemon holds the lease", time.Minute, func() bool { return r.holder() != "" })
-		old := r.holder()
-		r.gates[old].close()
-		r.await("an order is about to be sent", 3*time.Minute, func() bool { return r.gates[old].waiting() > 0 })
-		whole := r.rng.IntN(2) == 0
-		r.pause(old, true, whole)
-		r.await("another daemon holds the lease", time.Minute, func() bool { return r.holder() != "" && r.holder() != old })
-		r.roll()
-		time.Sleep(time.Duration(30+r.rng.IntN(60)) * time.Second)
-		r.gates[old].open()
-		time.Sleep(5 * time.Second)
-		r.pause(old, false, whole)
+		r.takeOver(false)
+		r.takeOver(true)
 		r.finish()
 	})
 }
 
+// takeOver pauses the holder before it sends an order, lets another daemon take
+// over with a different wish, and ends the pause.
+func (r *orderRun) takeOver(whole bool) {
+	r.roll()
+	r.await("a daemon holds the lease", time.Minute, func() bool { return r.holder() != "" })
+	old := r.holder()
+	r.gates[old].close()
+	r.await("an order is about to be sent", 3*time.Minute, func() bool { return r.gates[old].waiting() > 0 })
+	r.pause(old, true, whole)
+	r.await("another daemon holds the lease", time.Minute, func() bool { return r.holder() != "" && r.holder() != old })
+	r.roll()
+	time.Sleep(time.Duration(30+r.rng.IntN(60)) * time.Second)
+	r.gates[old].open()
+	time.Sleep(5 * time.Second)
+	r.pause(old, false, whole)
+}
+
 // Guards against a change that a daemon without the log does not know of, and
 // against one that stops serving while it waits for that daemon.
 func TestChangeWaitsForEveryDaemon(t *testing.T) {
