--- a/internal/claim/partition.go
+++ b/internal/claim/partition.go
@@ -1,9 +1,10 @@
 package claim
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/json"
-	"sort"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,12 +29,40 @@
 // Appenders orders daemons by rendezvous hashing: the first one appends for the
 // stream, the next ones take over when it is unreachable.
 func Appenders(stream string, addresses []string) []string {
-	out := append([]string(nil), addresses...)
-	weight := func(address string) uint64 { return xxhash.Sum64String(stream + "|" + address) }
-	sort.Slice(out, func(i, j int) bool { return weight(out[i]) > weight(out[j]) })
+	candidates := make([]candidate, len(addresses))
+	for i, address := range addresses {
+		candidates[i] = newCandidate(stream, address)
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	out := make([]string, len(candidates))
+	for i, c := range candidates {
+		out[i] = c.address
+	}
 	return out
 }
 
+// FirstAppender returns the first of Appenders, or "" when there are no addresses.
+// It does not sort, since every daemon asks for it for every stream each second.
+func FirstAppender(stream string, addresses []string) string {
+	var first candidate
+	for _, address := range addresses {
+		if c := newCandidate(stream, address); first.address == "" || c.weight > first.weight {
+			first = c
+		}
+	}
+	return first.address
+}
+
+// candidate is a daemon and its weight for one stream.
+type candidate struct {
+	address string
+	weight  uint64
+}
+
+func newCandidate(stream, address string) candidate {
+	return candidate{address: address, weight: xxhash.Sum64String(stream + "|" + address)}
+}
+
 // Options bound a partition. They decide verdicts, so they are part of the
 // protocol: a daemon with other values would accept claims that others refuse.
 type Options struct {
--- a/internal/daemon/claim_appender.go
+++ b/internal/daemon/claim_appender.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sync/atomic"
+	"expvar"
 	"time"
 
 	"go.uber.org/zap"
@@ -78,8 +78,9 @@
 type appender struct {
 	claims *claims
 	stream string
-	size   atomic.Int64
-	queue  chan *submission
+	// size is the number of remembered keys and withdrawn claims.
+	size  expvar.Int
+	queue chan *submission
 
 	state   *claim.Partition
 	waiting map[string][]*submission
@@ -179,12 +180,14 @@
 // tail keeps the partition current while this daemon appends for it, and releases
 // its memory otherwise.
 func (a *appender) tail(ctx context.Context) {
-	if !a.claims.appendsFor(a.stream) && time.Since(a.used) > claimIdle {
-		a.forget()
-		a.size.Store(0)
+	if !a.claims.appendsFor(a.stream) {
+		if time.Since(a.used) > claimIdle {
+			a.forget()
+			a.size.Set(0)
+		}
 		return
 	}
-	if !a.claims.appendsFor(a.stream) || a.refresh(ctx) != nil {
+	if a.refresh(ctx) != nil {
 		return
 	}
 	if a.state.Scanning() {
@@ -232,7 +235,7 @@
 		if a.state.Next() < page.Next {
 			continue
 		}
-		a.size.Store(int64(a.state.Size()))
+		a.size.Set(int64(a.state.Size()))
 		a.read = time.Now()
 		return nil
 	}
--- a/internal/daemon/claim_peers.go
+++ b/internal/daemon/claim_peers.go
@@ -83,8 +83,7 @@
 
 // appendsFor tells whether this daemon is the appender of a stream.
 func (c *claims) appendsFor(stream string) bool {
-	order := claim.Appenders(stream, c.liveDaemons())
-	return len(order) > 0 && order[0] == c.daemon.settings.Listen.Peer
+	return claim.FirstAppender(stream, c.liveDaemons()) == c.daemon.settings.Listen.Peer
 }
 
 // appenders returns the addresses to submit a record to, in order. The daemon
@@ -207,14 +206,14 @@
 // refuses records of its peers.
 func (c *claims) handOver(ctx context.Context) {
 	for stream := range c.partitions {
-		next := claim.Appenders(stream, c.liveDaemons())
+		next := claim.FirstAppender(stream, c.liveDaemons())
 		own := c.daemon.settings.Listen.Peer
-		if len(next) == 0 || claim.Appenders(stream, []string{own, next[0]})[0] != own {
+		if next == "" || claim.FirstAppender(stream, []string{own, next}) != own {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, claimStatusTimeout)
 		var result claimResult
-		err := c.daemon.deps.Peers(next[0]).Call(ctx, methodClaimAppend, claimAppendParams{Stream: stream}, &result)
+		err := c.daemon.deps.Peers(next).Call(ctx, methodClaimAppend, claimAppendParams{Stream: stream}, &result)
 		cancel()
 		if err != nil {
 			// The next appender reads the stream when it gets its first record.
--- a/internal/daemon/claim_rules_test.go
+++ b/internal/daemon/claim_rules_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,7 +104,7 @@
 		}
 		readers := 0
 		for _, d := range c.daemons {
-			if d.claims.partitions[claim.StreamName(0)].size.Load() > 0 {
+			if d.claims.partitions[claim.StreamName(0)].size.Value() > 0 {
 				readers++
 			}
 		}
@@ -251,6 +252,33 @@
 	})
 }
 
+// Guards against claimed calls without a bound on those that run or wait for their
+// record, and against a bound that is not released.
+func TestClaimedCallsAreBounded(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		c.adjust = func(s *settings.Settings) { s.Claims.Calls = 3 }
+		c.claimCluster(1, 1)
+		c.services["service-0"].SetFaults(standin.ServiceFaults{DelayMS: 5000})
+		got := map[string]int{}
+		var serial atomic.Int64
+		for range 2 {
+			replies := make(chan reply)
+			for range 5 {
+				go func() { replies <- c.confirm("daemon-0", fmt.Sprintf("key-%d", serial.Add(1)), "x") }()
+			}
+			for range 5 {
+				got[holds(<-replies)]++
+			}
+		}
+		if got["200"] != 6 || got["claims-full not-run attempt"] != 4 {
+			t.Errorf("replies are %v, want 6 answers and 4 refusals", got)
+		}
+		if n := c.daemons["daemon-0"].metrics.ClaimCalls.Value(); n != 0 {
+			t.Errorf("%d calls still count as running", n)
+		}
+	})
+}
+
 // Guards against a repeatable call that is sent to a whole failing pool, or twice to
 // one upstream.
 func TestRepeatableCallIsNotMultiplied(t *testing.T) {
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"expvar"
 	"sync"
 	"time"
 
@@ -58,21 +57,13 @@
 	}
 	for i := range d.settings.Claims.Partitions {
 		stream := claim.StreamName(i)
-		c.partitions[stream] = newAppender(c, stream)
+		a := newAppender(c, stream)
+		c.partitions[stream] = a
+		d.metrics.ClaimEntries.Set(stream, &a.size)
 	}
-	d.metrics.vars.Set("claim_entries", expvar.Func(c.entries))
 	return c
 }
 
-// entries returns the number of remembered keys per stream, for the metrics.
-func (c *claims) entries() any {
-	out := map[string]int64{}
-	for stream, a := range c.partitions {
-		out[stream] = a.size.Load()
-	}
-	return out
-}
-
 func (c *claims) start() {
 	for _, a := range c.partitions {
 		c.daemon.tomb.Go(a.run)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -36,6 +36,8 @@
 	ClaimCheckpoints expvar.Int
 	// ClaimCalls is the number of claimed calls that run or wait to be recorded.
 	ClaimCalls expvar.Int
+	// ClaimEntries is the number of remembered keys and withdrawn claims by stream.
+	ClaimEntries expvar.Map
 	// Revision is the configuration revision in force.
 	Revision expvar.Int
 }
@@ -56,6 +58,8 @@
 	m.vars.Set("probes_failed", &m.ProbesFailed)
 	m.vars.Set("claim_appends", &m.ClaimAppends)
 	m.vars.Set("claim_checkpoints", &m.ClaimCheckpoints)
+	m.ClaimEntries.Init()
+	m.vars.Set("claim_entries", &m.ClaimEntries)
 	m.vars.Set("claim_calls", &m.ClaimCalls)
 	m.vars.Set("revision", &m.Revision)
 	return m
