Checkpoint claims as often as set; do not append what is recorded

Cause: with a log that keeps 300 records, the fault test met streams without a covering checkpoint: a checkpoint was only due after as many records as the table has entries, withdrawn claims included, whatever the setting said. And a withdrawal whose append was reported as unknown was appended again although it was on the log (up to 1,465 withdrawals in a run of 40 keys).

checkpoint_records now holds as stated; its default rises from 2,000 to 10,000, since a state of 50,000 keys is written each time. An appender answers records that it has applied already without an append.

TestPartitionMatchesOracle also compares Known with the verdict that follows, and failed when Known accepted a finished claim.

--- a/internal/claim/partition.go
+++ b/internal/claim/partition.go
@@ -156,16 +156,36 @@
 // Entry returns a copy of the state of a key, or nil when nothing is known of it.
 func (p *Partition) Entry(key string) *Entry { return p.entries[key].clone() }
 
-// CheckpointDue tells whether a checkpoint should be written: records arrived
-// since the last one, and either their number reaches records (or the size of the
-// table, so that checkpoints stay a bounded share of all appends) or the log's
-// time advanced by age.
+// Known returns the verdict on a record that the applied records decide already, so
+// that it need not be appended (again).
+func (p *Partition) Known(r Record) (Verdict, bool) {
+	e := p.entries[r.Key]
+	attempt := Attempt{Claim: r.Claim, Owner: r.Owner}
+	own := e.Stands() && e.Attempt == attempt
+	switch {
+	case p.scan != nil:
+		return "", false
+	case r.Kind == KindClaim && e.withdrawn(attempt):
+		return Dead, true
+	case r.Kind == KindClaim && own && e.Result == "":
+		return Accepted, true
+	case r.Kind == KindClaim && e.Stands():
+		return Duplicate, true
+	case r.Kind == KindWithdraw && e.withdrawn(attempt), r.Kind == KindOutcome && own && e.Result != "":
+		return Recorded, true
+	}
+	return "", false
+}
+
+// CheckpointDue tells whether a checkpoint should be written: records arrived since
+// the last one, and either their number reaches records or the log's time advanced
+// by age.
 func (p *Partition) CheckpointDue(records int64, age time.Duration, now time.Time) bool {
 	since := p.next - p.covered
 	if p.scan != nil || since <= 0 {
 		return false
 	}
-	return since >= max(records, int64(p.Size())) || now.Unix()-p.coveredClock >= int64(age.Seconds())
+	return since >= records || now.Unix()-p.coveredClock >= int64(age.Seconds())
 }
 
 // Apply applies a record and returns its verdict. The first claim on a key wins.
--- a/internal/claim/partition_test.go
+++ b/internal/claim/partition_test.go
@@ -67,7 +67,12 @@
 	rec := port.Record{Offset: int64(len(h.log)), ID: r.RecordID(), Time: time.Unix(h.now, 0), Data: data}
 	h.log = append(h.log, rec)
 	full := h.full.Size() >= testEntries
+	known, ok := h.full.Known(r)
 	verdict := h.full.Apply(rec)
+	// The record's own time may expire the key that Known still remembers.
+	if ok && known != verdict && h.full.Entry(r.Key) != nil {
+		return fmt.Errorf("verdict %s was predicted, %s came", known, verdict)
+	}
 	h.verdicts = append(h.verdicts, verdict)
 	if err := h.check(r, verdict, full); err != nil {
 		return err
--- a/internal/daemon/claim_appender.go
+++ b/internal/daemon/claim_appender.go
@@ -300,10 +300,8 @@
 			s.done <- claimResult{Verdict: claim.Recorded}
 			continue
 		}
-		e := a.state.Entry(s.record.Key)
-		own := claim.Attempt{Claim: s.record.Claim, Owner: s.record.Owner}
-		if s.record.Kind == claim.KindClaim && e.Stands() && e.Attempt != own {
-			s.done <- claimResult{Verdict: claim.Duplicate, Entry: e}
+		if verdict, ok := a.state.Known(s.record); ok {
+			s.done <- claimResult{Verdict: verdict, Entry: a.state.Entry(s.record.Key)}
 			continue
 		}
 		rest = append(rest, s)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -146,7 +146,8 @@
 	// Calls bounds the claimed calls that run or wait to be recorded.
 	Calls int `json:"calls"`
 	// CheckpointRecords is the number of records on a claim stream after which its
-	// state is written again. It must be well below what the log retains.
+	// state is written again. It must be well below what the log retains. A state
+	// holds up to 50,000 keys, so a low value multiplies what is appended.
 	CheckpointRecords int64 `json:"checkpoint_records"`
 	// Retention is how long the log keeps records. A claim window longer than half
 	// of it is cut to that, since recorded answers stay on the log alone.
@@ -186,7 +187,7 @@
 			Partitions:        16,
 			AnswerBytes:       64 << 10,
 			Calls:             1024,
-			CheckpointRecords: 2000,
+			CheckpointRecords: 10_000,
 			Retention:         Duration(72 * time.Hour),
 			Wait:              Duration(5 * time.Second),
 			CallTimeout:       Duration(time.Minute),
