--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -12,6 +12,7 @@
 	"bergamotsill.example/bergamotsill/internal/burn"
 	"bergamotsill.example/bergamotsill/internal/membership"
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/quarantine"
 )
 
 // peerHandlers returns the methods of the peer interface.
@@ -33,6 +34,8 @@
 
 		methodClaimAppend: d.claims.serveAppend,
 		methodClaimStatus: d.claims.serveStatus,
+
+		quarantine.MethodReport: d.suspects.receive,
 	}
 }
 
--- a/internal/standin/requestlog.go
+++ b/internal/standin/requestlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -64,7 +65,7 @@
 	if err != nil || json.Unmarshal(body, &in) != nil {
 		return "", 0
 	}
-	return in.RequestID, in.Attempt
+	return cmp.Or(in.CallerRequestID, in.RequestID), in.Attempt
 }
 
 // statusRecorder remembers the status of a response.
