--- a/internal/claim/partition.go
+++ b/internal/claim/partition.go
@@ -1,9 +1,10 @@
 package claim
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/json"
-	"sort"
+	"slices"
 	"strconv"
 	"time"
 
@@ -28,12 +29,40 @@
 // Appenders orders daemons by rendezvous hashing: the first one appends for the
 // stream, the next ones take over when it is unreachable.
 func Appenders(stream string, addresses []string) []string {
-	out := append([]string(nil), addresses...)
-	weight := func(address string) uint64 { return xxhash.Sum64String(stream + "|" + address) }
-	sort.Slice(out, func(i, j int) bool { return weight(out[i]) > weight(out[j]) })
+	candidates := make([]candidate, len(addresses))
+	for i, address := range addresses {
+		candidates[i] = newCandidate(stream, address)
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	out := make([]string, len(candidates))
+	for i, c := range candidates {
+		out[i] = c.address
+	}
 	return out
 }
 
+// FirstAppender returns the first of Appenders, or "" when there are no addresses.
+// It does not sort, since every daemon asks for it for every stream each second.
+func FirstAppender(stream string, addresses []string) string {
+	var first candidate
+	for _, address := range addresses {
+		if c := newCandidate(stream, address); first.address == "" || c.weight > first.weight {
+			first = c
+		}
+	}
+	return first.address
+}
+
+// candidate is a daemon and its weight for one stream.
+type candidate struct {
+	address string
+	weight  uint64
+}
+
+func newCandidate(stream, address string) candidate {
+	return candidate{address: address, weight: xxhash.Sum64String(stream + "|" + address)}
+}
+
 // Options bound a partition. They decide verdicts, so they are part of the
 // protocol: a daemon with other values would accept claims that others refuse.
 type Options struct {
@@ -127,16 +156,36 @@
 // Entry returns a copy of the state of a key, or nil when nothing is known of it.
 func (p *Partition) Entry(key string) *Entry { return p.entries[key].clone() }
 
-// CheckpointDue tells whether a checkpoint should be written: records arrived
-// since the last one, and either their number reaches records (or the size of the
-// table, so that checkpoints stay a bounded share of all appends) or the log's
-// time advanced by age.
+// Known returns the verdict on a record that the applied records decide already, so
+// that it need not be appended (again).
+func (p *Partition) Known(r Record) (Verdict, bool) {
+	e := p.entries[r.Key]
+	attempt := Attempt{Claim: r.Claim, Owner: r.Owner}
+	own := e.Stands() && e.Attempt == attempt
+	switch {
+	case p.scan != nil:
+		return "", false
+	case r.Kind == KindClaim && e.withdrawn(attempt):
+		return Dead, true
+	case r.Kind == KindClaim && own && e.Result == "":
+		return Accepted, true
+	case r.Kind == KindClaim && e.Stands():
+		return Duplicate, true
+	case r.Kind == KindWithdraw && e.withdrawn(attempt), r.Kind == KindOutcome && own && e.Result != "":
+		return Recorded, true
+	}
+	return "", false
+}
+
+// CheckpointDue tells whether a checkpoint should be written: records arrived since
+// the last one, and either their number reaches records or the log's time advanced
+// by age.
 func (p *Partition) CheckpointDue(records int64, age time.Duration, now time.Time) bool {
 	since := p.next - p.covered
 	if p.scan != nil || since <= 0 {
 		return false
 	}
-	return since >= max(records, int64(p.Size())) || now.Unix()-p.coveredClock >= int64(age.Seconds())
+	return since >= records || now.Unix()-p.coveredClock >= int64(age.Seconds())
 }
 
 // Apply applies a record and returns its verdict. The first claim on a key wins.
