--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,128 @@
+package bench
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"sync"
+)
+
+// Options configures Run.
+type Options struct {
+	Seed uint64
+	// Ablations adds the rows with one mechanism switched off.
+	Ablations bool
+	// Only limits the run to one scenario; empty runs all.
+	Only string
+}
+
+// upperBound names the row that no policy can exceed.
+const upperBound = "upper bound"
+
+// cell is one run: a policy in a scenario of a fleet.
+type cell struct {
+	fleet    fleet
+	scenario scenario
+	policy   policy
+	upper    bool
+	alone    *aloneRuns
+	result   Result
+}
+
+// aloneRuns are the runs of each rank alone on the fleet under this system. The
+// cells of a scenario share them.
+type aloneRuns struct {
+	once  sync.Once
+	worth [3]float64
+}
+
+// Run plays all scenarios under all policies and returns one result for each.
+func Run(o Options) []Result {
+	var cells []*cell
+	for _, f := range fleets() {
+		for _, sc := range scenarios(o.Seed) {
+			if o.Only != "" && o.Only != sc.name {
+				continue
+			}
+			list := policies()
+			if o.Ablations && sc.ablate {
+				list = append(list, ablations()...)
+			}
+			alone := &aloneRuns{}
+			for _, p := range list {
+				cells = append(cells, &cell{fleet: f, scenario: sc, policy: p, alone: alone})
+			}
+			cells = append(cells, &cell{fleet: f, scenario: sc, policy: policy{name: upperBound}, upper: true})
+		}
+	}
+	var group sync.WaitGroup
+	slots := make(chan struct{}, max(1, runtime.NumCPU()/2))
+	for _, c := range cells {
+		group.Go(func() {
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			c.run(o.Seed)
+		})
+	}
+	group.Wait()
+	out := make([]Result, len(cells))
+	for i, c := range cells {
+		out[i] = c.result
+	}
+	return out
+}
+
+// load returns the requests of the cell's scenario; they depend on the seed only.
+func (c *cell) load(sc *scenario, seed uint64) []*request {
+	return generate(&c.fleet, sc.phases, sc.weights(&c.fleet), rand.New(rand.NewPCG(seed, 2)))
+}
+
+func (c *cell) run(seed uint64) {
+	if c.upper {
+		c.result = Result{Goodput: bound(&c.fleet, &c.scenario, c.load(&c.scenario, seed))}
+	} else {
+		c.result = c.play(&c.scenario, seed)
+		c.compareAlone(seed)
+	}
+	c.result.Fleet, c.result.Scenario, c.result.Policy = c.fleet.name, c.scenario.name, c.policy.name
+}
+
+func (c *cell) play(sc *scenario, seed uint64) Result {
+	w := newWorld(&c.fleet, sc, &c.policy, seed)
+	if c.policy.control != nil {
+		c.policy.control(w)
+	}
+	w.run(sc, c.load(sc, seed))
+	return w.measure()
+}
+
+// compareAlone relates the goodput of each rank in a flood to the rank's goodput
+// alone on the fleet under this system.
+func (c *cell) compareAlone(seed uint64) {
+	if c.scenario.alone == nil {
+		return
+	}
+	c.alone.once.Do(func() { c.playAlone(seed) })
+	for rank := range c.result.Kept {
+		demand := 0.0
+		for _, p := range c.scenario.phases {
+			demand = max(demand, p.load[rank])
+		}
+		c.result.Kept[rank] = ratio(c.result.worth[rank], c.alone.worth[rank])
+		c.result.Guarantee[rank] = min(1, c.fleet.shares[rank]/min(1, demand))
+	}
+}
+
+// playAlone plays the load of each rank alone, a flood at the fleet's capacity.
+func (c *cell) playAlone(seed uint64) {
+	for rank := range c.alone.worth {
+		sc := c.scenario
+		sc.phases = nil
+		for _, p := range c.scenario.phases {
+			alone := phase{length: p.length}
+			alone.load[rank] = min(p.load[rank], 1)
+			sc.phases = append(sc.phases, alone)
+		}
+		own := cell{fleet: c.fleet, policy: policies()[0]}
+		c.alone.worth[rank] = own.play(&sc, seed).worth[rank]
+	}
+}
--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -45,6 +45,7 @@
 	maxTokens int
 	out       *responder
 
+	permit *permit
 	// engineID is the request id towards engines. It is the daemon's own, because
 	// two callers may choose the same id.
 	engineID string
@@ -73,8 +74,14 @@
 	g.deadline = retry.Deadline(g.call.started, time.Duration(g.profile.TotalMS)*time.Millisecond)
 	g.excluded = map[string]bool{}
 	g.reconnects = map[string]int{}
+	var err error
+	if g.permit, err = d.admission.acquire(ctx, g); err != nil {
+		d.account(g, err)
+		return err
+	}
+	defer g.permit.release(g)
 	d.retries.first(g.profile)
-	err := d.attempts(ctx, g)
+	err = d.attempts(ctx, g)
 	if err == nil {
 		err = g.out.Finish(g.assembler.Last())
 	}
@@ -160,7 +167,7 @@
 	if u == nil {
 		return nil, nil, d.noEngine(g)
 	}
-	end := u.Begin()
+	end := g.permit.begin(u)
 	// A trial that reserved the engine meanwhile waits for requests that began.
 	if d.suspects.reserved(u.VM.ID) {
 		end()
@@ -183,12 +190,9 @@
 }
 
 func (d *Daemon) pick(g *generation, excluded map[string]bool) *routing.Upstream {
-	return d.fleet.Table().Pick(routing.Request{
-		Pool:       g.profile.Pool,
-		Model:      g.profile.Model,
-		DataCentre: d.settings.DataCentre,
-		Excluded:   excluded,
-	})
+	r := d.admission.request(g)
+	r.Excluded = excluded
+	return d.fleet.Table().Pick(r)
 }
 
 func (d *Daemon) recordRoute(g *generation, verdict string) {
@@ -226,13 +230,14 @@
 func (d *Daemon) stream(ctx context.Context, g *generation, u *routing.Upstream) error {
 	g.assembler.Begin(g.attempt)
 	stream, err := u.Engine.Generate(ctx, port.GenerateRequest{
-		RequestID: g.engineID,
-		Attempt:   g.attempt,
-		Model:     g.profile.Model,
-		Prompt:    g.prompt,
-		MaxTokens: g.maxTokens,
-		Priority:  g.profile.Rank.Priority(),
-		From:      g.assembler.Next(),
+		RequestID:       g.engineID,
+		CallerRequestID: g.call.id,
+		Attempt:         g.attempt,
+		Model:           g.profile.Model,
+		Prompt:          g.prompt,
+		MaxTokens:       g.maxTokens,
+		Priority:        g.permit.priority(),
+		From:            g.assembler.Next(),
 	})
 	if err != nil {
 		return err
@@ -267,6 +272,7 @@
 }
 
 func (g *generation) deliver(chunk port.Chunk) error {
+	g.permit.progress(g.assembler.Next())
 	if g.firstToken.IsZero() {
 		g.firstToken = time.Now()
 	}
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -186,7 +186,7 @@
 		return nil, nil
 	}
 	s.daemon.metrics.Trials.Add(1)
-	end := u.Begin()
+	end := g.permit.begin(u)
 	return u, func() {
 		end()
 		s.release(g.digest)
--- a/internal/daemon/requests_test.go
+++ b/internal/daemon/requests_test.go
@@ -105,6 +105,12 @@
 	forSeeds(t, func(c *cluster) {
 		opts := standin.EngineOptions{PrefillRate: 500}
 		engines, daemons := c.settled(4, 2, opts)
+		// Without a tight target admission refuses none of the requests that wait for
+		// an engine with a fault.
+		patient := document()
+		patient.Profiles[0].FirstTokenMS = 60_000
+		c.publish("patient", 1, patient)
+		time.Sleep(time.Second)
 		var group sync.WaitGroup
 		var mu sync.Mutex
 		whole, total := 0, 24
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -42,6 +42,9 @@
 // GenerateRequest asks an engine for output tokens.
 type GenerateRequest struct {
 	RequestID string `json:"request_id"`
+	// CallerRequestID is the id that the caller knows, for logs only: two callers
+	// may choose the same one.
+	CallerRequestID string `json:"caller_request_id,omitempty"`
 	// Attempt distinguishes attempts of one request; it grows by one per attempt.
 	Attempt   int    `json:"attempt"`
 	Model     string `json:"model"`
--- a/internal/standin/memnet.go
+++ b/internal/standin/memnet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -17,6 +18,12 @@
 	listeners map[string]*memListener
 	blocked   map[[2]string]bool
 	conns     map[*memConn]struct{}
+	traffic   map[string]*Traffic
+}
+
+// Traffic counts what a host sent.
+type Traffic struct {
+	Bytes, Writes, Dials atomic.Int64
 }
 
 // NewMemNet returns an empty network.
@@ -25,7 +32,24 @@
 		listeners: map[string]*memListener{},
 		blocked:   map[[2]string]bool{},
 		conns:     map[*memConn]struct{}{},
+		traffic:   map[string]*Traffic{},
+	}
+}
+
+// Sent returns the counts of a host.
+func (n *MemNet) Sent(host string) *Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sentLocked(host)
+}
+
+func (n *MemNet) sentLocked(host string) *Traffic {
+	t, ok := n.traffic[host]
+	if !ok {
+		t = &Traffic{}
+		n.traffic[host] = t
 	}
+	return t
 }
 
 // Host returns the network as seen from a host with the given name. Faults are
@@ -120,12 +144,14 @@
 	if n.blocked[[2]string{h.name, l.host.name}] {
 		return nil, nil, nil, fmt.Errorf("dial %s: %w", address, syscall.EHOSTUNREACH)
 	}
+	n.sentLocked(h.name).Dials.Add(1)
 	near, far := net.Pipe()
 	lost := make(chan struct{})
 	once := &sync.Once{}
 	hosts := [2]string{h.name, l.host.name}
 	client := newMemConn(n, near, far, hosts, lost, once)
 	server := newMemConn(n, far, near, hosts, lost, once)
+	client.sent, server.sent = n.sentLocked(h.name), n.sentLocked(l.host.name)
 	n.conns[client] = struct{}{}
 	n.conns[server] = struct{}{}
 	return l, client, server, nil
@@ -144,6 +170,7 @@
 	// lost is closed when the connection has gone silent.
 	lost chan struct{}
 	once *sync.Once
+	sent *Traffic
 	// hole takes the place of Conn once the connection is silent. Nothing reads
 	// from or writes to its other end.
 	hole net.Conn
@@ -190,6 +217,8 @@
 // Write drops the bytes of a silent connection until its send buffer is full, and
 // blocks then.
 func (c *memConn) Write(p []byte) (int, error) {
+	c.sent.Bytes.Add(int64(len(p)))
+	c.sent.Writes.Add(1)
 	if !c.silent() {
 		return c.Conn.Write(p)
 	}
