Resume an answer only on an engine that takes new work

Cause: after a silence the answer continued on the engine that had failed, without asking routing, so an engine that had begun to leave or to drain got a new attempt.

TestResumesElsewhereWhenEngineIsLeaving: 2 attempts at the leaving engine before, 1 after; it fails without the question to routing.

--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -160,8 +160,8 @@
 // placeAmongOthers chooses an engine that is not kept for a trial. It returns
 // neither an engine nor an error when the request has to wait.
 func (d *Daemon) placeAmongOthers(g *generation) (*routing.Upstream, func(), error) {
-	u := g.resumeAt
-	if u == nil || d.suspects.reserved(u.VM.ID) {
+	u := d.resumable(g)
+	if u == nil {
 		u = d.pick(g, d.suspects.avoid(g.excluded))
 	}
 	if u == nil {
@@ -176,6 +176,19 @@
 	return u, end, nil
 }
 
+// resumable returns the engine that should continue the answer, unless it takes no
+// new work any more.
+func (d *Daemon) resumable(g *generation) *routing.Upstream {
+	if g.resumeAt == nil {
+		return nil
+	}
+	others := map[string]bool{}
+	for _, u := range d.fleet.Table().Pool(g.profile.Pool) {
+		others[u.VM.ID] = u.VM.ID != g.resumeAt.VM.ID
+	}
+	return d.pick(g, d.suspects.avoid(others))
+}
+
 // noEngine returns nil when an engine will be free after a trial, or when an
 // accepted answer may continue on an engine that failed before.
 func (d *Daemon) noEngine(g *generation) error {
--- a/internal/daemon/requests_test.go
+++ b/internal/daemon/requests_test.go
@@ -280,3 +280,25 @@
 		}
 	})
 }
+
+// Guards against an answer that is resumed, after a silence, on an engine that
+// takes no new work any more.
+func TestResumesElsewhereWhenEngineIsLeaving(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		engines, _ := c.settled(2, 1, standin.EngineOptions{})
+		var group sync.WaitGroup
+		group.Go(func() { c.checkAnswer("daemon-1", "history tokens=300", true) })
+		time.Sleep(time.Second)
+		for _, name := range engines {
+			e := c.engines[name]
+			if e.Status().Running == 0 {
+				continue
+			}
+			e.SetFaults(standin.EngineFaults{Silent: true, Leaving: true})
+			group.Wait()
+			if n := e.Started(); n != 1 {
+				t.Errorf("the leaving engine started %d attempts, want 1", n)
+			}
+		}
+	})
+}
