Keep trials of different requests off one engine

A daemon answers "busy" while a run of its own ended on the trial's engine less than 2 s ago, or while it has a trial of another request there that goes first; a trial also waits for the daemon's own such runs.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -227,7 +227,7 @@
 		if chosen == nil {
 			chosen = u
 		}
-		if u.InFlight() == 0 {
+		if u.InFlight() == 0 && !s.open(u.VM.ID) {
 			chosen = u
 			break
 		}
@@ -245,9 +245,10 @@
 	return s.daemon.pick(g, s.avoid(only)) != nil || s.daemon.pick(g, only) == nil
 }
 
-// drained waits until an engine has no work of this daemon.
+// drained waits until an engine has no work of this daemon. Runs that ended a
+// moment ago count as work, because a crash in the trial would be blamed on them.
 func (s *suspects) drained(ctx context.Context, g *generation, u *routing.Upstream) bool {
-	for u.InFlight() > 0 {
+	for u.InFlight() > 0 || s.open(u.VM.ID) {
 		if ctx.Err() != nil || time.Now().After(g.deadline) {
 			return false
 		}
@@ -256,6 +257,12 @@
 	return true
 }
 
+func (s *suspects) open(engine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Open(engine, time.Now())
+}
+
 // refresh reads an engine's incarnation, so that a crash in a trial is not
 // mistaken for an earlier one.
 func (s *suspects) refresh(ctx context.Context, u *routing.Upstream) bool {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -174,6 +174,14 @@
 	t.abandoned[r.Engine] = append(t.abandoned[r.Engine], r)
 }
 
+// Open tells whether a run of this daemon ended on an engine a moment ago, so that
+// a crash now would be blamed on it.
+func (t *Table) Open(engine string, now time.Time) bool {
+	return slices.ContainsFunc(t.abandoned[engine], func(r *Run) bool {
+		return now.Sub(r.ended) < 2*survivalDelay
+	})
+}
+
 // Observe records the incarnation that an engine reported when it was asked at a
 // given time. It resolves the abandoned runs and returns the digests that became
 // suspect or quarantined.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -412,6 +412,39 @@
 	}
 }
 
+// Guards against trials of two digests on one engine when daemons ask for it at the
+// same time.
+func TestTrialsOfOneEngineExcludeEachOther(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var tables [2]*Table
+	for i := range tables {
+		tables[i] = NewTable(Options{Self: fmt.Sprintf("daemon-%d", i), MaxEntries: 10, Hold: time.Hour})
+		if !tables[i].Intend(digests[i], "engine-0", now) {
+			t.Fatal("a trial is refused")
+		}
+	}
+	first, _ := tables[1].Merge(Report{Trials: tables[0].OwnTrials()}, now)
+	second, _ := tables[0].Merge(Report{Trials: tables[1].OwnTrials()}, now)
+	if len(first.Busy) != 0 || len(second.Busy) != 1 {
+		t.Errorf("busy are %v and %v, want only the second", first.Busy, second.Busy)
+	}
+}
+
+// Guards against a crash in a trial that is blamed on a run which a peer ended on
+// the same engine just before.
+func TestTrialWaitsForRunsThatJustEnded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable(Options{Self: "daemon-0", MaxEntries: 10, Hold: time.Hour})
+	table.Abandon(table.Begin("b", "engine-0", "incarnation-0"), now)
+	ask := Report{Trials: []Trial{{"a", "daemon-9", "engine-0"}}}
+	if result, _ := table.Merge(ask, now); len(result.Busy) != 1 {
+		t.Error("the trial may start")
+	}
+	if result, _ := table.Merge(ask, now.Add(2*survivalDelay)); len(result.Busy) != 0 {
+		t.Error("the trial waits for an engine that cannot be reached")
+	}
+}
+
 // Guards against a quarantine that never ends, a table that grows without bound,
 // and a trial of a dead peer that blocks a digest for good.
 func TestEntriesExpireAndAreBounded(t *testing.T) {
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -96,11 +96,16 @@
 // daemons that ask at the same time, the one with the lower incarnation goes first.
 func (t *Table) admit(trial Trial, now time.Time) bool {
 	t.peers[trial] = now.Add(trialLease)
-	if t.running(trial.Digest, now) {
+	if t.running(trial.Digest, now) || t.Open(trial.Engine, now) {
 		return false
 	}
-	own := t.own[trial.Digest]
-	return own == nil || (!own.running && trial.Holder < t.opts.Self)
+	for _, own := range t.own {
+		conflicts := own.trial.Digest == trial.Digest || own.trial.Engine == trial.Engine
+		if conflicts && (own.running || trial.Holder > t.opts.Self) {
+			return false
+		}
+	}
+	return true
 }
 
 // Merge applies a peer's report. It returns the answer and the digests that the
