--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -232,7 +232,7 @@
 		if chosen == nil {
 			chosen = u
 		}
-		if u.InFlight() == 0 {
+		if u.InFlight() == 0 && !s.open(u.VM.ID) {
 			chosen = u
 			break
 		}
@@ -250,9 +250,10 @@
 	return s.daemon.pick(g, s.avoid(only)) != nil || s.daemon.pick(g, only) == nil
 }
 
-// drained waits until an engine has no work of this daemon.
+// drained waits until an engine has no work of this daemon. Runs that ended a
+// moment ago count as work, because a crash in the trial would be blamed on them.
 func (s *suspects) drained(ctx context.Context, g *generation, u *routing.Upstream) bool {
-	for u.InFlight() > 0 {
+	for u.InFlight() > 0 || s.open(u.VM.ID) {
 		if ctx.Err() != nil || time.Now().After(g.deadline) {
 			return false
 		}
@@ -261,6 +262,12 @@
 	return true
 }
 
+func (s *suspects) open(engine string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Open(engine, time.Now())
+}
+
 // refresh reads an engine's incarnation, so that a crash in a trial is not
 // mistaken for an earlier one.
 func (s *suspects) refresh(ctx context.Context, u *routing.Upstream) bool {
@@ -316,13 +323,13 @@
 	return busy
 }
 
-// report sends one report to one peer. A peer that misses it gets all entries
-// later.
+// report sends one report to one peer, and again over a new connection when the
+// first one may have gone silent. A peer that misses both gets all entries later.
 func (s *suspects) report(ctx context.Context, vm port.VM, report quarantine.Report) (quarantine.ReportResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	var result quarantine.ReportResult
-	err := s.daemon.deps.Peers(vm.PeerAddress).Call(ctx, quarantine.MethodReport, report, &result)
+	result, err := s.call(ctx, vm, report)
+	if err != nil {
+		result, err = s.call(ctx, vm, report)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -335,6 +342,15 @@
 	return result, nil
 }
 
+func (s *suspects) call(ctx context.Context, vm port.VM, report quarantine.Report) (quarantine.ReportResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	var result quarantine.ReportResult
+	// The client closes its connection after a failure.
+	err := s.daemon.deps.Peers(vm.PeerAddress).Call(ctx, quarantine.MethodReport, report, &result)
+	return result, err
+}
+
 // receive answers a peer's report.
 func (s *suspects) receive(_ context.Context, params json.RawMessage) (any, error) {
 	var in quarantine.Report
