Send refused work to another data centre without asking the local one

Guards removed once each, seen to fail: the spill, leaving the own data centre out in the daemon and in routing.

--- a/internal/bench/own.go
+++ b/internal/bench/own.go
@@ -277,8 +277,9 @@
 		return false
 	}
 	request := o.routingRequest(r)
+	request.Remote = true
 	choice := o.table.Choose(request)
-	if !choice.Remote || choice.Upstream == nil || choice.FirstToken > request.Budget {
+	if choice.Upstream == nil || choice.FirstToken > min(request.Budget, admission.EngineWait(&r.kind.profile)) {
 		return false
 	}
 	e := o.engineOf(choice.Upstream)
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -236,6 +236,8 @@
 	output   int
 	upstream *routing.Upstream
 	sent     time.Time
+	// remote is set when the data centre itself cannot start the request in time.
+	remote bool
 	// read is set after the first token; corrected is the output at the last
 	// correction. Only the request's own goroutine uses them.
 	read      bool
@@ -331,9 +333,10 @@
 	if refused.Code != refusal.Overloaded {
 		return nil, refused
 	}
+	p.remote = true
 	g.permit = p
 	choice := a.daemon.fleet.Table().Choose(a.request(g))
-	if !choice.Remote || choice.FirstToken > p.budget(time.Now()) {
+	if choice.Upstream == nil || choice.FirstToken > min(p.budget(time.Now()), admission.EngineWait(g.profile)) {
 		return nil, refused
 	}
 	a.mu.Lock()
@@ -373,6 +376,7 @@
 		r.PromptTokens = g.permit.request.PromptTokens
 		r.OutputTokens = g.permit.output
 		r.Budget = g.permit.budget(now)
+		r.Remote = g.permit.remote && len(g.excluded) == 0
 	}
 	return r
 }
--- a/internal/daemon/admission_test.go
+++ b/internal/daemon/admission_test.go
@@ -121,3 +121,32 @@
 		d.admission.mu.Unlock()
 	}
 }
+
+// Guards against urgent work that is refused while another data centre is idle and
+// near enough to meet its target.
+func TestUrgentWorkSpillsToIdleDataCentre(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		c.addEngine("engine-1", "anand", standin.EngineOptions{Capacity: 300, PrefillRate: 300})
+		remote := c.addEngine("engine-2", "kheda", standin.EngineOptions{Capacity: 4000, PrefillRate: 4000})
+		c.addDaemon("daemon-1", "anand")
+		c.publish("r1", 0, floodDocument())
+		c.awaitReady()
+		time.Sleep(2 * time.Second)
+		f := &flooder{c: c}
+		for i := range 30 {
+			f.send(context.Background(), "daemon-1", fmt.Sprint("urgent-", i), testProfile)
+			time.Sleep(time.Duration(200+c.rng.IntN(100)) * time.Millisecond)
+		}
+		f.group.Wait()
+		answered := 0
+		for _, r := range f.results {
+			if r.reply.status == http.StatusOK {
+				answered++
+			}
+		}
+		if answered < 25 || remote.Started() == 0 {
+			c.t.Errorf("%d of 30 requests answered, %d started in the other data centre", answered, remote.Started())
+		}
+		c.checkAdmittersEmpty()
+	})
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -113,6 +113,8 @@
 	// Budget is what remains until the target for the first token; 0 means that
 	// there is no target, so that the local data centre is kept.
 	Budget time.Duration
+	// Remote leaves the request's own data centre out.
+	Remote bool
 	// RemoteDelay is the extra round trip to another data centre.
 	RemoteDelay time.Duration
 }
@@ -142,6 +144,9 @@
 	if !ok {
 		return Choice{}
 	}
+	if r.Remote {
+		return p.chooseRemote(&r)
+	}
 	local := p.chooseLocal(&r)
 	if local.Upstream != nil && (r.Budget <= 0 || local.FirstToken <= r.Budget) {
 		return local
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -251,6 +251,10 @@
 			t.Errorf("with %d and %d tokens queued and a delay of %s: picked %s", c.queued, c.queuedRemote, c.delay, got.VM.ID)
 		}
 	}
+	idle := Request{Pool: "pool", Model: testModel, DataCentre: "a", Now: testNow, Remote: true}
+	if got := table.Choose(idle); got.Upstream != remote || !got.Remote {
+		t.Errorf("a request that leaves its data centre out got %+v", got)
+	}
 	local.SetDraining(true)
 	if table.Pick(Request{Pool: "pool", Model: testModel, DataCentre: "a", Now: testNow}) != remote {
 		t.Errorf("a data centre without engines does not use another one")
