--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -62,6 +62,12 @@
 // known tells whether a VM list was read at least once.
 func (f *fleet) known() bool { return f.table.Load() != nil }
 
+// peerDaemons returns the other daemons on the VM list.
+func (f *fleet) peerDaemons() []port.VM {
+	own := f.daemon.settings.Name
+	return slices.DeleteFunc(f.daemons(), func(vm port.VM) bool { return vm.ID == own })
+}
+
 // Table returns the current routing table.
 func (f *fleet) Table() *routing.Table { return f.table.Load() }
 
@@ -239,7 +245,10 @@
 func (f *fleet) readStatus(ctx context.Context) {
 	var group sync.WaitGroup
 	for _, u := range f.watchedEngines() {
-		group.Go(func() { f.readEngine(ctx, u) })
+		group.Go(func() {
+			// The report carries a failure.
+			_ = f.readEngine(ctx, u)
+		})
 	}
 	group.Wait()
 	f.publishReports()
@@ -280,18 +289,25 @@
 	return out
 }
 
-func (f *fleet) readEngine(ctx context.Context, u *routing.Upstream) {
+// readEngine asks one engine for its status and returns why it did not answer.
+func (f *fleet) readEngine(ctx context.Context, u *routing.Upstream) error {
+	asked := time.Now()
 	status, err := u.Engine.Status(ctx)
 	if ctx.Err() != nil {
-		return
+		return ctx.Err()
 	}
-	f.daemon.gossip.locked(func() {
-		o := engineview.Observation{Status: status, Failed: err != nil, At: time.Now()}
-		if last, ok := f.daemon.gossip.engines.Get(u.VM.ID); ok && err != nil {
-			o.Status = last.Status
-		}
-		f.daemon.gossip.engines.Observe(u.VM.ID, o)
-	})
+	if last := u.Report(); err != nil && last != nil {
+		// The last known incarnation tells later whether the engine restarted.
+		status = last.Status
+	}
+	if err == nil {
+		f.daemon.gossip.locked(func() {
+			f.daemon.gossip.engines.Observe(u.VM.ID, engineview.Observation{Status: status, At: time.Now()})
+		})
+	}
+	u.SetReport(&routing.Report{Status: status, Received: time.Now(), Failed: err != nil})
+	f.daemon.suspects.observe(u.VM.ID, asked, status, err)
+	return err
 }
 
 // publishReports hands the newest observations to the request path.
@@ -304,7 +320,7 @@
 			continue
 		}
 		if last := u.Report(); last == nil || o.At.After(last.Received) {
-			u.SetReport(&routing.Report{Status: o.Status, Received: o.At, Failed: o.Failed})
+			u.SetReport(&routing.Report{Status: o.Status, Received: o.At})
 		}
 	}
 }
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -14,6 +14,8 @@
 	ErrNotRun = errors.New("request refused by upstream")
 	// ErrStaleFencing reports that an engine refused an order with an old fencing number.
 	ErrStaleFencing = errors.New("stale fencing number")
+	// ErrUnreachable reports that the upstream refused or closed a new connection.
+	ErrUnreachable = errors.New("upstream refuses connections")
 	// ErrSilent reports that a connection made no progress within its deadline.
 	ErrSilent = errors.New("connection made no progress")
 )
@@ -40,6 +42,9 @@
 // GenerateRequest asks an engine for output tokens.
 type GenerateRequest struct {
 	RequestID string `json:"request_id"`
+	// CallerRequestID is the id that the caller knows, for logs only: two callers
+	// may choose the same one.
+	CallerRequestID string `json:"caller_request_id,omitempty"`
 	// Attempt distinguishes attempts of one request; it grows by one per attempt.
 	Attempt   int    `json:"attempt"`
 	Model     string `json:"model"`
