--- a/internal/daemon/admission_test.go
+++ b/internal/daemon/admission_test.go
@@ -109,8 +109,10 @@
 	})
 }
 
-// checkAdmittersEmpty checks that no daemon counts work in flight or waiting.
+// checkAdmittersEmpty checks that no daemon counts work in flight or waiting, once
+// the handlers that have sent their last byte have returned.
 func (c *cluster) checkAdmittersEmpty() {
+	time.Sleep(time.Second)
 	for name, d := range c.daemons {
 		d.admission.mu.Lock()
 		for key, e := range d.admission.queues {
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -37,7 +37,7 @@
 		MinStay:      2 * time.Minute,
 		Busy:         0.85,
 		Margin:       1.2,
-		ShareMargin:  2,
+		ShareMargin:  3,
 	}
 }
 
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -191,14 +191,16 @@
 	count int
 }
 
-func (c *candidates) add(u *Upstream) {
+// add returns whether the upstream is new to the set.
+func (c *candidates) add(u *Upstream) bool {
 	for _, known := range c.list[:c.count] {
 		if known == u {
-			return
+			return false
 		}
 	}
 	c.list[c.count] = u
 	c.count++
+	return true
 }
 
 // choose returns the best of one data centre.
@@ -265,8 +267,7 @@
 	found := 0
 	for range sampleTries {
 		u := c.entries[r.Rand.IntN(len(c.entries))].upstream
-		if found < candidateCount && u.usable(r) {
-			set.add(u)
+		if found < candidateCount && u.usable(r) && set.add(u) {
 			found++
 		}
 	}
