--- a/internal/bench/plot.go
+++ b/internal/bench/plot.go
@@ -13,6 +13,8 @@
 	barWidth   = vg.Inch / 8
 	// plottedPolicies is the number of policies shown, without the ablations.
 	plottedPolicies = 5
+	// legendRoom leaves space above the bars for the legend.
+	legendRoom = 1.3
 )
 
 // WritePlot draws the goodput of the policies as a share of the upper bound; the
@@ -29,7 +31,7 @@
 	}
 	p := plot.New()
 	p.Title.Text = "Goodput as a share of the upper bound"
-	p.Y.Min, p.Y.Max = 0, 1
+	p.Y.Min, p.Y.Max = 0, legendRoom
 	p.Legend.Top = true
 	p.NominalX(sections...)
 	for i, policy := range policies()[:plottedPolicies] {
@@ -47,6 +49,7 @@
 		p.Add(bars)
 		p.Legend.Add(policy.name, bars)
 	}
+	p.X.Max = float64(len(sections))
 	return p.Save(plotWidth, plotHeight, path)
 }
 
