--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -113,6 +113,8 @@
 	// Budget is what remains until the target for the first token; 0 means that
 	// there is no target, so that the local data centre is kept.
 	Budget time.Duration
+	// Remote leaves the request's own data centre out.
+	Remote bool
 	// RemoteDelay is the extra round trip to another data centre.
 	RemoteDelay time.Duration
 }
@@ -142,6 +144,9 @@
 	if !ok {
 		return Choice{}
 	}
+	if r.Remote {
+		return p.chooseRemote(&r)
+	}
 	local := p.chooseLocal(&r)
 	if local.Upstream != nil && (r.Budget <= 0 || local.FirstToken <= r.Budget) {
 		return local
@@ -186,14 +191,16 @@
 	count int
 }
 
-func (c *candidates) add(u *Upstream) {
+// add returns whether the upstream is new to the set.
+func (c *candidates) add(u *Upstream) bool {
 	for _, known := range c.list[:c.count] {
 		if known == u {
-			return
+			return false
 		}
 	}
 	c.list[c.count] = u
 	c.count++
+	return true
 }
 
 // choose returns the best of one data centre.
@@ -260,8 +267,7 @@
 	found := 0
 	for range sampleTries {
 		u := c.entries[r.Rand.IntN(len(c.entries))].upstream
-		if found < candidateCount && u.usable(r) {
-			set.add(u)
+		if found < candidateCount && u.usable(r) && set.add(u) {
 			found++
 		}
 	}
