--- a/internal/daemon/leaving_test.go
+++ b/internal/daemon/leaving_test.go
@@ -2,38 +2,71 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/standin"
 )
 
 // leavingBound is the time after which a leaving upstream gets no new work.
 const leavingBound = 5 * time.Second
 
-// Guards against new work at an engine that the VM list shows as leaving.
+// Guards against new work at an engine that the VM list, the configuration or the
+// engine itself shows as leaving, and against requests that such a change cuts.
 func TestLeavingEngineGetsNoNewWork(t *testing.T) {
-	forSeeds(t, func(c *cluster) {
-		leaving := c.addEngine("engine-1", "anand", standin.EngineOptions{})
-		c.addEngine("engine-2", "anand", standin.EngineOptions{})
-		daemons := []string{"daemon-1", "daemon-2"}
-		c.addDaemon("daemon-1", "anand")
-		c.addDaemon("daemon-2", "anand")
-		c.publish("r1", 0, document())
-		c.awaitReady()
-		time.Sleep(2 * time.Second)
-		c.setVMState("engine-1", port.VMLeaving)
-		time.Sleep(leavingBound)
-		before := leaving.Started()
-		for i := range 10 {
-			prompt := fmt.Sprintf("slot %d tokens=%d", i, 1+c.rng.IntN(20))
-			if got := c.complete(daemons[i%2], prompt); got.status != 200 {
-				c.t.Errorf("request %d answered %d: %s", i, got.status, got.body)
+	sources := map[string]func(c *cluster){
+		"VM list": func(c *cluster) { c.setVMState("engine-1", port.VMLeaving) },
+		"engine":  func(c *cluster) { c.engines["engine-1"].SetFaults(standin.EngineFaults{Leaving: true}) },
+		"configuration": func(c *cluster) {
+			doc := document()
+			doc.Withdrawn = profile.Withdrawn{Upstreams: []string{"engine-1"}}
+			c.publish("r2", 1, doc)
+		},
+		"data centre in configuration": func(c *cluster) {
+			doc := document()
+			doc.Withdrawn = profile.Withdrawn{DataCentres: []string{"anand"}}
+			c.publish("r2", 1, doc)
+		},
+	}
+	for name, leave := range sources {
+		t.Run(name, func(t *testing.T) { forSeeds(t, func(c *cluster) { c.checkLeaving(leave) }) })
+	}
+}
+
+func (c *cluster) checkLeaving(leave func(c *cluster)) {
+	leaving := c.addEngine("engine-1", "anand", standin.EngineOptions{})
+	c.addEngine("engine-2", "kheda", standin.EngineOptions{})
+	daemons := []string{"daemon-1", "daemon-2"}
+	c.addDaemon("daemon-1", "anand")
+	c.addDaemon("daemon-2", "anand")
+	c.publish("r1", 0, document())
+	c.awaitReady()
+	time.Sleep(2 * time.Second)
+	var group sync.WaitGroup
+	for i := range 4 {
+		prompt := fmt.Sprintf("history %d tokens=600", i)
+		group.Go(func() {
+			got := c.complete(daemons[i%2], prompt)
+			if got.text() != standin.Answer(testModel, prompt, 4000) {
+				c.t.Errorf("running request %d answered %d: %s", i, got.status, got.body)
 			}
+		})
+	}
+	time.Sleep(time.Second)
+	leave(c)
+	time.Sleep(leavingBound)
+	before := leaving.Started()
+	for i := range 10 {
+		prompt := fmt.Sprintf("slot %d tokens=%d", i, 1+c.rng.IntN(20))
+		if got := c.complete(daemons[i%2], prompt); got.status != 200 {
+			c.t.Errorf("request %d answered %d: %s", i, got.status, got.body)
 		}
-		if n := leaving.Started() - before; n != 0 {
-			c.t.Errorf("the leaving engine got %d requests", n)
-		}
-	})
+	}
+	if n := leaving.Started() - before; n != 0 {
+		c.t.Errorf("the leaving engine got %d requests", n)
+	}
+	group.Wait()
 }
--- /dev/null
+++ b/internal/processtest/holder_test.go
@@ -0,0 +1,128 @@
+package processtest
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// leaseHolder returns the daemon whose run wrote the newest lease claim, or "".
+func (s *system) leaseHolder(daemons []string) string {
+	var page port.Page
+	s.get("platform", "/v1/streams/control%2Fanand/records?from=0&limit=10000", &page)
+	holder := ""
+	for _, rec := range page.Records {
+		var claim struct {
+			Kind   string `json:"kind"`
+			Holder string `json:"holder"`
+		}
+		if json.Unmarshal(rec.Data, &claim) == nil && claim.Kind == "lease-claim" {
+			holder = claim.Holder
+		}
+	}
+	for _, d := range daemons {
+		if len(holder) > len(d) && holder[:len(d)] == d {
+			return d
+		}
+	}
+	return ""
+}
+
+// Guards against conflicting orders, and against a cut request, when the process
+// that holds the lease is stopped past its lease in the middle of a roll-out and
+// goes on after another one has taken over.
+func TestStoppedLeaseHolderDoesNoHarm(t *testing.T) {
+	s := newSystem(t)
+	daemons := []string{"anand-1", "anand-2", "anand-3"}
+	engines := []string{"engine-1", "engine-2"}
+	for _, e := range engines {
+		s.addEngine(e, "anand", "--checks-fencing", "--change-time", "1s")
+	}
+	for _, d := range daemons {
+		s.listDaemon(d, "anand")
+	}
+	s.startPlatform()
+	s.publish(configuration(""))
+	for _, d := range daemons {
+		s.startDaemon(d, "anand")
+	}
+	for _, d := range daemons {
+		s.awaitOK(d, "/readyz")
+	}
+	s.await("some daemon holds the lease", func() bool { return s.leaseHolder(daemons) != "" })
+	first := s.leaseHolder(daemons)
+	var others []string
+	for _, d := range daemons {
+		if d != first {
+			others = append(others, d)
+		}
+	}
+	stopLoad := s.keepCompleting(others)
+	s.publish(configuration("2"))
+	time.Sleep(500 * time.Millisecond)
+	s.signal(first, syscall.SIGSTOP)
+	s.await("another daemon holds the lease", func() bool { return s.leaseHolder(others) != "" })
+	s.signal(first, syscall.SIGCONT)
+	for _, e := range engines {
+		s.await(e+" runs the new version", func() bool {
+			var status port.EngineStatus
+			s.get(e, "/v1/status", &status)
+			return status.Version == "2" && status.Phase == port.PhaseServing
+		})
+	}
+	if cut := stopLoad(); cut > 0 {
+		t.Errorf("%d answers were not whole", cut)
+	}
+	for _, e := range engines {
+		s.checkOrders(e)
+	}
+}
+
+// keepCompleting sends prompts to daemons until the returned function is called,
+// which returns how many answers were not whole.
+func (s *system) keepCompleting(daemons []string) func() int {
+	done := make(chan struct{})
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	cut := 0
+	for i, d := range daemons {
+		group.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if !s.complete(d, fmt.Sprintf("slot %d-%d tokens=20", i, n)) {
+					mu.Lock()
+					cut++
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	return func() int {
+		close(done)
+		group.Wait()
+		return cut
+	}
+}
+
+// checkOrders checks that an engine executed one order, with growing fencing
+// numbers if it came more than once.
+func (s *system) checkOrders(engine string) {
+	var orders []port.Order
+	r := s.do(engine, http.MethodGet, "/orders", nil, "")
+	if err := json.Unmarshal(r.body, &orders); err != nil {
+		s.t.Fatalf("%s: %v", engine, err)
+	}
+	if len(orders) != 1 || orders[0].Version != "2" {
+		s.t.Errorf("%s executed %+v, want one order for version 2", engine, orders)
+	}
+}
--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -176,6 +176,7 @@
 	url := "http://" + s.addresses["platform"]
 	cfg.Platform = settings.Platform{Log: url, VMList: url, WeightStore: url}
 	cfg.Timing.Lease = settings.Duration(3 * time.Second)
+	cfg.Timing.UnfencedSettle = settings.Duration(2 * time.Second)
 	path := filepath.Join(s.dir, name+".json")
 	s.write(path, cfg)
 	s.start(name, "bergamotd", "--settings", path)
