--- a/internal/daemon/outage_test.go
+++ b/internal/daemon/outage_test.go
@@ -122,3 +122,29 @@
 		})
 	})
 }
+
+// Guards against daemons that wait for good after a configuration record has expired
+// on the log before any of them could read it.
+func TestExpiredRecordDoesNotStrandDaemons(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		daemons := c.addDaemons(2, "anand")
+		c.publish("r1", 0, document())
+		c.awaitReady()
+		time.Sleep(6 * time.Second)
+		for _, d := range daemons {
+			c.net.Block(d, platformHost)
+		}
+		c.publish("r2", 1, document())
+		c.platform.Log.SetRetention(1)
+		c.publish("lost-race", 1, document())
+		for _, d := range daemons {
+			c.net.Unblock(d, platformHost)
+		}
+		time.Sleep(time.Minute)
+		base := c.daemons[daemons[0]].config.Snapshot().Revision
+		c.publish("r3", base, document())
+		c.await("a revision after the loss is in force", time.Minute, func() bool {
+			return c.daemons[daemons[0]].config.Snapshot().Revision > base
+		})
+	})
+}
