Give each process of a test a port that no other one gets

Ports now grow from a start below the range of outgoing connections. Ruled out: a daemon that does not start; its log shows the address in use. The checks of the tests are unchanged.

--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -87,16 +87,28 @@
 	}
 }
 
-// freeAddress reserves an address on loopback for a name.
+// lastPort is the port that was given out last. Ports lie below the range that the
+// kernel gives to outgoing connections, so that a process that starts later, or is
+// replaced, finds its port free.
+var lastPort = 20_000 + os.Getpid()%500*20
+
+// freeAddress gives a name an address on loopback that no other name has.
 func (s *system) freeAddress(name string) string {
 	s.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
+	const lastUsable = 32_000
+	for lastPort < lastUsable {
+		lastPort++
+		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		s.addresses[name] = address
+		return address
 	}
-	defer l.Close()
-	s.addresses[name] = l.Addr().String()
-	return s.addresses[name]
+	s.t.Fatal("no port is free")
+	return ""
 }
 
 // start runs a program; its output goes to a file.
