--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,7 +126,7 @@
 func (o *orders) newControl(dataCentre string) *control {
 	state := order.NewState(o.opts)
 	c := &control{state: state, started: time.Now()}
-	writers := func() []string { return names(o.daemonsOf(dataCentre)) }
+	writers := func() []string { return names(o.daemon.fleet.daemonsIn(dataCentre)) }
 	c.follower = follower{
 		daemon:  o.daemon,
 		stream:  order.Stream(dataCentre),
@@ -153,10 +152,6 @@
 	return c
 }
 
-func (o *orders) daemonsOf(dataCentre string) []port.VM {
-	return slices.DeleteFunc(o.daemon.fleet.daemons(), func(vm port.VM) bool { return vm.DataCentre != dataCentre })
-}
-
 // control returns the follower of a data centre's stream, or nil.
 func (o *orders) control(dataCentre string) *control {
 	o.mu.Lock()
@@ -243,7 +238,7 @@
 	if o.claimAt == 0 || now > o.claimAt+maxClaimDelay {
 		o.claimAt = now
 		key := fmt.Sprintf("%s/%d", c.stream, c.state.Lease.Lease().Last)
-		if rendezvous.First(key, names(o.daemonsOf(o.daemon.settings.DataCentre))) != o.daemon.settings.Name {
+		if rendezvous.First(key, names(o.daemon.fleet.daemonsIn(o.daemon.settings.DataCentre))) != o.daemon.settings.Name {
 			o.claimAt += time.Duration(o.rng.Int64N(int64(maxClaimDelay)))
 		}
 	}
--- a/internal/engineview/view.go
+++ b/internal/engineview/view.go
@@ -18,8 +18,6 @@
 // Observation is what some daemon saw of one engine.
 type Observation struct {
 	Status port.EngineStatus
-	// Failed is set when the engine did not answer.
-	Failed bool
 	// At is when it was seen, on the local clock.
 	At time.Time
 }
@@ -36,7 +34,6 @@
 type Change struct {
 	VM     string            `json:"v"`
 	Status port.EngineStatus `json:"s"`
-	Failed bool              `json:"f,omitempty"`
 	// AgeMS is the age of the observation in milliseconds when it was sent.
 	AgeMS int64 `json:"a"`
 }
@@ -103,7 +100,7 @@
 	if !o.At.After(r.state.At) {
 		return false
 	}
-	if r.state.At.IsZero() || o.slow() != r.state.slow() || o.Failed != r.state.Failed {
+	if r.state.At.IsZero() || o.slow() != r.state.slow() {
 		r.sends = 0
 	}
 	if r.load.After(o.At) {
@@ -121,9 +118,6 @@
 func checksum(o Observation) byte {
 	// A status holds only plain values, so that it can always be encoded.
 	data, _ := json.Marshal(o.slow())
-	if o.Failed {
-		data = append(data, '!')
-	}
 	return byte(xxhash.Sum64(data)%math.MaxUint8) + 1
 }
 
@@ -164,7 +158,6 @@
 	return Change{
 		VM:     r.vm,
 		Status: r.state.slow(),
-		Failed: r.state.Failed,
 		AgeMS:  now.Sub(r.state.At).Milliseconds(),
 	}
 }
@@ -215,9 +208,9 @@
 	if !ok {
 		return
 	}
-	o := Observation{Failed: c.Failed, At: now.Add(-time.Duration(c.AgeMS) * time.Millisecond)}
+	o := Observation{At: now.Add(-time.Duration(c.AgeMS) * time.Millisecond)}
 	o.Status = withLoad(c.Status, r.state.Status)
-	if !r.state.At.IsZero() && o.slow() == r.state.slow() && o.Failed == r.state.Failed {
+	if !r.state.At.IsZero() && o.slow() == r.state.slow() {
 		r.sends = min(r.sends+feedback, v.maxSends)
 	}
 	load := r.load
--- a/internal/standin/memnet.go
+++ b/internal/standin/memnet.go
@@ -23,7 +23,7 @@
 
 // Traffic counts what a host sent.
 type Traffic struct {
-	Bytes, Writes, Dials atomic.Int64
+	Bytes, Writes atomic.Int64
 }
 
 // NewMemNet returns an empty network.
@@ -144,7 +144,6 @@
 	if n.blocked[[2]string{h.name, l.host.name}] {
 		return nil, nil, nil, fmt.Errorf("dial %s: %w", address, syscall.EHOSTUNREACH)
 	}
-	n.sentLocked(h.name).Dials.Add(1)
 	near, far := net.Pipe()
 	lost := make(chan struct{})
 	once := &sync.Once{}
