Let a peer call end with its context on a connection that is not read

Cause: jsonrpc2 holds a mutex while it writes and ignores the context of the call meanwhile. On a silent connection whose send buffer is full the first write waits for good and every other call, answers included, waits for the mutex. In production such calls last until TCP gives up; under synctest a wait for a mutex stops virtual time, so that no deadline fires. Opening a connection with a mutex held had the same effect while the other end accepts nothing.

Dialling is guarded by a channel.

--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -42,7 +42,7 @@
 	defer d.mu.Unlock()
 	c, ok := d.clients[address]
 	if !ok {
-		c = &Client{address: address, network: d.network}
+		c = &Client{address: address, network: d.network, dialing: make(chan struct{}, 1)}
 		d.clients[address] = c
 	}
 	return c
@@ -61,6 +61,9 @@
 type Client struct {
 	address string
 	network network.Network
+	// dialing holds a token while a connection is opened. It is a channel so that
+	// a call that waits for it ends with its context.
+	dialing chan struct{}
 
 	mu   sync.Mutex
 	conn *jsonrpc2.Conn
@@ -84,22 +87,44 @@
 	return trace.Wrap(err)
 }
 
+// connect returns the open connection or opens one.
 func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.conn != nil {
-		select {
-		case <-c.conn.DisconnectNotify():
-		default:
-			return c.conn, nil
-		}
+	if conn := c.current(); conn != nil {
+		return conn, nil
+	}
+	select {
+	case c.dialing <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-c.dialing }()
+	if conn := c.current(); conn != nil {
+		return conn, nil
 	}
 	raw, err := c.network.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, err
 	}
-	c.conn = newConn(raw, refuseCalls)
-	return c.conn, nil
+	conn := newConn(raw, refuseCalls)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = conn
+	return conn, nil
+}
+
+// current returns the connection if it is open, or nil.
+func (c *Client) current() *jsonrpc2.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return nil
+	}
+	select {
+	case <-c.conn.DisconnectNotify():
+		return nil
+	default:
+		return c.conn
+	}
 }
 
 // reset closes the connection if it is still conn, or whatever it is when conn
@@ -116,7 +141,7 @@
 }
 
 func newConn(raw net.Conn, handle handlerFunc) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewPlainObjectStream(raw)
+	stream := jsonrpc2.NewPlainObjectStream(newBufferedConn(raw))
 	handler := jsonrpc2.HandlerWithError(handle).SuppressErrClosed()
 	// The library logs answers that come after their call was given up.
 	quiet := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
