Do not hold a mutex while the VM list is asked for

The same pattern as in the peer client: a second caller would wait beyond its context. Only one goroutine of a daemon calls List today, so no test shows it.

--- a/internal/adapter/platform/vmlist.go
+++ b/internal/adapter/platform/vmlist.go
@@ -22,9 +22,14 @@
 	client client
 
 	mu   sync.Mutex
+	last vmAnswer
+}
+
+// vmAnswer is one answer of the VM list.
+type vmAnswer struct {
 	tag  string
-	last port.VMSnapshot
-	// read is when last was read on the local clock.
+	list port.VMSnapshot
+	// read is when the list was asked for on the local clock.
 	read time.Time
 }
 
@@ -38,22 +43,36 @@
 func (l *VMList) List(ctx context.Context) (port.VMSnapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	known := l.cached()
 	var out port.VMSnapshot
 	asked := time.Now()
-	status, tag, err := l.client.doTagged(ctx, http.MethodGet, VMsPath, l.tag, nil, &out)
+	status, tag, err := l.client.doTagged(ctx, http.MethodGet, VMsPath, known.tag, nil, &out)
 	if err != nil {
 		return port.VMSnapshot{}, err
 	}
 	if status == http.StatusNotModified {
-		out = l.last
-		out.Time = out.Time.Add(asked.Sub(l.read))
+		out = known.list
+		out.Time = out.Time.Add(asked.Sub(known.read))
 	}
-	l.tag, l.last, l.read = tag, out, asked
+	l.keep(vmAnswer{tag: tag, list: out, read: asked})
 	return out, nil
 }
 
+func (l *VMList) cached() vmAnswer {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.last
+}
+
+// keep remembers an answer unless that to a later request came first.
+func (l *VMList) keep(answer vmAnswer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if answer.read.After(l.last.read) {
+		l.last = answer
+	}
+}
+
 // WeightStore is the client of the weight store. It implements port.WeightStore.
 type WeightStore struct{ client client }
 
