Run the seeds of a cluster test in parallel

make fuzz SEEDS=200 was never run over internal/daemon, since 200 seeds one after another would take more than an hour. Each seed has a cluster of its own on virtual time, so that seeds can run at once.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -82,9 +82,7 @@
 // forSeeds runs f once per seed in a cluster of its own.
 func forSeeds(t *testing.T, f func(*cluster)) {
 	t.Helper()
-	for _, seed := range seedtest.Seeds() {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) { inCluster(t, seed, f) })
-	}
+	seedtest.Run(t, func(t *testing.T, seed uint64) { inCluster(t, seed, f) })
 }
 
 func newCluster(t *testing.T, seed uint64) *cluster {
--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -337,23 +337,21 @@
 // lost and late appends, expiry of the stream, cut-off and replaced daemons,
 // silent connections and racing operators.
 func TestConfigurationHistory(t *testing.T) {
-	for _, seed := range seedtest.Seeds() {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			r := &configRun{
-				cutOff: map[string]bool{}, isolated: map[string]bool{}, last: map[string]int64{},
-				reachable: map[string]time.Time{}, good: map[string]time.Time{},
-			}
-			inCluster(t, seed, func(c *cluster) {
-				r.cluster = c
-				r.run()
-			})
-			history := decisive(r.history)
-			// A correct history is checked in less than 2 s; the search in a wrong one
-			// can take hours.
-			result := porcupine.CheckOperationsTimeout(configModel.ToModel(), history, time.Minute)
-			if result != porcupine.Ok {
-				t.Errorf("history of %d publications and %d reads is not that of a register", r.marker, len(r.history)-r.marker)
-			}
+	seedtest.Run(t, func(t *testing.T, seed uint64) {
+		r := &configRun{
+			cutOff: map[string]bool{}, isolated: map[string]bool{}, last: map[string]int64{},
+			reachable: map[string]time.Time{}, good: map[string]time.Time{},
+		}
+		inCluster(t, seed, func(c *cluster) {
+			r.cluster = c
+			r.run()
 		})
-	}
+		history := decisive(r.history)
+		// A correct history is checked in less than 2 s; the search in a wrong one
+		// can take hours.
+		result := porcupine.CheckOperationsTimeout(configModel.ToModel(), history, time.Minute)
+		if result != porcupine.Ok {
+			t.Errorf("history of %d publications and %d reads is not that of a register", r.marker, len(r.history)-r.marker)
+		}
+	})
 }
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -363,6 +363,7 @@
 	for _, seed := range seedtest.Seeds() {
 		for _, fenced := range []bool{true, false} {
 			t.Run(fmt.Sprintf("seed=%d fenced=%t", seed, fenced), func(t *testing.T) {
+				t.Parallel()
 				var r *orderRun
 				inCluster(t, seed, func(c *cluster) {
 					r = newOrderRun(c, fenced)
--- a/internal/seedtest/seeds.go
+++ b/internal/seedtest/seeds.go
@@ -2,8 +2,10 @@
 package seedtest
 
 import (
+	"fmt"
 	"os"
 	"strconv"
+	"testing"
 )
 
 // defaultCount is the number of seeds in CI.
@@ -21,3 +23,15 @@
 	}
 	return out
 }
+
+// Run runs f as a subtest for each seed. Subtests run in parallel, so f must not
+// share state between seeds.
+func Run(t *testing.T, f func(t *testing.T, seed uint64)) {
+	t.Helper()
+	for _, seed := range Seeds() {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			f(t, seed)
+		})
+	}
+}
