--- a/internal/jsonlog/fields_test.go
+++ b/internal/jsonlog/fields_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -16,8 +17,12 @@
 var kebabCase = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
 
 // Guards against log fields in another case, which a search over the logs of all
-// processes would miss.
-func TestFieldsAreInKebabCase(t *testing.T) {
+// processes would miss, and against fields that operators cannot look up.
+func TestFieldsAreInKebabCaseAndExplained(t *testing.T) {
+	page, err := os.ReadFile("../../docs/logs.md")
+	if err != nil {
+		t.Fatal(err)
+	}
 	fields := 0
 	walk := func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
@@ -37,6 +42,9 @@
 			if !kebabCase.MatchString(name) {
 				t.Errorf("%s: log field %q is not in kebab-case", set.Position(n.Pos()), name)
 			}
+			if !strings.Contains(string(page), "`"+name+"`") {
+				t.Errorf("%s: docs/logs.md does not explain log field %q", set.Position(n.Pos()), name)
+			}
 			return true
 		})
 		return nil
