Show operators what the fleet waits for with bergamotctl control

Status shows daemons and upstreams, roles history what was done. Nothing showed what is open: the lease of each data centre, drains and pending orders, suspect requests, and daemons that count as dead or cut off.

TestControlShowsWhatIsOpen brings about a drain that waits for a killed daemon and a request that crashed two engines.

--- a/internal/ctl/ask_test.go
+++ b/internal/ctl/ask_test.go
@@ -30,6 +30,15 @@
 				Windows: []burn.Window{{Seconds: 300, Total: answered, Missed: 1}}}
 			return admin.Burn{Daemon: name, Rows: []burn.Row{row}}, nil
 		},
+		admin.MethodControl: func(context.Context, json.RawMessage) (any, error) {
+			return admin.Control{
+				Daemon:   name,
+				Leases:   []admin.Lease{{DataCentre: "anand", Holder: "holder", Fencing: 7, Synced: true}},
+				Changes:  []admin.Change{{Engine: "runner-1", Draining: true, Order: &port.Order{ID: "o1", Kind: port.OrderSetRole, Role: port.RoleDecode}}},
+				Suspects: []admin.Suspect{{Digest: "d1", Status: "quarantined", Engines: []string{"runner-1", "runner-2"}, RemainingMS: 90_000}},
+				Members:  []admin.Member{{Name: "peer", Status: "cut-off"}},
+			}, nil
+		},
 		admin.MethodExplain: func(context.Context, json.RawMessage) (any, error) {
 			at := time.Unix(answered, 0)
 			return admin.Explanation{Daemon: name, Records: []decision.Record{{Time: at, Verdict: "to-" + name}}}, nil
@@ -70,3 +79,25 @@
 		t.Errorf("burn with no daemon: exit code %d, %v", ExitCode(err), err)
 	}
 }
+
+// Guards against a report that leaves out one of the things that are open.
+func TestControlListsEverySection(t *testing.T) {
+	net := standin.NewMemNet()
+	t.Cleanup(net.CloseAll)
+	serveAdmin(t, net, "daemon-1", "10.0.0.1:7600", 30)
+	out, err := run(net.Host("operator"), "control", "--daemon", "10.0.0.1:7600")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := []string{
+		"daemon-1  anand     holder  7        claimed",
+		"daemon-1  runner-1  true      set-role decode o1  -",
+		"daemon-1  d1              quarantined  runner-1 runner-2  1m30s",
+		"daemon-1  peer                  -            cut-off",
+	}
+	for _, line := range lines {
+		if !strings.Contains(out, line) {
+			t.Errorf("output lacks %q:\n%s", line, out)
+		}
+	}
+}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -63,6 +63,7 @@
 		newRollForward(opts),
 		newRevisions(opts),
 		newStatus(opts),
+		newControl(opts),
 		newExplain(opts),
 		newBurn(opts),
 		newRoles(opts),
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -22,6 +22,7 @@
 		admin.MethodExplain: d.adminExplain,
 		admin.MethodBurn:    d.adminBurn,
 		admin.MethodRoles:   d.adminRoles,
+		admin.MethodControl: d.adminControl,
 
 		membership.MethodProbe: d.gossip.handleProbe,
 		membership.MethodRelay: d.gossip.handleRelay,
--- /dev/null
+++ b/internal/daemon/admin_control_test.go
@@ -0,0 +1,53 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/admin"
+	"bergamotsill.example/bergamotsill/internal/profile"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+// Guards against operators who cannot find out why an engine does not change or a
+// request is refused: which daemon holds the lease, which engine is drained, which
+// request is suspect, and which daemon is down.
+func TestControlShowsWhatIsOpen(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		engines, daemons := c.settled(3, 3, standin.EngineOptions{})
+		observer, killed := daemons[0], daemons[2]
+		_ = c.complete(observer, standin.CrashMarker+" tokens=20")
+		_ = c.daemons[killed].Kill()
+		doc := document()
+		doc.Pools[0].Versions = []profile.ModelVersion{{Model: testModel, Version: "2"}}
+		c.publish("roll", c.daemons[observer].config.Snapshot().Revision, doc)
+		c.await("a drain waits for the daemon that is down", time.Minute, func() bool {
+			control := c.control(observer)
+			return len(control.Changes) == 1 && control.Changes[0].Draining &&
+				slices.Contains(engines, control.Changes[0].Engine)
+		})
+		control := c.control(observer)
+		holders := []string{daemons[0], daemons[1]}
+		if l := control.Leases; len(l) != 1 || !slices.Contains(holders, l[0].Holder) || l[0].Fencing == 0 || !l[0].Synced {
+			t.Errorf("leases are %+v, want one held by one of %v", l, holders)
+		}
+		if s := control.Suspects; len(s) != 1 || s[0].Status != "quarantined" || len(s[0].Engines) != maxEnginesLost {
+			t.Errorf("suspects are %+v, want one that crashed %d engines", s, maxEnginesLost)
+		}
+		down := func(m admin.Member) bool { return m.Name == killed && m.Status == "dead" }
+		c.await("the killed daemon is shown as dead", time.Minute, func() bool {
+			return slices.ContainsFunc(c.control(observer).Members, down)
+		})
+	})
+}
+
+// control returns what a daemon answers to admin.control.
+func (c *cluster) control(daemon string) admin.Control {
+	answer, err := c.daemons[daemon].adminControl(context.Background(), nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return answer.(admin.Control)
+}
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -159,6 +160,13 @@
 	return o.controls[dataCentre]
 }
 
+// all returns the followers by data centre.
+func (o *orders) all() map[string]*control {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return maps.Clone(o.controls)
+}
+
 func (o *orders) own() *control { return o.control(o.daemon.settings.DataCentre) }
 
 // known tells whether this daemon has learned the open drains everywhere once.
