Wait for the parallel seeds of a test

Parallel subtests run after the function that starts them has returned, so code behind forSeeds saw no results of the seeds. A group subtest waits for them.

--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -360,10 +360,9 @@
 }
 
 func forFencing(t *testing.T, f func(r *orderRun)) {
-	for _, seed := range seedtest.Seeds() {
-		for _, fenced := range []bool{true, false} {
-			t.Run(fmt.Sprintf("seed=%d fenced=%t", seed, fenced), func(t *testing.T) {
-				t.Parallel()
+	for _, fenced := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fenced=%t", fenced), func(t *testing.T) {
+			seedtest.Run(t, func(t *testing.T, seed uint64) {
 				var r *orderRun
 				inCluster(t, seed, func(c *cluster) {
 					r = newOrderRun(c, fenced)
@@ -373,7 +372,7 @@
 					t.Errorf("history of %d orders is not that of engines that check fencing", len(r.history.operations))
 				}
 			})
-		}
+		})
 	}
 }
 
--- a/internal/seedtest/seeds.go
+++ b/internal/seedtest/seeds.go
@@ -24,14 +24,18 @@
 	return out
 }
 
-// Run runs f as a subtest for each seed. Subtests run in parallel, so f must not
-// share state between seeds.
+// Run runs f as a subtest for each seed and returns when all have ended. Subtests
+// run in parallel, so f must not share state between seeds without a lock.
 func Run(t *testing.T, f func(t *testing.T, seed uint64)) {
 	t.Helper()
-	for _, seed := range Seeds() {
-		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			t.Parallel()
-			f(t, seed)
-		})
-	}
+	// Parallel subtests run after the function that starts them has returned, so
+	// they need a group to wait for.
+	t.Run("seeds", func(t *testing.T) {
+		for _, seed := range Seeds() {
+			t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+				t.Parallel()
+				f(t, seed)
+			})
+		}
+	})
 }
