Rank role changes by the demand that a shift moves to

Cause, from a trace of seed 106: 2 minutes after the shift to output, the slow average still counts 5,159 prompt tokens/s, the fast one 1,071. The best change is prefill to decode (gain 321 engine seconds under the fast demand). Under the slow demand it has a gain of 99.3 and needs 99.9, so the planner took the second best, mixed to decode (gain 222 under the fast demand), which passed with 99.3 over 98.9. The engine left in the prefill role had no work once the slow average had followed, and a third change put it back to mixed.

Ruled out: noise in the estimate (both seeds pass at the same averages with the other order of candidates), the minimum stay (no candidate was held back by it).

Candidates are ranked by their gain under the fast demand, and the best one is proposed only when both demands allow it. Otherwise the planner waits.

--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -91,6 +91,10 @@
 	Margin float64 `json:"margin"`
 	Fast   Demand  `json:"fast"`
 	Slow   Demand  `json:"slow"`
+
+	// net is the gain less the margin over the cost under the fast demand. It ranks
+	// candidates.
+	net float64
 }
 
 // Planner proposes changes, one at a time.
@@ -101,7 +105,7 @@
 
 // Propose returns the best change, or why there is none.
 func (p *Planner) Propose(now time.Time, in Input) Proposal {
-	none := Proposal{Verdict: NoGain, Fast: in.Fast, Slow: in.Slow, Gain: math.Inf(-1)}
+	none := Proposal{Verdict: NoGain, Fast: in.Fast, Slow: in.Slow, net: math.Inf(-1)}
 	serving := 0
 	for _, e := range in.Engines {
 		if e.Serving {
@@ -110,17 +114,17 @@
 	}
 	if serving < len(in.Engines) {
 		none.Verdict = NotIdle
-		return none.finite()
+		return none
 	}
 	if serving-1 < max(in.MinServing, 1) {
 		none.Verdict = BelowServing
-		return none.finite()
+		return none
 	}
 	best := none
 	for _, e := range p.oldest(in.Engines) {
-		best = p.better(best, p.candidates(now, in, e))
+		best = better(best, p.candidates(now, in, e))
 	}
-	return best.finite()
+	return best
 }
 
 // oldest returns the engine of each role that has had it the longest. The others
@@ -139,17 +143,9 @@
 	return out
 }
 
-// finite replaces the gain of a proposal without a candidate.
-func (p Proposal) finite() Proposal {
-	if math.IsInf(p.Gain, -1) {
-		p.Gain = 0
-	}
-	return p
-}
-
 // candidates returns the best change of one engine.
 func (p *Planner) candidates(now time.Time, in Input, e Engine) Proposal {
-	best := Proposal{Verdict: NoGain, Gain: math.Inf(-1)}
+	best := Proposal{Verdict: NoGain, net: math.Inf(-1)}
 	for _, role := range in.Allowed {
 		if role == e.Role {
 			continue
@@ -158,20 +154,17 @@
 		if c.Verdict == Change && now.Sub(e.Since) < p.opts.MinStay {
 			c.Verdict = StaysTooShort
 		}
-		best = p.better(best, c)
+		best = better(best, c)
 	}
 	return best
 }
 
-// better prefers changes, then larger gains; at equal gain the first engine.
-func (p *Planner) better(a, b Proposal) Proposal {
-	if (a.Verdict == Change) != (b.Verdict == Change) {
-		if b.Verdict == Change {
-			return b
-		}
-		return a
-	}
-	if b.Gain > a.Gain {
+// better returns the candidate that gains more under the fast demand; at equal gain
+// the first one. A candidate that may not change yet still ranks first: while a shift
+// goes on, the slow demand still counts work that is gone, and the second best change
+// that it allows has to be undone later.
+func better(a, b Proposal) Proposal {
+	if b.net > a.net {
 		return b
 	}
 	return a
@@ -186,6 +179,7 @@
 		c = fast
 	}
 	c.Fast, c.Slow = in.Fast, in.Slow
+	c.net = fast.Gain - fast.Cost*fast.Margin
 	if c.Gain > c.Margin*c.Cost {
 		c.Verdict = Change
 	}
--- a/internal/roles/planner_test.go
+++ b/internal/roles/planner_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -104,11 +105,22 @@
 	return Demand{Prompt: seconds * promptShare * s.Prompt, Output: seconds * (1 - promptShare) * s.Output}
 }
 
+// plannerSeeds returns the usual seeds and those that once gave three changes.
+func plannerSeeds() []uint64 {
+	seeds := seedtest.Seeds()
+	for _, known := range []uint64{106, 131} {
+		if !slices.Contains(seeds, known) {
+			seeds = append(seeds, known)
+		}
+	}
+	return seeds
+}
+
 // Guards against role changes under a steady load, more than two changes in a small
 // data centre for one sustained shift, a change during a short swing, overlapping
 // changes, changes before the minimum stay and below the minimum of serving engines.
 func TestChangesAreFewAndWorthwhile(t *testing.T) {
-	for _, seed := range seedtest.Seeds() {
+	for _, seed := range plannerSeeds() {
 		for _, size := range []int{3, 4} {
 			c := newCentre(size, seed)
 			c.run(t, demandOf(size, 0.8, 0.5), 20*time.Minute, 1)
