Check at the engines that refused completions did not run

The fake engines keep how often they started a caller's request id and a prompt (as a hash), and can lose an answer after its start. The test sends completions through four daemons while engines crash, lose answers, fail, leave and go silent, links are cut, queues of 8 requests are full, one daemon stops gracefully and one is killed. No completion refused as not run was started at any engine, and all outcomes occur.

Seen to fail with each of three guards removed: the run that ended without a whole answer counted as run, a status 500 counted as unknown, a sent request that failed counted as sent.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -56,6 +56,8 @@
 	client  *http.Client
 	// issued holds the issue times of idempotency keys.
 	issued sync.Map
+	// refused holds the completions that were refused as not run, under mu.
+	refused []refusedCall
 	// adjust changes the settings of daemons that are started.
 	adjust func(*settings.Settings)
 	// wrap replaces dependencies of daemons that are started.
--- /dev/null
+++ b/internal/daemon/notrun_test.go
@@ -0,0 +1,135 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/settings"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+// notRunFaults are the failures at engines and links under which a refusal must
+// stay true.
+var notRunFaults = []func(c *cluster, rng *rand.Rand, daemon, engine string){
+	func(c *cluster, rng *rand.Rand, _, engine string) {
+		c.engines[engine].SetFaults(standin.EngineFaults{DownMS: rng.Int64N(3000)})
+		c.engines[engine].Crash()
+	},
+	func(c *cluster, rng *rand.Rand, _, engine string) {
+		c.engines[engine].SetFaults(standin.EngineFaults{CrashAt: 1 + rng.IntN(60), DownMS: rng.Int64N(6000)})
+	},
+	func(c *cluster, _ *rand.Rand, _, engine string) {
+		c.engines[engine].SetFaults(standin.EngineFaults{LoseAnswer: true})
+	},
+	func(c *cluster, _ *rand.Rand, _, engine string) {
+		c.engines[engine].SetFaults(standin.EngineFaults{FailGenerate: true})
+	},
+	func(c *cluster, _ *rand.Rand, _, engine string) {
+		c.engines[engine].SetFaults(standin.EngineFaults{Silent: true, Leaving: true})
+	},
+	func(c *cluster, _ *rand.Rand, daemon, engine string) { c.net.Silence(daemon, engine) },
+	func(c *cluster, _ *rand.Rand, daemon, engine string) { c.net.Block(daemon, engine) },
+}
+
+// Guards against a completion that is refused as "not run" although an engine
+// started it, in the caller's view or by an attempt that reaches an engine late.
+func TestNotRunIsTrueForCompletions(t *testing.T) {
+	var mu sync.Mutex
+	seen := map[refusal.Outcome]int{}
+	forSeeds(t, func(c *cluster) {
+		c.adjust = func(s *settings.Settings) { s.Limits.QueueRequests = 8 }
+		engines, daemons := c.settled(4, 4, standin.EngineOptions{PrefillRate: 300})
+		brief := document()
+		brief.Profiles[0].TotalMS = 2000
+		c.publish("brief", 1, brief)
+		time.Sleep(time.Second)
+		var group sync.WaitGroup
+		for i := range 200 {
+			prompt := fmt.Sprintf("%d %s tokens=%d", i, strings.Repeat("x", c.rng.IntN(400)), 1+c.rng.IntN(120))
+			daemon := daemons[c.rng.IntN(len(daemons))]
+			delay := time.Duration(c.rng.IntN(12000)) * time.Millisecond
+			group.Go(func() {
+				time.Sleep(delay)
+				outcome := c.checkOutcome(daemon, fmt.Sprintf("caller-%d", i), prompt, i%2 == 0)
+				mu.Lock()
+				defer mu.Unlock()
+				seen[outcome]++
+			})
+		}
+		for i := range 20 {
+			time.Sleep(time.Duration(c.rng.IntN(900)) * time.Millisecond)
+			engine, daemon := engines[c.rng.IntN(4)], daemons[c.rng.IntN(4)]
+			notRunFaults[c.rng.IntN(len(notRunFaults))](c, c.rng, daemon, engine)
+			switch i {
+			case 10:
+				// Virtual time goes on while the daemon waits for its requests.
+				group.Go(func() { _ = c.daemons[daemons[0]].Stop(context.Background()) })
+			case 14:
+				_ = c.daemons[daemons[1]].Kill()
+			case 6, 13:
+				for _, e := range engines {
+					c.engines[e].SetFaults(standin.EngineFaults{})
+					c.net.Unblock(daemon, e)
+				}
+			}
+		}
+		group.Wait()
+		// A request that is under way on a connection may start late.
+		time.Sleep(10 * time.Second)
+		c.checkRefused()
+	})
+	t.Logf("outcomes: %v", seen)
+	if seen[refusal.NotRun] == 0 || seen[refusal.Unknown] == 0 || seen[""] == 0 {
+		t.Errorf("the faults do not produce every outcome: %v", seen)
+	}
+}
+
+// refusedCall is a completion that was refused as not run.
+type refusedCall struct{ id, prompt, body string }
+
+// checkOutcome sends a completion, remembers it when it is refused as not run, and
+// returns the outcome of its refusal, or "" for an answer or none.
+func (c *cluster) checkOutcome(daemon, id, prompt string, streamed bool) refusal.Outcome {
+	body, err := json.Marshal(completionRequest{Model: testProfile, Prompt: prompt, Stream: streamed})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	header := http.Header{refusal.HeaderRequestID: {id}}
+	got := c.do(context.Background(), daemon, http.MethodPost, "/v1/completions", header, body)
+	refused := got.refusal
+	for line := range strings.Lines(string(got.body)) {
+		var event refusal.Body
+		data, ok := strings.CutPrefix(line, "data: ")
+		if ok && json.Unmarshal([]byte(data), &event) == nil && event.Error.Code != "" {
+			refused = &event.Error
+		}
+	}
+	if refused == nil {
+		return ""
+	}
+	if refused.Outcome == refusal.NotRun {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.refused = append(c.refused, refusedCall{id: id, prompt: prompt, body: string(got.body)})
+	}
+	return refused.Outcome
+}
+
+// checkRefused compares the refusals with what the engines started.
+func (c *cluster) checkRefused() {
+	for _, r := range c.refused {
+		for name, e := range c.engines {
+			if byID, byPrompt := e.StartedFor(r.id, r.prompt); byID+byPrompt > 0 {
+				c.t.Errorf("%s started %s %d times by id and %d by prompt; refused with %s", name, r.id, byID, byPrompt, r.body)
+			}
+		}
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotsill.example/bergamotsill/internal/adapter/engine"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -60,6 +62,8 @@
 	CrashAt int `json:"crash_at"`
 	// Leaving makes the engine report that it will stop.
 	Leaving bool `json:"leaving"`
+	// LoseAnswer starts every answer and closes its connection without a byte.
+	LoseAnswer bool `json:"lose_answer"`
 	// DownMS keeps the engine down for that long after a crash.
 	DownMS int64 `json:"down_ms"`
 }
@@ -79,9 +83,13 @@
 	orders     []port.Order
 	// fencing is the highest fencing number of an executed order, also when the
 	// engine ignores them.
-	fencing     int64
-	conflicts   int
-	runs        map[string]int
+	fencing   int64
+	conflicts int
+	runs      map[string]int
+	// callerIDs and prompts count what was started, by the caller's request id and
+	// by the hash of the prompt.
+	callerIDs   map[string]int
+	prompts     map[uint64]int
 	running     map[string]*run
 	lost        map[string]int
 	interrupted int
@@ -94,8 +102,12 @@
 		down:     make(chan struct{}),
 		silenced: make(chan struct{}),
 		runs:     map[string]int{},
-		running:  map[string]*run{},
-		lost:     map[string]int{},
+
+		callerIDs: map[string]int{},
+		prompts:   map[uint64]int{},
+
+		running: map[string]*run{},
+		lost:    map[string]int{},
 	}
 	e.status = port.EngineStatus{
 		Engine:     opts.Name,
@@ -147,6 +159,14 @@
 	return e.runs[requestID]
 }
 
+// StartedFor returns how often the engine started a request with the caller's
+// request id, and how often one with the prompt.
+func (e *Engine) StartedFor(callerID, prompt string) (byID, byPrompt int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.callerIDs[callerID], e.prompts[xxhash.Sum64String(prompt)]
+}
+
 // Lost returns how often a request with the given prompt crashed the engine.
 func (e *Engine) Lost(prompt string) int {
 	e.mu.Lock()
@@ -263,6 +283,8 @@
 	r := &run{req: req, ctx: ctx, cancel: cancel, down: e.down, silenced: e.silenced}
 	e.running[req.RequestID] = r
 	e.runs[req.RequestID]++
+	e.callerIDs[req.CallerRequestID]++
+	e.prompts[xxhash.Sum64String(req.Prompt)]++
 	e.status.Running++
 	e.status.RunningTokens += int64(PromptTokens(req.Prompt))
 	return r, nil
@@ -301,7 +323,11 @@
 		return
 	}
 	defer e.finish(running)
-	if e.failsGenerate() {
+	faults := e.currentFaults()
+	if faults.LoseAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	if faults.FailGenerate {
 		http.Error(w, "out of memory", http.StatusInternalServerError)
 		return
 	}
@@ -317,10 +343,10 @@
 	e.decode(w, running)
 }
 
-func (e *Engine) failsGenerate() bool {
+func (e *Engine) currentFaults() EngineFaults {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults.FailGenerate
+	return e.faults
 }
 
 // crashBy crashes the engine on behalf of a prompt.
@@ -471,9 +497,7 @@
 	if e.takeFault(&e.faults.DropChunk, position) {
 		return
 	}
-	e.mu.Lock()
-	faults := e.faults
-	e.mu.Unlock()
+	faults := e.currentFaults()
 	chunk := port.Chunk{
 		Attempt:  r.req.Attempt,
 		Position: position,
