Limit the refusal of a completion that did not run to its attempt

A caller sends a completion again through another daemon after the outcome unknown. That daemon refused it as overloaded, or for lack of an engine, with the scope call: no attempt has run. It cannot know, since daemons do not remember completions.

--- a/internal/daemon/completions.go
+++ b/internal/daemon/completions.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -82,7 +83,7 @@
 	if req.MaxTokens > 0 {
 		maxTokens = min(req.MaxTokens, maxTokens)
 	}
-	return d.generate(ctx, &generation{
+	err = d.generate(ctx, &generation{
 		call:      c,
 		snapshot:  snapshot,
 		profile:   p,
@@ -90,6 +91,17 @@
 		maxTokens: maxTokens,
 		out:       out,
 	})
+	return ofAttempt(err)
+}
+
+// ofAttempt limits a refusal that says "not run" to this attempt: daemons do not
+// remember completions, so that a resend is not known to be one.
+func ofAttempt(err error) error {
+	var r *refusal.Error
+	if errors.As(err, &r) && r.Outcome == refusal.NotRun {
+		r.ForAttempt()
+	}
+	return err
 }
 
 // parseCompletion decodes the body and reports every mistake in it.
--- a/internal/daemon/notrun_test.go
+++ b/internal/daemon/notrun_test.go
@@ -58,7 +58,11 @@
 			delay := time.Duration(c.rng.IntN(12000)) * time.Millisecond
 			group.Go(func() {
 				time.Sleep(delay)
-				outcome := c.checkOutcome(daemon, fmt.Sprintf("caller-%d", i), prompt, i%2 == 0)
+				id := fmt.Sprintf("caller-%d", i)
+				outcome := c.checkOutcome(daemon, id, prompt, i%2 == 0)
+				if outcome == refusal.Unknown {
+					c.resend(daemons[(i+1)%len(daemons)], id, prompt)
+				}
 				mu.Lock()
 				defer mu.Unlock()
 				seen[outcome]++
@@ -123,6 +127,20 @@
 	return refused.Outcome
 }
 
+// resend sends a completion again that may have run. A daemon that was not asked
+// before cannot say that no attempt ran.
+func (c *cluster) resend(daemon, id, prompt string) {
+	body, err := json.Marshal(completionRequest{Model: testProfile, Prompt: prompt})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	header := http.Header{refusal.HeaderRequestID: {id}}
+	got := c.do(context.Background(), daemon, http.MethodPost, "/v1/completions", header, body)
+	if r := got.refusal; r != nil && r.Outcome == refusal.NotRun && r.Scope != refusal.ScopeAttempt {
+		c.t.Errorf("a resend of a request that may have run is refused with %s", got.body)
+	}
+}
+
 // checkRefused compares the refusals with what the engines started.
 func (c *cluster) checkRefused() {
 	for _, r := range c.refused {
