Measure the distance to other data centres with the probes

Routing added 10 ms to every other data centre, which suits the data centres of one region. The target has two regions that are much farther apart, and work that leaves its data centre went to any of them alike.

It costs no message. Ruled out: the mean, which follows busy peers and connection set-up; a setting for each pair of data centres, which operators would have to keep up to date.

--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -20,7 +20,8 @@
 	// defaultHeldSeconds is the work, in seconds of its capacity, that an engine of
 	// unknown cache size may hold.
 	defaultHeldSeconds = 60
-	// remoteDelay is the extra round trip to another data centre.
+	// remoteDelay is the extra round trip to another data centre that no probe has
+	// measured yet.
 	remoteDelay = 10 * time.Millisecond
 	// spillShare is the part of a remote engine's limit that this daemon uses when
 	// its own data centre cannot meet a target. It is small because every daemon
@@ -370,6 +371,7 @@
 		Rand:         rand.New(rand.NewPCG(a.daemon.deps.Seed, a.choices.Add(1))),
 		Prefix:       prefix,
 		PrefixTokens: prefixTokens,
+		RoundTrips:   a.daemon.distances.RoundTrips(),
 		RemoteDelay:  remoteDelay,
 	}
 	if g.permit != nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 	"bergamotsill.example/bergamotsill/internal/burn"
 	"bergamotsill.example/bergamotsill/internal/decision"
+	"bergamotsill.example/bergamotsill/internal/distance"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/settings"
 )
@@ -58,6 +59,7 @@
 	fleet     *fleet
 	admission *admitter
 	gossip    *gossip
+	distances *distance.Tracker
 	orders    *orders
 	claims    *claims
 	burn      *burn.Tracker
@@ -88,6 +90,7 @@
 		burn:        burn.NewTracker(),
 		decisions:   decision.NewRing(s.Limits.DecisionRecords),
 		roles:       decision.NewRing(s.Limits.DecisionRecords),
+		distances:   distance.NewTracker(),
 		requests:    newGate(),
 	}
 	d.log = deps.Logger.With(
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -154,9 +154,11 @@
 	defer cancel()
 	var answer membership.Message
 	peer := g.daemon.deps.Peers(target.Address)
+	sent := time.Now()
 	if err := peer.Call(ctx, membership.MethodProbe, g.message(target), &answer); err != nil {
 		return err
 	}
+	g.daemon.distances.Observe(answer.From.DataCentre, time.Since(sent))
 	g.receive(answer)
 	return nil
 }
--- /dev/null
+++ b/internal/distance/tracker_test.go
@@ -0,0 +1,30 @@
+package distance
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against an estimate that follows slow answers, and against one that keeps a
+// short path for good after a longer one has replaced it.
+func TestLeastOfTheLastSamplesCounts(t *testing.T) {
+	tracker := NewTracker()
+	check := func(when string, want time.Duration) {
+		t.Helper()
+		if got := tracker.RoundTrips()["kheda"]; got != want {
+			t.Errorf("%s: round trip is %v, want %v", when, got, want)
+		}
+	}
+	tracker.Observe("kheda", 30*time.Millisecond)
+	check("first sample", 30*time.Millisecond)
+	tracker.Observe("kheda", 10*time.Millisecond)
+	tracker.Observe("kheda", 500*time.Millisecond)
+	tracker.Observe("mehsana", time.Millisecond)
+	check("a slow answer", 10*time.Millisecond)
+	for range windowSize - 2 {
+		tracker.Observe("kheda", 80*time.Millisecond)
+	}
+	check("the short sample is the oldest in the window", 10*time.Millisecond)
+	tracker.Observe("kheda", 80*time.Millisecond)
+	check("the short sample has left the window", 80*time.Millisecond)
+}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -115,10 +115,20 @@
 	Budget time.Duration
 	// Remote leaves the request's own data centre out.
 	Remote bool
-	// RemoteDelay is the extra round trip to another data centre.
+	// RoundTrips holds the extra round trip to other data centres by name, and
+	// RemoteDelay the one to those that are not in it.
+	RoundTrips  map[string]time.Duration
 	RemoteDelay time.Duration
 }
 
+// distance returns the extra round trip to another data centre.
+func (r *Request) distance(dataCentre string) time.Duration {
+	if roundTrip, ok := r.RoundTrips[dataCentre]; ok {
+		return roundTrip
+	}
+	return r.RemoteDelay
+}
+
 // Choice is the result of a decision.
 type Choice struct {
 	// Upstream is nil when no upstream is usable.
@@ -176,7 +186,7 @@
 		if p.centres[i].name == r.DataCentre {
 			continue
 		}
-		c := p.centres[i].choose(r, r.RemoteDelay)
+		c := p.centres[i].choose(r, r.distance(p.centres[i].name))
 		c.Remote = true
 		if c.Upstream != nil && (best.Upstream == nil || c.cost < best.cost) {
 			best = c
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -238,6 +238,17 @@
 			t.Errorf("with %d and %d tokens queued and a delay of %s: picked %s", c.queued, c.queuedRemote, c.delay, got.VM.ID)
 		}
 	}
+	near, far := testEngine("near", "c", 1000), testEngine("far", "d", 1000)
+	distant := NewTable([]*Upstream{far, near})
+	far.report(port.EngineStatus{}, testNow)
+	near.report(port.EngineStatus{QueuedPrefillTokens: 100}, testNow)
+	got := distant.Pick(Request{
+		Pool: "pool", Model: testModel, DataCentre: "a", Now: testNow, PromptTokens: 200, OutputTokens: 20,
+		RoundTrips: map[string]time.Duration{"d": 300 * time.Millisecond}, RemoteDelay: 10 * time.Millisecond,
+	})
+	if got != near {
+		t.Errorf("an idle engine 300 ms away is preferred to one that is 10 ms away and has 100 ms of work")
+	}
 	idle := Request{Pool: "pool", Model: testModel, DataCentre: "a", Now: testNow, Remote: true}
 	if got := table.Choose(idle); got.Upstream != remote || !got.Remote {
 		t.Errorf("a request that leaves its data centre out got %+v", got)
