Decide about a publication after a loss from its own offset

Only an operator can decide, since a daemon that is cut off may have the lost revision in force.

A record of kind after-loss names the oldest retained offset and the newest one that the operator saw. It is accepted if its own offset is the next one and its document is valid. No other record takes part in the verdict, so readers with and without a gap agree, and a late or repeated append stands at another offset and is rejected. Its acceptance clears the table of record ids, which a reader that lost records does not have.

A checkpoint that leaves a gap now moves a recovering reader forward without ending its recovery, so that a daemon that starts while records are lost serves with the revision of its peers.

Ruled out: a reset after a delay (reverts a revision at a daemon that is cut off), a range of offsets or log times (a publication inside the range cannot be decided about by a reader with a gap), and a check for checkpoints after the first offset (a reader whose own oldest record is newer cannot tell).

The gopter oracle covers publications after a loss at the right and at wrong offsets, repeated records, and that every reader of the log goes on from an accepted one.

--- a/internal/profile/checkpoint.go
+++ b/internal/profile/checkpoint.go
@@ -50,11 +50,13 @@
 	return c
 }
 
-// Restore takes over a checkpoint if that takes the state forward. The document
+// Restore takes over a checkpoint if that takes the state forward, also when
+// records after it are missing still: a daemon that starts while records are lost
+// then serves with the revision that its peers have. The document
 // was accepted before, possibly by a program with newer rules, so it is not
 // checked again and fields that this program does not know are ignored.
 func (s *State) Restore(c *Checkpoint) error {
-	if !s.Usable(c.Covers) {
+	if c.Covers <= s.Next() {
 		return nil
 	}
 	if c.Revision < s.revision() {
--- a/internal/profile/state.go
+++ b/internal/profile/state.go
@@ -18,13 +18,16 @@
 
 // Publication is the content of a record on Stream.
 type Publication struct {
-	// Kind is empty; see KindCheckpoint.
+	// Kind is empty or KindAfterLoss; see also KindCheckpoint.
 	Kind   string `json:"kind,omitempty"`
 	Schema int    `json:"schema"`
-	// Base is the revision that the document revises; 0 for the first.
-	Base     int64           `json:"base"`
-	Author   string          `json:"author,omitempty"`
-	Document json.RawMessage `json:"document"`
+	// Base is the revision that the document revises; 0 for the first. It has no
+	// meaning after a loss.
+	Base int64 `json:"base"`
+	// AfterLoss is set with KindAfterLoss only.
+	AfterLoss *Loss           `json:"after_loss,omitempty"`
+	Author    string          `json:"author,omitempty"`
+	Document  json.RawMessage `json:"document"`
 }
 
 // Verdict tells what became of one publication.
@@ -190,24 +193,37 @@
 // recover looks at a record while a checkpoint is needed.
 func (s *State) recover(rec port.Record, checkpoint *Checkpoint) (Verdict, error) {
 	s.Scan(rec.Offset)
-	if checkpoint == nil {
-		return Verdict{}, nil
+	if checkpoint != nil {
+		return Verdict{}, s.Restore(checkpoint)
+	}
+	if pub := parsePublication(rec.Data); pub.afterLoss(rec.Offset) {
+		return s.recoverAfterLoss(rec, pub)
 	}
-	return Verdict{}, s.Restore(checkpoint)
+	return Verdict{}, nil
 }
 
 func (s *State) applyPublication(rec port.Record) (Verdict, error) {
-	if v, ok := s.verdicts[rec.ID]; ok {
+	pub := parsePublication(rec.Data)
+	// Readers that lost records do not know earlier ids, so these do not decide
+	// about a publication after a loss.
+	afterLoss := pub.afterLoss(rec.Offset)
+	known, repeated := s.verdicts[rec.ID]
+	if repeated && !afterLoss {
 		s.advance(rec)
-		return v, nil
+		return known, nil
 	}
-	v, err := s.decide(rec)
+	v, err := s.decide(rec, pub)
 	if err != nil {
 		s.Skip(rec.Offset)
 		return Verdict{}, err
 	}
 	s.advance(rec)
-	s.remember(v)
+	switch {
+	case afterLoss && v.Accepted:
+		s.startOver(v)
+	case !repeated:
+		s.remember(v)
+	}
 	return v, nil
 }
 
@@ -228,19 +244,11 @@
 	}
 }
 
-func (s *State) decide(rec port.Record) (Verdict, error) {
+// decide accepts or rejects a publication; pub is nil when the record holds none.
+func (s *State) decide(rec port.Record, pub *Publication) (Verdict, error) {
 	v := Verdict{ID: rec.ID, Revision: s.revision()}
-	var pub Publication
-	if err := json.Unmarshal(rec.Data, &pub); err != nil {
-		v.Reason = "record is not a publication"
-		return v, nil
-	}
-	if pub.Kind != "" {
-		v.Reason = "kind of record is unknown"
-		return v, nil
-	}
-	if pub.Base != s.revision() {
-		v.Reason = "base revision is not current"
+	v.Reason = s.obstacle(rec, pub)
+	if v.Reason != "" {
 		return v, nil
 	}
 	if pub.Schema > SchemaVersion {
@@ -264,6 +272,23 @@
 	return v, nil
 }
 
+// obstacle returns why a publication cannot follow the revision in force, or "".
+func (s *State) obstacle(rec port.Record, pub *Publication) string {
+	switch {
+	case pub == nil:
+		return "record is not a publication"
+	case pub.Kind == KindAfterLoss && !pub.AfterLoss.decidesAt(rec.Offset):
+		return "record does not follow the newest one that the operator saw"
+	case pub.Kind == KindAfterLoss:
+		return ""
+	case pub.Kind != "":
+		return "kind of record is unknown"
+	case pub.Base != s.revision():
+		return "base revision is not current"
+	}
+	return ""
+}
+
 func (s *State) revision() int64 {
 	if s.current == nil {
 		return 0
--- a/internal/profile/state_test.go
+++ b/internal/profile/state_test.go
@@ -35,6 +35,8 @@
 	readers [testReaders]*State
 	// answers of peers may arrive late, twice, or at a restarted reader.
 	answers []Transfer
+	// stranded reports a reader that cannot go on from a publication after a loss.
+	stranded error
 }
 
 func (w *world) next() int64 { return int64(len(w.records)) }
@@ -82,14 +84,19 @@
 		var p struct {
 			Kind         string
 			Schema, Base int
+			AfterLoss    struct{ First, Newest int } `json:"after_loss"`
 			Document     struct{ Organisations []struct{ Weight int } }
 		}
 		_ = json.Unmarshal(rec.Data, &p)
-		valid := p.Kind == "" && len(p.Document.Organisations) > 0 && p.Document.Organisations[0].Weight > 0
-		if valid && !seen[rec.ID] && p.Base == revision {
+		valid := len(p.Document.Organisations) > 0 && p.Document.Organisations[0].Weight > 0
+		switch {
+		case valid && p.Kind == "after-loss" && p.AfterLoss.First > 0 && p.AfterLoss.First <= i && p.AfterLoss.Newest == i-1:
+			revision, weight = i+1, p.Document.Organisations[0].Weight
+			clear(seen)
+		case valid && p.Kind == "" && !seen[rec.ID] && p.Base == revision:
 			revision, weight = i+1, p.Document.Organisations[0].Weight
 		}
-		seen[rec.ID] = seen[rec.ID] || p.Kind == ""
+		seen[rec.ID] = seen[rec.ID] || p.Kind != KindCheckpoint
 		e.revision = append(e.revision, revision)
 		e.weight = append(e.weight, weight)
 	}
@@ -111,7 +118,7 @@
 			return fmt.Errorf("reader %d went back from offset %d to %d", i, before[i], s.Next())
 		}
 	}
-	return nil
+	return w.stranded
 }
 
 // step is one action on the world, with the reader's restart as the only one
@@ -159,6 +166,37 @@
 	}}
 }
 
+// afterLoss appends a publication that names a loss; with shift 0 it stands right
+// after the newest record, and every reader of the log must go on from there.
+func afterLoss(id, shift, weight int) step {
+	name := fmt.Sprintf("afterLoss(id=%d shift=%d weight=%d)", id, shift, weight)
+	return step{name, -1, func(w *world) {
+		loss := &Loss{First: max(w.first, 1), Newest: w.next() - 1 + int64(shift)}
+		w.append(strconv.Itoa(id), Publication{
+			Kind: KindAfterLoss, Schema: SchemaVersion, AfterLoss: loss, Document: testDocument(weight),
+		})
+		if shift != 0 || weight == 0 || w.next() < 2 {
+			return
+		}
+		for i, s := range w.readers {
+			// A reader that finds a checkpoint goes back to what that covers.
+			w.read(i, 2*len(w.records))
+			if s.Next() != w.next() || s.Recovering() {
+				w.stranded = fmt.Errorf("reader %d is at offset %d of %d after a publication after a loss", i, s.Next(), w.next())
+			}
+		}
+	}}
+}
+
+// repeat appends a record again, as a writer does that has no answer.
+func repeat(n int) step {
+	return step{fmt.Sprintf("repeat(%d)", n), -1, func(w *world) {
+		if i := w.next() - int64(n); i >= 0 {
+			w.append(w.records[i].ID, w.records[i].Data)
+		}
+	}}
+}
+
 func genStep(reader, other, n int) gopter.Gen {
 	return gen.OneConstOf(
 		step{fmt.Sprintf("read(%d, %d)", reader, n), -1, func(w *world) { w.read(reader, n) }},
@@ -179,6 +217,9 @@
 		publish(100+n, 0, 1+n%7),
 		publish(200+n, 0, 0),
 		publish(300+n, -1+n%3, 5),
+		afterLoss(n, 0, 1+n%7),
+		afterLoss(400+n, -n%3, n%2),
+		repeat(n),
 	)
 }
 
--- a/internal/replay/cursor.go
+++ b/internal/replay/cursor.go
@@ -23,6 +23,9 @@
 	// 0 when the reader is not recovering.
 	need int64
 	scan int64
+	// first is the oldest retained offset when records before it expired unread and
+	// the recovery is due to that, else 0.
+	first int64
 	// base is the offset from which a new reader has to read.
 	base     int64
 	baseTime time.Time
@@ -51,6 +54,16 @@
 	}
 	c.need = max(c.need, first)
 	c.scan = max(c.scan, first)
+	c.first = first
+}
+
+// Expired returns the oldest retained offset and the newest one that was looked at
+// by a reader that is recovering because records expired before it read them.
+func (c *Cursor) Expired() (first, newest int64, ok bool) {
+	if !c.Recovering() || c.first == 0 {
+		return 0, 0, false
+	}
+	return c.first, c.scan - 1, true
 }
 
 // Skip reports that the record at offset cannot be applied by this reader, which
@@ -58,6 +71,7 @@
 func (c *Cursor) Skip(offset int64) {
 	c.need = max(c.need, offset+1)
 	c.scan = max(c.scan, offset+1)
+	c.first = 0
 }
 
 // Scan counts a record as looked at during a recovery. A record that a peer
@@ -75,10 +89,17 @@
 		c.baseTime = at
 	}
 	c.next++
-	if c.next >= c.need {
-		c.need = 0
-		c.scan = 0
+	c.endRecovery()
+}
+
+// endRecovery ends a recovery at an offset below which nothing is missing.
+func (c *Cursor) endRecovery() {
+	if c.next < c.need {
+		return
 	}
+	c.need = 0
+	c.scan = 0
+	c.first = 0
 }
 
 // Saw reports a checkpoint on the stream that covers all offsets below covers.
@@ -92,11 +113,11 @@
 // Usable tells whether a checkpoint takes the reader forward and leaves no gap.
 func (c *Cursor) Usable(covers int64) bool { return covers > c.next && covers >= c.need }
 
-// Restore moves the reader to a checkpoint that is usable.
+// Restore moves the reader forward to a checkpoint. One that leaves a gap does not
+// end a recovery.
 func (c *Cursor) Restore(covers int64) {
 	c.next = covers
-	c.need = 0
-	c.scan = 0
+	c.endRecovery()
 }
 
 // Base returns the offset from which a new reader has to read.
