Let operators publish after configuration records expired unread

TestExpiredRecordDoesNotStrandDaemons changed because daemons no longer have to recover on their own: an operator publishes after the loss. It is stricter elsewhere: the revision must be in force at every daemon within 4 s (before: at one within a minute), an ordinary publication must follow, a daemon that starts during the loss must serve, and the loss must be reported, not too early, and cleared.

TestConfigurationHistory also expires records that no daemon, or only one, has read, with up to three operators who publish after the loss. The bounds are suspended only while a new reader of the log finds it incomplete.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -7,6 +7,7 @@
 	"bergamotsill.example/bergamotsill/internal/burn"
 	"bergamotsill.example/bergamotsill/internal/decision"
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/profile"
 )
 
 // Methods of the operators' interface.
@@ -19,15 +20,18 @@
 
 // Status is the answer to MethodStatus.
 type Status struct {
-	Daemon      string     `json:"daemon"`
-	Incarnation string     `json:"incarnation"`
-	Version     string     `json:"version"`
-	DataCentre  string     `json:"data_centre"`
-	Region      string     `json:"region"`
-	Ready       bool       `json:"ready"`
-	Stopping    bool       `json:"stopping"`
-	Revision    int64      `json:"revision"`
-	Upstreams   []Upstream `json:"upstreams"`
+	Daemon      string `json:"daemon"`
+	Incarnation string `json:"incarnation"`
+	Version     string `json:"version"`
+	DataCentre  string `json:"data_centre"`
+	Region      string `json:"region"`
+	Ready       bool   `json:"ready"`
+	Stopping    bool   `json:"stopping"`
+	Revision    int64  `json:"revision"`
+	// Lost is set when configuration records are lost and an operator has to publish
+	// after the loss.
+	Lost      *profile.Loss `json:"lost,omitempty"`
+	Upstreams []Upstream    `json:"upstreams"`
 }
 
 // Upstream is the state of one engine or service as a daemon sees it.
--- a/internal/ctl/ask_test.go
+++ b/internal/ctl/ask_test.go
@@ -34,6 +34,13 @@
 			at := time.Unix(answered, 0)
 			return admin.Explanation{Daemon: name, Records: []decision.Record{{Time: at, Verdict: "to-" + name}}}, nil
 		},
+		admin.MethodStatus: func(context.Context, json.RawMessage) (any, error) {
+			status := admin.Status{Daemon: name}
+			if answered > 20 {
+				status.Lost = &profile.Loss{First: 5, Newest: 7}
+			}
+			return status, nil
+		},
 	})
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() {
@@ -70,3 +77,25 @@
 		t.Errorf("burn with no daemon: exit code %d, %v", ExitCode(err), err)
 	}
 }
+
+// Guards against a status that hides that records are lost, or which daemons did not
+// answer beside those that lost some.
+func TestStatusReportsLostRecords(t *testing.T) {
+	net := standin.NewMemNet()
+	t.Cleanup(net.CloseAll)
+	serveAdmin(t, net, "daemon-1", "10.0.0.1:7600", 30)
+	serveAdmin(t, net, "daemon-2", "10.0.0.2:7600", 20)
+	nw := net.Host("operator")
+	out, err := run(nw, "status", "--daemon", "10.0.0.1:7600,10.0.0.2:7600,10.0.0.9:7600")
+	if ExitCode(err) != ExitLost || !strings.Contains(out, "daemon-2") {
+		t.Errorf("status of a daemon that lost records: exit code %d, %v:\n%s", ExitCode(err), err, out)
+	}
+	for _, want := range []string{"daemon-1", "offset 5", "--after-loss", "10.0.0.9:7600"} {
+		if !strings.Contains(Message(err), want) {
+			t.Errorf("the message does not name %s: %s", want, Message(err))
+		}
+	}
+	if _, err = run(nw, "status", "--daemon", "10.0.0.2:7600"); err != nil {
+		t.Errorf("status of a daemon that lost nothing: %v", err)
+	}
+}
--- a/internal/ctl/configuration_test.go
+++ b/internal/ctl/configuration_test.go
@@ -8,7 +8,10 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
@@ -166,3 +169,59 @@
 		t.Errorf("exit code of another error is %d, want %d", got, ExitFailure)
 	}
 }
+
+// lostLog returns a log whose first two records expired, with one record left that
+// nobody can decide about.
+func lostLog() *standin.Log {
+	log := standin.NewLog(0)
+	for i := range 3 {
+		data, _ := json.Marshal(profile.Publication{Schema: profile.SchemaVersion, Base: int64(i), Document: document(1)})
+		_, _ = log.Append(context.Background(), profile.Stream, []port.Entry{{ID: fmt.Sprint("r", i), Data: data}})
+	}
+	log.Trim(profile.Stream, 1)
+	return log
+}
+
+// Guards against two operators that both win after a loss, a publication after a loss
+// that replaces what its operator did not see, and exit codes that hide which.
+func TestPublishAfterLoss(t *testing.T) {
+	for _, faults := range []standin.LogFaults{{}, {LoseAnswers: 2}, {DropRequests: 2}, {LateAppends: 1, LateMS: 7000}} {
+		synctest.Test(t, func(t *testing.T) {
+			log := lostLog()
+			p := Publisher{Log: log, Base: -1}
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			loss := profile.Loss{First: 2, Newest: 2}
+			if _, err := p.Publish(ctx, "c.json", document(2)); ExitCode(err) != ExitLost {
+				t.Errorf("ordinary publication after a loss: %v, want exit code %d", err, ExitLost)
+			}
+			_, err := p.PublishAfterLoss(t.Context(), "c.json", document(2), profile.Loss{First: 2, Newest: 3})
+			if ExitCode(err) != ExitInvalid {
+				t.Errorf("publication after an offset that is not on the log: %v, want exit code %d", err, ExitInvalid)
+			}
+			_, err = p.PublishAfterLoss(t.Context(), "c.json", document(2), profile.Loss{First: 2, Newest: 1})
+			if ExitCode(err) != ExitLost || !strings.Contains(Message(err), "--after-loss 2:2") {
+				t.Errorf("publication after an older offset: %v, want exit code %d and the flag", err, ExitLost)
+			}
+			log.SetFaults(faults)
+			winner, err := p.PublishAfterLoss(t.Context(), "c.json", document(2), loss)
+			if err != nil || !winner.Accepted || winner.Revision != 4 {
+				t.Fatalf("publication after the loss: %+v, %v, want revision 4", winner, err)
+			}
+			loser, err := p.PublishAfterLoss(t.Context(), "c.json", document(3), loss)
+			if err != nil || loser.Accepted || loser.Revision != 4 || ExitCode(report(newRoot("test", &options{}), loser)) != ExitConflict {
+				t.Errorf("second publication after the loss: %+v, %v, want revision 4 to win", loser, err)
+			}
+			newest := log.Next(profile.Stream) - 1
+			_, err = p.PublishAfterLoss(t.Context(), "c.json", document(3), profile.Loss{First: 2, Newest: newest})
+			if ExitCode(err) != ExitInvalid {
+				t.Errorf("publication after a loss that is decided: %v, want exit code %d", err, ExitInvalid)
+			}
+			time.Sleep(10 * time.Second)
+			state, _, err := history(t.Context(), log)
+			if err != nil || currentRevision(state) != 4 {
+				t.Errorf("revision %d (%v) after a late append, want 4", currentRevision(state), err)
+			}
+		})
+	}
+}
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -14,6 +14,8 @@
 	ErrPartial = errors.New("some daemons did not answer")
 	// ErrDifferent reports that two configurations differ.
 	ErrDifferent = errors.New("the configurations differ")
+	// ErrLost reports that configuration records expired before any daemon read them.
+	ErrLost = errors.New("configuration records are lost")
 )
 
 // ExitCode returns the exit code for the error of a command.
@@ -21,6 +23,8 @@
 	switch {
 	case err == nil:
 		return ExitOK
+	case errors.Is(err, ErrLost):
+		return ExitLost
 	case errors.Is(err, ErrConflict):
 		return ExitConflict
 	case errors.Is(err, ErrPartial):
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -22,6 +20,7 @@
 func newPublish(opts *options) *cobra.Command {
 	var logURL, author string
 	var base int64
+	var afterLoss lossFlag
 	cmd := &cobra.Command{
 		Use:   "publish FILE",
 		Short: "Publish a configuration document through the log service",
@@ -38,7 +37,13 @@
 				return err
 			}
 			p := Publisher{Log: log, Author: author, Base: base}
-			verdict, err := p.Publish(ctx, args[0], data)
+			publish := p.Publish
+			if afterLoss.loss != nil {
+				publish = func(ctx context.Context, file string, data []byte) (profile.Verdict, error) {
+					return p.PublishAfterLoss(ctx, file, data, *afterLoss.loss)
+				}
+			}
+			verdict, err := publish(ctx, args[0], data)
 			if err != nil {
 				return err
 			}
@@ -49,6 +54,8 @@
 	addLogFlag(cmd, &logURL)
 	flags.StringVar(&author, "author", os.Getenv("USER"), "name recorded with the revision")
 	flags.Int64Var(&base, "base", -1, "revision that the document revises; -1 takes the one in force")
+	flags.Var(&afterLoss, "after-loss", "publish although records expired unread: the oldest retained offset and the newest one")
+	cmd.MarkFlagsMutuallyExclusive("base", "after-loss")
 	return cmd
 }
 
@@ -76,16 +83,11 @@
 	if base < 0 {
 		base = currentRevision(state)
 	}
-	record, err := json.Marshal(profile.Publication{
-		Schema:   profile.SchemaVersion,
-		Base:     base,
-		Author:   p.Author,
-		Document: data,
-	})
+	entry, err := p.entry(profile.Publication{Base: base, Document: data})
 	if err != nil {
-		return profile.Verdict{}, trace.Wrap(err)
+		return profile.Verdict{}, err
 	}
-	return p.append(ctx, state, port.Entry{ID: rand.Text(), Data: record})
+	return p.append(ctx, state, entry)
 }
 
 // append repeats the append with the same id until the record is found on the
@@ -113,30 +115,41 @@
 
 // follow applies the stream up to its end. On a truncated stream it starts from
 // the newest checkpoint; after a long outage of the log a daemon writes one
-// first, so follow waits for it.
+// first, so follow waits for it. The error is ErrLost when none appears.
 func (p Publisher) follow(ctx context.Context, state *profile.State) error {
 	for {
 		wait := time.Duration(0)
 		if state.Recovering() {
 			wait = readWait
 		}
-		page, err := p.Log.Read(ctx, profile.Stream, state.ReadOffset(), readLimit, wait)
-		if err != nil && !errors.Is(err, port.ErrLogTruncated) {
-			return trace.Wrap(err)
-		}
-		state.Truncate(page.First)
-		for _, rec := range page.Records {
-			if _, err := state.Apply(rec); err != nil && !state.Recovering() {
-				return trace.Wrap(err)
-			}
-		}
-		if !state.Recovering() && state.Next() >= page.Next {
+		page, err := p.readPage(ctx, state, wait)
+		loss := state.Loss()
+		switch {
+		case ctx.Err() != nil && loss != nil:
+			return lossError(loss)
+		case err != nil:
+			return err
+		case !state.Recovering() && state.Next() >= page.Next:
 			return nil
+		case ctx.Err() != nil:
+			return trace.Wrap(ctx.Err(), "no usable checkpoint on the log at or after offset %d", page.First)
 		}
-		if err := ctx.Err(); err != nil {
-			return trace.Wrap(err, "no usable checkpoint on the log at or after offset %d", page.First)
+	}
+}
+
+// readPage applies one page of the stream.
+func (p Publisher) readPage(ctx context.Context, state *profile.State, wait time.Duration) (port.Page, error) {
+	page, err := p.Log.Read(ctx, profile.Stream, state.ReadOffset(), readLimit, wait)
+	if err != nil && !errors.Is(err, port.ErrLogTruncated) {
+		return page, trace.Wrap(err)
+	}
+	state.Truncate(page.First)
+	for _, rec := range page.Records {
+		if _, err := state.Apply(rec); err != nil && !state.Recovering() {
+			return page, trace.Wrap(err)
 		}
 	}
+	return page, nil
 }
 
 func report(cmd *cobra.Command, v profile.Verdict) error {
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -25,6 +25,9 @@
 	ExitPartial = 4
 	// ExitDifferent means that diff found a difference.
 	ExitDifferent = 5
+	// ExitLost means that configuration records are lost and an operator has to
+	// publish after the loss.
+	ExitLost = 6
 )
 
 // options are the flags that all commands share.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
 	"bergamotsill.example/bergamotsill/internal/admin"
@@ -18,18 +20,38 @@
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			answers, asked := ask[admin.Status](cmd.Context(), opts, admin.MethodStatus, struct{}{})
-			return show(asked, func() error {
+			err := show(asked, func() error {
 				if opts.json {
 					return printJSON(cmd.OutOrStdout(), answers)
 				}
 				return printStatus(cmd.OutOrStdout(), answers, upstreams || len(opts.daemons) == 1)
 			})
+			return withLosses(err, answers)
 		},
 	}
 	cmd.Flags().BoolVar(&upstreams, "upstreams", false, "list the upstreams that each daemon sees")
 	return cmd
 }
 
+// withLosses adds to the error of a command which daemons lost configuration
+// records; that one decides the exit code.
+func withLosses(err error, answers []admin.Status) error {
+	var lost []string
+	if err != nil {
+		lost = append(lost, Message(err))
+	}
+	before := len(lost)
+	for _, s := range answers {
+		if s.Lost != nil {
+			lost = append(lost, fmt.Sprintf("daemon %s has revision %d and lost records below offset %d", s.Daemon, s.Revision, s.Lost.First))
+		}
+	}
+	if len(lost) == before {
+		return err
+	}
+	return trace.Wrap(ErrLost, "%s\nwhen no daemon has the records, publish with --after-loss (docs/operations.md)", strings.Join(lost, "\n"))
+}
+
 func printStatus(out io.Writer, answers []admin.Status, upstreams bool) error {
 	if err := printDaemons(out, answers); err != nil {
 		return err
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -32,6 +32,10 @@
 	// peersAtStart is asked before the first configuration is in force, to start
 	// with the newest one.
 	peersAtStart = 8
+	// lossDelay is how long a daemon looks for the records that it lost before it
+	// tells operators. A daemon that has them writes a checkpoint within
+	// maxCheckpointDelay.
+	lossDelay = maxCheckpointDelay + 3*time.Second
 )
 
 // recordsRequest is the argument of methodConfigRecords.
@@ -49,6 +53,10 @@
 	// state is the follower's machine.
 	state    *profile.State
 	snapshot atomic.Pointer[profile.Snapshot]
+	// lossSince is since when records are lost, zero when none are; lossReported
+	// tells that operators were told. Both are guarded by the follower's lock.
+	lossSince    time.Time
+	lossReported bool
 
 	// Used by runPeers only: unasked holds the addresses of peers that were not
 	// asked in this pass, informed the one that last had news.
@@ -138,8 +146,47 @@
 	return nil
 }
 
+// watchLoss tells operators that records are lost, which needs their decision.
+func (c *configFollower) watchLoss() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	loss := c.state.Loss()
+	switch {
+	case loss == nil && c.lossReported:
+		c.daemon.log.Info("configuration stream is complete again", zap.Int64("next", c.state.Next()))
+		fallthrough
+	case loss == nil:
+		c.lossSince, c.lossReported = time.Time{}, false
+	case c.lossSince.IsZero():
+		c.lossSince = time.Now()
+	case !c.lossReported && time.Since(c.lossSince) >= lossDelay:
+		c.lossReported = true
+		c.daemon.log.Error("configuration records expired before this daemon read them and no peer has them;"+
+			" no later revision takes effect until an operator publishes with --after-loss",
+			zap.Int64("next", c.state.Next()),
+			zap.Int64("first", loss.First),
+			zap.Int64("newest", loss.Newest),
+		)
+	}
+	c.daemon.metrics.ConfigurationLost.Set(0)
+	if c.lossReported {
+		c.daemon.metrics.ConfigurationLost.Set(1)
+	}
+}
+
+// reportedLoss returns the loss that operators have to decide about, or nil.
+func (c *configFollower) reportedLoss() *profile.Loss {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.lossReported {
+		return nil
+	}
+	return c.state.Loss()
+}
+
 // pollPeers asks some peers for records while the log does not supply them.
 func (c *configFollower) pollPeers(ctx context.Context) {
+	c.watchLoss()
 	if c.reading() {
 		return
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -66,6 +66,9 @@
 	ClaimEntries expvar.Map
 	// Revision is the configuration revision in force.
 	Revision expvar.Int
+	// ConfigurationLost is 1 while configuration records that no daemon has read are
+	// lost and an operator has to publish with --after-loss, else 0.
+	ConfigurationLost expvar.Int
 }
 
 func newMetrics() *Metrics {
@@ -102,6 +105,7 @@
 	m.vars.Set("claim_entries", &m.ClaimEntries)
 	m.vars.Set("claim_calls", &m.ClaimCalls)
 	m.vars.Set("revision", &m.Revision)
+	m.vars.Set("configuration_lost", &m.ConfigurationLost)
 	return m
 }
 
