Account for every copy of an order to an engine that ignores fencing

Cause: a pending order whose answer timed out was sent again every step. A late copy could arrive after a later, different order, because an engine without fencing recognises only a repetition of its last order.

Each copy is now recorded on the control stream before it is sent, with the engine's incarnation, and stays open until it is proved to have no effect any more: answered, not sent, reported as executed, or cut off because the engine has restarted. The client checks the incarnation over the connection that then carries the order. State accepts no different order while a copy is open. The same order may be repeated after 10 s; once it is done the engine serves, but takes no further change until it restarts, and the holder says so in the role decisions and in order_copies_open. An order without progress for 2 minutes no longer holds up other engines.

The bindings (unfenced-bind, unfenced-release) are gone: an open copy covers the paused sender, and proof that a sender is gone says nothing of copies under way. Ruled out: time as evidence; one copy per engine incarnation, which keeps an engine drained after a lost one.

TestOrdersUnderFaults delays 1 to 3 copies by 3 to 242 s as a further fault. Its last step restarts an engine that is held back for 4 minutes, which is what the operator is told to do: nobody can account for the copy of a sender that was killed between the record and the send.

--- a/internal/adapter/engine/engine.go
+++ b/internal/adapter/engine/engine.go
@@ -87,6 +87,7 @@
 	// pooled reuses idle connections, fresh opens one per request.
 	pooled *http.Client
 	fresh  *http.Client
+	dial   dialFunc
 }
 
 func newClient(address string, opts Options) *Client {
@@ -106,6 +107,7 @@
 		progress: opts.Progress,
 		pooled:   &http.Client{Transport: pooled},
 		fresh:    &http.Client{Transport: fresh},
+		dial:     opts.Network.DialContext,
 	}
 }
 
@@ -175,12 +177,6 @@
 	return out, err
 }
 
-// Order implements port.Engine. It uses a new connection, because an order must
-// not be repeated here after a silence.
-func (c *Client) Order(ctx context.Context, o port.Order) error {
-	return c.control(ctx, c.fresh, http.MethodPost, OrdersPath, o, nil)
-}
-
 // CacheEvents implements port.Engine.
 func (c *Client) CacheEvents(ctx context.Context, from int64) ([]port.CacheEvent, error) {
 	var out []port.CacheEvent
--- /dev/null
+++ b/internal/adapter/engine/order.go
@@ -0,0 +1,102 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// errNoConnection reports that there was no connection to write an order to.
+var errNoConnection = errors.New("no connection for the order")
+
+// Order implements port.Engine. It uses a new connection and never repeats the
+// order. With an incarnation it asks for the engine's status first, over the same
+// connection: a connection ends with the incarnation that accepted it.
+func (c *Client) Order(ctx context.Context, o port.Order) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	transport := &http.Transport{DialContext: dialOnce(c.dial), DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+	if o.Incarnation != "" {
+		if err := c.checkIncarnation(ctx, client, o.Incarnation); err != nil {
+			return fmt.Errorf("%w: %v", port.ErrNotSent, err)
+		}
+	}
+	resp, err := c.post(ctx, client, o)
+	if errors.Is(err, errNoConnection) {
+		return fmt.Errorf("%w: %v", port.ErrNotSent, err)
+	}
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return port.ErrStaleFencing
+	case resp.StatusCode < 300:
+		return nil
+	case resp.StatusCode >= 400 && resp.StatusCode < 500:
+		return fmt.Errorf("%w: %s", port.ErrNotRun, resp.Status)
+	}
+	return fmt.Errorf("engine answered an order with %s", resp.Status)
+}
+
+func (c *Client) post(ctx context.Context, client *http.Client, o port.Order) (*http.Response, error) {
+	data, err := json.Marshal(o)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", errNoConnection, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+OrdersPath, bytes.NewReader(data))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", errNoConnection, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := client.Do(req)
+	return resp, trace.Wrap(err)
+}
+
+func (c *Client) checkIncarnation(ctx context.Context, client *http.Client, want string) error {
+	resp, _, err := c.send(ctx, client, http.MethodGet, StatusPath, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	var status port.EngineStatus
+	// Decoding to the end of the body leaves the connection reusable.
+	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+		return trace.Wrap(err)
+	}
+	if status.Incarnation != want {
+		return fmt.Errorf("engine runs as incarnation %q, not %q", status.Incarnation, want)
+	}
+	return nil
+}
+
+// dialOnce lets a transport open one connection only. Its errors wrap
+// errNoConnection; net/http dials again only for a request of which it has written
+// nothing.
+func dialOnce(dial dialFunc) dialFunc {
+	var used atomic.Bool
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if used.Swap(true) {
+			return nil, errNoConnection
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %v", errNoConnection, err)
+		}
+		return conn, nil
+	}
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -64,6 +64,9 @@
 	ClaimCalls expvar.Int
 	// ClaimEntries is the number of remembered keys and withdrawn claims by stream.
 	ClaimEntries expvar.Map
+	// OrderCopiesOpen is the number of copies of orders that may still reach engines
+	// that ignore fencing; such an engine takes no other change until it restarts.
+	OrderCopiesOpen expvar.Int
 	// Revision is the configuration revision in force.
 	Revision expvar.Int
 }
@@ -101,6 +104,7 @@
 	m.ClaimEntries.Init()
 	m.vars.Set("claim_entries", &m.ClaimEntries)
 	m.vars.Set("claim_calls", &m.ClaimCalls)
+	m.vars.Set("order_copies_open", &m.OrderCopiesOpen)
 	m.vars.Set("revision", &m.Revision)
 	return m
 }
--- a/internal/daemon/order_controller.go
+++ b/internal/daemon/order_controller.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -50,6 +52,7 @@
 		return
 	}
 	action := o.controller.Next(c.state, view)
+	o.countCopies(c.state)
 	fencing := c.state.Lease.Lease().Fencing
 	c.mu.Unlock()
 	o.record(action, fencing)
@@ -62,11 +65,35 @@
 		}
 	case order.ActSend:
 		// Whether the order was carried out shows in the engine's status.
-		_ = o.send(ctx, c, action)
+		err := o.send(ctx, c, action)
+		if action.Copy > 0 {
+			o.controller.Sent(action.Copy, copyResult(err))
+		}
+	}
+}
+
+func (o *orders) countCopies(s *order.State) {
+	open := 0
+	for _, e := range s.Engines() {
+		open += len(e.Copies)
 	}
+	o.daemon.metrics.OrderCopiesOpen.Set(int64(open))
 }
 
-// yield gives up bindings after another daemon was seen to hold the lease.
+// copyResult tells what became of a copy, "" when it may still take effect.
+func copyResult(err error) string {
+	switch {
+	case err == nil:
+		return order.CopyAccepted
+	case errors.Is(err, port.ErrNotSent):
+		return order.CopyNotSent
+	case errors.Is(err, port.ErrNotRun), errors.Is(err, port.ErrStaleFencing):
+		return order.CopyRefused
+	}
+	return ""
+}
+
+// yield tells what became of own copies after another daemon was seen to hold the lease.
 func (o *orders) yield(ctx context.Context, c *control) {
 	c.mu.Lock()
 	var records []order.Record
@@ -88,11 +115,11 @@
 }
 
 // send sends an order if the lease is still held. The daemon may be paused after
-// the check; fencing or the engine's binding makes that harmless.
+// the check; fencing or the record of the copy makes that harmless.
 func (o *orders) send(ctx context.Context, c *control, action order.Action) error {
 	u := o.daemon.fleet.upstreamByID(action.Engine)
 	if u == nil || !o.held(c) {
-		return errors.New("engine or lease is gone")
+		return fmt.Errorf("%w: engine or lease is gone", port.ErrNotSent)
 	}
 	err := u.Engine.Order(ctx, action.Order)
 	o.daemon.log.Info("order sent",
@@ -148,31 +175,21 @@
 	return !o.lastList.IsZero() && time.Since(o.listedAt) < listFreshness && time.Since(seen) >= settle
 }
 
-// gone tells whether an incarnation on a VM has ended: its VM has left, or another
-// incarnation answers at the VM's address.
-func (o *orders) gone(vm, incarnation string) bool {
-	current := o.incarnations[vm]
-	return o.left(vm) || (current != "" && current != incarnation)
-}
-
 // view collects what the holder decides from.
 func (o *orders) view(ctx context.Context, c *control) order.View {
 	c.mu.Lock()
 	states := c.state.Engines()
 	c.mu.Unlock()
+	o.forgetAcks(states)
 	acknowledged := map[string]bool{}
 	for _, e := range states {
 		if e.Drain > 0 {
 			acknowledged[e.Engine] = o.collectAcks(ctx, e)
 		}
-		if e.Bound != "" && e.Bound != o.opts.Holder {
-			o.askIncarnation(ctx, e.BoundDaemon)
-		}
 	}
 	view := order.View{
 		Input:        order.Input{Now: time.Now(), Configuration: o.daemon.config.Snapshot()},
 		Acknowledged: func(engine string) bool { return acknowledged[engine] },
-		Gone:         o.gone,
 		EngineGone:   o.left,
 	}
 	if status, err := o.daemon.deps.Weights.Status(ctx); err == nil {
@@ -195,7 +212,7 @@
 		e := order.Engine{VM: u.VM}
 		i := slices.IndexFunc(states, func(s order.EngineState) bool { return s.Engine == u.VM.ID })
 		if i >= 0 {
-			e.Changing = true
+			e.Changing = states[i].Changing()
 			status, err := u.Engine.Status(ctx)
 			e.Status, e.Known = status, err == nil
 		} else if r := u.Report(); r != nil {
@@ -207,6 +224,15 @@
 	return out
 }
 
+// forgetAcks forgets the acknowledgements of drains that have ended.
+func (o *orders) forgetAcks(states []order.EngineState) {
+	maps.DeleteFunc(o.acknowledged, func(r ackRequest, _ map[string]bool) bool {
+		return !slices.ContainsFunc(states, func(e order.EngineState) bool {
+			return e.Engine == r.Engine && e.Drain == r.Drain
+		})
+	})
+}
+
 // collectAcks asks every daemon that has not acknowledged a drain, and tells
 // whether all have or are proved gone. Daemons that left the VM list a short
 // while ago may still send, so they count.
@@ -214,8 +240,6 @@
 	request := ackRequest{DataCentre: o.daemon.settings.DataCentre, Engine: e.Engine, Drain: e.Drain}
 	got, ok := o.acknowledged[request]
 	if !ok {
-		// Only one engine changes at a time.
-		clear(o.acknowledged)
 		got = map[string]bool{}
 		o.acknowledged[request] = got
 	}
@@ -267,15 +291,3 @@
 	}
 	return out
 }
-
-// askIncarnation asks which incarnation runs on a VM.
-func (o *orders) askIncarnation(ctx context.Context, id string) {
-	for _, vm := range o.daemon.fleet.daemons() {
-		if vm.ID != id {
-			continue
-		}
-		if answer := o.askAck(ctx, vm, ackRequest{}); answer.Incarnation != "" {
-			o.incarnations[id] = answer.Incarnation
-		}
-	}
-}
--- a/internal/daemon/order_drains.go
+++ b/internal/daemon/order_drains.go
@@ -82,9 +82,9 @@
 }
 
 func (o *orders) ack(in ackRequest) ackResponse {
-	out := ackResponse{Incarnation: o.daemon.incarnation}
+	var out ackResponse
 	c := o.control(in.DataCentre)
-	if in.Engine == "" || c == nil {
+	if c == nil {
 		return out
 	}
 	c.mu.Lock()
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -42,8 +42,7 @@
 	drainPeerDelay = 6 * time.Second
 )
 
-// ackRequest is the argument of methodDrainAck. Without an engine it asks only for
-// the incarnation.
+// ackRequest is the argument of methodDrainAck.
 type ackRequest struct {
 	DataCentre string `json:"data_centre"`
 	Engine     string `json:"engine,omitempty"`
@@ -52,7 +51,6 @@
 
 // ackResponse is the answer to methodDrainAck.
 type ackResponse struct {
-	Incarnation string `json:"incarnation"`
 	// Drained is set when the daemon knows the drain, sends nothing more to the
 	// engine and has no request in flight there.
 	Drained bool `json:"drained"`
@@ -94,8 +92,7 @@
 	lastList              time.Time
 	listedSince, listedAt time.Time
 	// daemonIDs holds every daemon that was ever listed.
-	daemonIDs    map[string]bool
-	incarnations map[string]string
+	daemonIDs map[string]bool
 
 	// claimAt is when this daemon claims a free lease; used by runLease only.
 	claimAt time.Duration
@@ -118,7 +115,6 @@
 		acknowledged: map[ackRequest]map[string]bool{},
 		listed:       map[string]time.Time{},
 		daemonIDs:    map[string]bool{},
-		incarnations: map[string]string{},
 		rng:          rand.New(rand.NewPCG(d.deps.Seed, 3)),
 	}
 }
@@ -281,7 +277,7 @@
 	}
 }
 
-// handOver releases the bindings and the lease at a graceful stop, so that another
+// handOver tells what became of own copies and releases the lease at a graceful stop, so that another
 // daemon goes on at once. An order that is being sent is waited for.
 func (o *orders) handOver(ctx context.Context) {
 	o.stopping.Store(true)
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -31,6 +32,26 @@
 	mu     sync.Mutex
 	closed chan struct{}
 	held   int
+	// late is the delay of the next lateCopies orders, which seem to time out.
+	late       time.Duration
+	lateCopies int
+}
+
+// delay makes the next copies of orders late.
+func (g *orderGate) delay(copies int, late time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lateCopies, g.late = copies, late
+}
+
+func (g *orderGate) takeLate() (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lateCopies == 0 {
+		return 0, false
+	}
+	g.lateCopies--
+	return g.late, true
 }
 
 func (g *orderGate) close() {
@@ -97,7 +118,7 @@
 	port.Engine
 	address string
 	gate    *orderGate
-	history *orderHistory
+	run     *orderRun
 }
 
 // Order counts an order as called when it has passed the gate.
@@ -108,11 +129,35 @@
 		}
 	}
 	call := time.Now()
-	err := e.Engine.Order(ctx, o)
-	e.history.add(fencedWrite{e.address, o.Fencing}, call, err)
+	err := e.order(ctx, o)
+	e.run.history.add(fencedWrite{e.address, o.Fencing}, call, err)
 	return err
 }
 
+// order sends an order, or delivers it late unless the engine restarts meanwhile,
+// which would close the connection.
+func (e gatedEngine) order(ctx context.Context, o port.Order) error {
+	if o.Kind == port.OrderRaiseFencing {
+		return e.Engine.Order(ctx, o)
+	}
+	late, ok := e.gate.takeLate()
+	if !ok {
+		return e.Engine.Order(ctx, o)
+	}
+	engine := e.run.engineAt(e.address)
+	incarnation := engine.Status().Incarnation
+	if o.Incarnation != "" && o.Incarnation != incarnation {
+		return port.ErrNotSent
+	}
+	e.run.work.Go(func() {
+		time.Sleep(late)
+		if engine.Status().Incarnation == incarnation {
+			_, _ = engine.Execute(o)
+		}
+	})
+	return context.DeadlineExceeded
+}
+
 // fencedWrite is an order as the input of fencedModel.
 type fencedWrite struct {
 	engine  string
@@ -192,8 +237,10 @@
 	lastLoad  time.Time
 	revision  int64
 	history   orderHistory
-	stop      chan struct{}
-	work      sync.WaitGroup
+	// unresolved holds when an engine was first seen with open copies.
+	unresolved map[string]time.Time
+	stop       chan struct{}
+	work       sync.WaitGroup
 }
 
 // announcement is where an order is on the control stream.
@@ -210,14 +257,14 @@
 func newOrderRun(c *cluster, fenced bool) *orderRun {
 	r := &orderRun{
 		cluster: c, fenced: fenced, gates: map[string]*orderGate{}, announced: map[string]announcement{},
-		minServing: 2, reader: order.NewState(lease.Options{}), stop: make(chan struct{}),
+		minServing: 2, reader: order.NewState(lease.Options{}), unresolved: map[string]time.Time{}, stop: make(chan struct{}),
 	}
 	c.connect = func(s settings.Settings, deps *Dependencies) {
 		g := &orderGate{}
 		r.gates[s.Name] = g
 		dial := deps.Engines
 		deps.Log = gatedLog{deps.Log, g}
-		deps.Engines = func(address string) port.Engine { return gatedEngine{dial(address), address, g, &r.history} }
+		deps.Engines = func(address string) port.Engine { return gatedEngine{dial(address), address, g, r} }
 	}
 	for i := range 3 {
 		c.addEngine(fmt.Sprintf("engine-%d", i), controlDataCentre, standin.EngineOptions{
@@ -236,6 +283,15 @@
 	return r
 }
 
+func (r *orderRun) engineAt(address string) *standin.Engine {
+	for _, vm := range r.vms {
+		if vm.Address == address {
+			return r.engines[vm.ID]
+		}
+	}
+	return nil
+}
+
 // roll publishes the next model version.
 func (r *orderRun) roll() {
 	r.version++
@@ -352,6 +408,7 @@
 	r.await("all engines run the newest version", 15*time.Minute, func() bool {
 		r.oneAtATime()
 		r.holder()
+		r.restartUnresolved()
 		return r.rolled()
 	})
 	close(r.stop)
@@ -359,6 +416,25 @@
 	r.check()
 }
 
+// restartUnresolved does what the operator is told to: it restarts an engine that
+// is held back by copies that nobody can account for, as after the death of their
+// sender.
+func (r *orderRun) restartUnresolved() {
+	r.readLog()
+	for _, e := range r.reader.Engines() {
+		since := r.unresolved[e.Engine]
+		switch {
+		case len(e.Copies) == 0:
+			delete(r.unresolved, e.Engine)
+		case since.IsZero():
+			r.unresolved[e.Engine] = time.Now()
+		case time.Since(since) > 4*time.Minute:
+			r.engines[e.Engine].Crash()
+			r.unresolved[e.Engine] = time.Now()
+		}
+	}
+}
+
 func forFencing(t *testing.T, f func(r *orderRun)) {
 	for _, seed := range seedtest.Seeds() {
 		for _, fenced := range []bool{true, false} {
@@ -479,7 +555,7 @@
 	vm := r.daemon[r.rng.IntN(len(r.daemon))]
 	engine := r.engines[fmt.Sprintf("engine-%d", r.rng.IntN(3))]
 	holder := r.holder()
-	switch r.rng.IntN(13) {
+	switch r.rng.IntN(14) {
 	case 0:
 		r.replace(vm)
 	case 1:
@@ -516,6 +592,10 @@
 		}
 	case 12:
 		r.roll()
+	case 13:
+		if holder != "" {
+			r.gates[holder].delay(1+r.rng.IntN(3), time.Duration(3+r.rng.IntN(240))*time.Second)
+		}
 	}
 }
 
@@ -564,9 +644,72 @@
 	}
 }
 
+// Guards against a copy of an order that timed out and reaches an engine that
+// ignores fencing after a different order, and against an engine that is kept out
+// of service for it although a repetition has no second effect.
+func TestLateCopyMeetsNoOtherOrder(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		r := newOrderRun(c, false)
+		r.traffic()
+		r.await("a daemon holds the lease", time.Minute, func() bool { return r.holder() != "" })
+		r.gates[r.holder()].delay(1, time.Duration(120+r.rng.IntN(300))*time.Second)
+		r.roll()
+		r.await("all engines run the version", 5*time.Minute, r.rolled)
+		late := r.openCopies()
+		if late == "" {
+			r.t.Fatal("the late copy is accounted for before it arrives")
+		}
+		r.roll()
+		time.Sleep(time.Minute)
+		if s := r.engines[late].Status(); s.Version != "v1" || s.Phase != port.PhaseServing {
+			r.t.Errorf("%s has version %s and is %s before its late copy arrived", late, s.Version, s.Phase)
+		}
+		if r.reader.Engine(late).Changing() {
+			r.t.Errorf("%s is out of service for a harmless late copy", late)
+		}
+		others := 0
+		for name, e := range r.engines {
+			if name != late && e.Status().Version == "v2" {
+				others++
+			}
+		}
+		if others != 2 {
+			r.t.Errorf("%d other engines were changed, want 2", others)
+		}
+		if !r.shows(late, "until the engine restarts") {
+			r.t.Errorf("role decisions do not tell why %s is held back", late)
+		}
+		r.finish()
+	})
+}
+
+// openCopies returns an engine with a copy that may still arrive, or "".
+func (r *orderRun) openCopies() string {
+	r.readLog()
+	for _, e := range r.reader.Engines() {
+		if len(e.Copies) > 0 {
+			return e.Engine
+		}
+	}
+	return ""
+}
+
+// shows tells whether a daemon's role decisions about an engine contain a text.
+func (r *orderRun) shows(engine, text string) bool {
+	for _, d := range r.daemons {
+		for _, record := range d.roles.Find(engine) {
+			if strings.Contains(record.Verdict, text) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Guards against conflicting orders, orders without authority and interrupted
 // requests when several failures meet: a holder killed between record, send and
-// outcome, paused or stopped; engines that crash halfway; lost and late appends;
+// outcome, paused or stopped; copies of orders that arrive minutes after they timed
+// out; engines that crash halfway; lost and late appends;
 // outages of the log; expiry of the stream; daemons replaced meanwhile.
 func TestOrdersUnderFaults(t *testing.T) {
 	forFencing(t, func(r *orderRun) {
--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -1,6 +1,8 @@
 package order
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/decision"
@@ -14,6 +16,12 @@
 	drainPatience = 2 * time.Minute
 	// drainBackoff is the time after such a drain before the next change.
 	drainBackoff = time.Minute
+	// settlePatience is how long an order may be pending before other engines'
+	// changes go on.
+	settlePatience = 2 * time.Minute
+	// copyPatience is the time after which an unanswered copy is repeated. An engine
+	// shows in its status at once that it executes an order.
+	copyPatience = 10 * time.Second
 )
 
 // View is what the holder sees when it decides.
@@ -22,8 +30,6 @@
 	// Acknowledged tells whether every daemon that could send to an engine has
 	// acknowledged its open drain, or is proved gone.
 	Acknowledged func(engine string) bool
-	// Gone tells whether an incarnation on a VM is proved gone.
-	Gone func(daemon, incarnation string) bool
 	// EngineGone tells whether an engine's VM has left for good.
 	EngineGone func(engine string) bool
 	// Weights is the state of the weight store, nil when it is unknown.
@@ -51,6 +57,8 @@
 	Engine  string
 	Records []Record
 	Order   port.Order
+	// Copy is the number of the copy to be sent, 0 when the engine checks fencing.
+	Copy int64
 	// Verdict and Reasons go to the ring of role decisions.
 	Verdict string
 	Reasons []decision.Input
@@ -69,46 +77,85 @@
 	notBefore time.Time
 	// raised holds the fencing number that each engine has confirmed.
 	raised map[string]int64
+	// attempts holds what was tried for the pending order of an engine.
+	attempts map[string]*attempt
+	// copies holds the copies that were sent, by number, and what became of them.
+	copies map[int64]string
+}
+
+// attempt is what this holder has tried for one order.
+type attempt struct {
+	order string
+	// first is when the holder saw the order pending, last when it sent a copy.
+	first, last time.Time
+	// shown is set once the operator was told that the order is unresolved.
+	shown bool
 }
 
 // NewController returns a Controller; newID returns ids that are never repeated.
 func NewController(opts lease.Options, planners []Planner, newID func() string) *Controller {
-	return &Controller{opts: opts, planners: planners, newID: newID, raised: map[string]int64{}}
+	return &Controller{
+		opts: opts, planners: planners, newID: newID,
+		raised: map[string]int64{}, attempts: map[string]*attempt{}, copies: map[int64]string{},
+	}
 }
 
 // Raised notes that an engine has confirmed a fencing number.
 func (c *Controller) Raised(engine string, fencing int64) { c.raised[engine] = fencing }
 
-// Yield returns the records by which a daemon that has lost the lease gives up its
-// bindings. It must not be called while an order is being sent.
+// Sent notes what became of a copy that this holder was told to send: CopyAccepted,
+// CopyRefused, CopyNotSent, or "" when it may still take effect.
+func (c *Controller) Sent(number int64, result string) { c.copies[number] = result }
+
+// Yield returns the records by which a daemon that has lost the lease tells what
+// became of its copies. It sends none of them later. It must not be called while
+// an order is being sent.
 func (c *Controller) Yield(s *State) []Record {
 	c.change = nil
 	var out []Record
 	for _, e := range s.Engines() {
-		if e.Bound == c.opts.Holder {
-			out = append(out, c.record(s, KindUnbind, e.Engine))
+		for _, open := range e.Copies {
+			if open.Sender != c.opts.Holder {
+				continue
+			}
+			if _, sent := c.copies[open.Number]; !sent {
+				c.copies[open.Number] = CopyNotSent
+			}
+			if result := c.copies[open.Number]; result != "" {
+				out = append(out, c.copyEnd(s, e, open, result))
+			}
 		}
 	}
 	return out
 }
 
 // Next returns the holder's next step. Pending orders come first, then drains,
-// then a new change, so that at most one engine changes at a time.
+// then a new change, so that at most one engine changes at a time, except that an
+// order without progress for settlePatience does not hold up other engines.
 func (c *Controller) Next(s *State, v View) Action {
 	engines := s.Engines()
+	c.forget(engines)
 	for _, e := range engines {
-		if e.Pending != nil {
-			return c.settle(s, e, v)
+		if records := c.endedCopies(s, e, v); len(records) > 0 {
+			return appendAction("", e.Engine, records...)
 		}
 	}
+	waiting := false
 	for _, e := range engines {
-		if e.Drain > 0 {
-			return c.drained(s, e, v)
+		if e.Pending == nil {
+			continue
+		}
+		if action := c.settle(s, e, v); action.Kind != ActNothing || action.Verdict != "" {
+			return action
 		}
+		waiting = waiting || v.Now.Sub(c.attempt(e, v.Now).first) < settlePatience
+	}
+	if waiting {
+		return Action{}
 	}
 	for _, e := range engines {
-		if e.Bound == c.opts.Holder || v.Gone(e.BoundDaemon, e.Bound) {
-			return appendAction("binding ended", e.Engine, c.record(s, KindUnbind, e.Engine))
+		if e.Drain > 0 && e.Pending == nil {
+			return c.drained(s, e, v)
 		}
 	}
 	return c.begin(s, v)
@@ -130,17 +177,68 @@
 	return Action{Kind: ActAppend, Engine: engine, Verdict: verdict, Records: records}
 }
 
+// forget drops what is known of copies that have ended.
+func (c *Controller) forget(engines []EngineState) {
+	open := map[int64]bool{}
+	for _, e := range engines {
+		for _, copied := range e.Copies {
+			open[copied.Number] = true
+		}
+	}
+	maps.DeleteFunc(c.copies, func(number int64, _ string) bool { return !open[number] })
+}
+
+func (c *Controller) copyEnd(s *State, e EngineState, open Copy, result string) Record {
+	r := c.record(s, KindSendEnd, e.Engine)
+	r.Copy, r.Outcome = open.Number, result
+	return r
+}
+
+// endedCopies returns a record for each copy that is proved to have no effect any
+// more. The passing of time proves nothing: the sender, the connection or the
+// engine may be paused.
+func (c *Controller) endedCopies(s *State, e EngineState, v View) []Record {
+	engine, ok := v.engine(e.Engine)
+	var out []Record
+	for _, open := range e.Copies {
+		result := ""
+		if open.Sender == c.opts.Holder {
+			result = c.copies[open.Number]
+		}
+		switch {
+		case v.EngineGone(e.Engine):
+			result = OutcomeGone
+		case ok && engine.Known && engine.Status.Incarnation != open.Incarnation:
+			result = CopyCutOff
+		}
+		if result != "" {
+			out = append(out, c.copyEnd(s, e, open, result))
+		}
+	}
+	return out
+}
+
+// attempt returns what this holder has tried for an engine's pending order.
+func (c *Controller) attempt(e EngineState, now time.Time) *attempt {
+	a := c.attempts[e.Engine]
+	if a == nil || a.order != e.Pending.Order.ID {
+		a = &attempt{order: e.Pending.Order.ID, first: now}
+		if len(e.Copies) > 0 {
+			// The copies of an earlier holder get the time that an own one would get.
+			a.last = now
+		}
+		c.attempts[e.Engine] = a
+	}
+	return a
+}
+
 // settle takes a pending order to its outcome. The order may be one of an earlier
 // holder and may still arrive from there, so no different one is issued.
 func (c *Controller) settle(s *State, e EngineState, v View) Action {
 	if v.EngineGone(e.Engine) {
-		return c.finish(s, e, OutcomeGone)
+		return c.finish(s, e, OutcomeGone, "")
 	}
-	if e.Pending.Unfenced {
-		if action, ready := c.bind(s, e, v); !ready {
-			return action
-		}
-	} else if fencing := s.Lease.Lease().Fencing; c.raised[e.Engine] < fencing {
+	if fencing := s.Lease.Lease().Fencing; !e.Pending.Unfenced && c.raised[e.Engine] < fencing {
 		return Action{Kind: ActRaise, Engine: e.Engine, Order: port.Order{
 			ID: c.newID(), Kind: port.OrderRaiseFencing, Fencing: fencing,
 		}}
@@ -150,29 +248,57 @@
 		return Action{}
 	}
 	if done(engine.Status, e.Pending.Order) {
-		return c.finish(s, e, OutcomeDone)
+		return c.finish(s, e, OutcomeDone, engine.Status.Incarnation)
 	}
 	if !v.idle(engine) {
 		return Action{}
 	}
+	if e.Pending.Unfenced {
+		return c.settleUnfenced(s, e, engine, v)
+	}
 	order := e.Pending.Order
 	order.Fencing = max(e.Pending.Token, s.Lease.Lease().Fencing)
 	return Action{Kind: ActSend, Engine: e.Engine, Order: order, Verdict: "send " + string(order.Kind)}
 }
 
-// bind makes this incarnation the only one that sends to an engine that ignores
-// fencing. The one bound before may have been paused between its check and its
-// send, so only its own release or proof that it is gone ends its binding.
-func (c *Controller) bind(s *State, e EngineState, v View) (Action, bool) {
+// settleUnfenced sends a copy of an order after it was recorded. A further copy
+// follows only when the earlier ones are proved ended, or late: an engine ignores a
+// repetition of the order that it executed last, and no different order follows
+// until all copies are accounted for.
+func (c *Controller) settleUnfenced(s *State, e EngineState, engine Engine, v View) Action {
+	a := c.attempt(e, v.Now)
+	for _, open := range e.Copies {
+		if _, sent := c.copies[open.Number]; sent || open.Sender != c.opts.Holder {
+			continue
+		}
+		c.copies[open.Number] = ""
+		a.last = v.Now
+		order := e.Pending.Order
+		order.Fencing, order.Incarnation = e.Pending.Token, open.Incarnation
+		return Action{
+			Kind: ActSend, Engine: e.Engine, Order: order, Copy: open.Number,
+			Verdict: "send " + string(order.Kind),
+		}
+	}
+	late := v.Now.Sub(a.last) >= copyPatience
 	switch {
-	case e.Bound == c.opts.Holder:
-		return Action{}, true
-	case e.Bound == "":
-		return appendAction("bind", e.Engine, c.record(s, KindBind, e.Engine)), false
-	case v.Gone(e.BoundDaemon, e.Bound):
-		return appendAction("bound daemon is gone", e.Engine, c.record(s, KindUnbind, e.Engine)), false
-	}
-	return Action{}, false
+	case len(e.Copies) == 0 || (late && len(e.Copies) < maxCopies):
+		announce := c.record(s, KindSend, e.Engine)
+		announce.OrderID, announce.Incarnation = e.Pending.Order.ID, engine.Status.Incarnation
+		return appendAction("", e.Engine, announce)
+	case late && !a.shown:
+		a.shown = true
+		return Action{Engine: e.Engine, Verdict: "order unresolved until the engine restarts", Reasons: copyReasons(e)}
+	}
+	return Action{}
+}
+
+func copyReasons(e EngineState) []decision.Input {
+	return []decision.Input{
+		decision.In("order-id", e.Copies[0].Order),
+		decision.In("copies-that-may-arrive", len(e.Copies)),
+		decision.In("engine-incarnation", e.Copies[0].Incarnation),
+	}
 }
 
 // done tells whether an engine has carried out an order. The role or model alone
@@ -187,17 +313,20 @@
 	return s.Model == o.Model && s.Version == o.Version && s.Adapter == o.Adapter
 }
 
-// finish records an outcome and returns the engine to service.
-func (c *Controller) finish(s *State, e EngineState, outcome string) Action {
+// finish records an outcome, seen at an incarnation of the engine, and returns the
+// engine to service. Copies that may still arrive repeat the order that the engine
+// executed last, which it ignores.
+func (c *Controller) finish(s *State, e EngineState, outcome, incarnation string) Action {
 	result := c.record(s, KindOutcome, e.Engine)
-	result.OrderID, result.Outcome = e.Pending.Order.ID, outcome
-	records := []Record{result}
-	if e.Bound == c.opts.Holder {
-		records = append(records, c.record(s, KindUnbind, e.Engine))
-	}
-	records = append(records, c.record(s, KindDrainEnd, e.Engine))
+	result.OrderID, result.Outcome, result.Incarnation = e.Pending.Order.ID, outcome, incarnation
 	c.change = nil
-	return appendAction(outcome, e.Engine, records...)
+	delete(c.attempts, e.Engine)
+	action := appendAction(outcome, e.Engine, result, c.record(s, KindDrainEnd, e.Engine))
+	if e.Copies = e.copiesAfter(result); len(e.Copies) > 0 {
+		action.Verdict = outcome + ", no further change until the engine restarts"
+		action.Reasons = copyReasons(e)
+	}
+	return action
 }
 
 // drained announces the order that an engine is drained for. A drain of an earlier
@@ -217,16 +346,10 @@
 	if !v.idle(engine) {
 		return Action{}
 	}
-	unfenced := !v.checksFencing(engine)
-	if unfenced {
-		if action, ready := c.bind(s, e, v); !ready {
-			return action
-		}
-	}
 	announce := c.record(s, KindOrder, e.Engine)
 	order := c.change.Order
 	order.ID = c.newID()
-	announce.Order, announce.Unfenced, announce.Reasons = &order, unfenced, c.change.Reasons
+	announce.Order, announce.Unfenced, announce.Reasons = &order, !v.checksFencing(engine), c.change.Reasons
 	action := appendAction("order "+string(order.Kind), e.Engine, announce)
 	action.Reasons = c.change.Reasons
 	return action
@@ -234,11 +357,7 @@
 
 func (c *Controller) endDrain(s *State, e EngineState, verdict string) Action {
 	c.change = nil
-	records := []Record{c.record(s, KindDrainEnd, e.Engine)}
-	if e.Bound == c.opts.Holder {
-		records = append(records, c.record(s, KindUnbind, e.Engine))
-	}
-	return appendAction(verdict, e.Engine, records...)
+	return appendAction(verdict, e.Engine, c.record(s, KindDrainEnd, e.Engine))
 }
 
 // begin drains an engine for the first change that a planner proposes and that
@@ -248,6 +367,10 @@
 	if v.Configuration == nil || v.Now.Before(c.notBefore) {
 		return Action{}
 	}
+	v.Engines = slices.Clone(v.Engines)
+	for i, e := range v.Engines {
+		v.Engines[i].Held = held(s.Engine(e.VM.ID))
+	}
 	for _, p := range c.planners {
 		change := p.Plan(v.Input)
 		if change == nil || !v.allows(s, *change) {
@@ -263,6 +386,14 @@
 	return Action{}
 }
 
+// held tells why an engine that serves takes no change.
+func held(e EngineState) string {
+	if len(e.Copies) == 0 {
+		return ""
+	}
+	return "copies of its last order may still arrive"
+}
+
 func (v View) engine(id string) (Engine, bool) {
 	for _, e := range v.Engines {
 		if e.VM.ID == id {
@@ -287,7 +418,7 @@
 // within the weight store's rate.
 func (v View) allows(s *State, change Change) bool {
 	engine, ok := v.engine(change.Engine)
-	if !ok || !engine.Serving() {
+	if !ok || !engine.Serving() || engine.Held != "" {
 		return false
 	}
 	pool := v.Configuration.Pool(engine.VM.Pool)
--- a/internal/order/planner.go
+++ b/internal/order/planner.go
@@ -14,9 +14,11 @@
 	Status port.EngineStatus
 	// Known is set when the engine answered a moment ago.
 	Known bool
-	// Changing is set while a drain or an order is open, or another daemon's
-	// incarnation may still send one.
+	// Changing is set while a drain or an order is open.
 	Changing bool
+	// Held tells why no change may be proposed although the engine serves, "" when
+	// one may.
+	Held string
 }
 
 // Serving tells whether the engine takes new work.
@@ -57,7 +59,7 @@
 func (VersionPlanner) Plan(in Input) *Change {
 	for _, e := range in.Engines {
 		pool := in.Configuration.Pool(e.VM.Pool)
-		if pool == nil || !e.Serving() {
+		if pool == nil || !e.Serving() || e.Held != "" {
 			continue
 		}
 		want := pool.Version(e.Status.Model)
--- a/internal/order/record.go
+++ b/internal/order/record.go
@@ -19,9 +19,11 @@
 	// KindOrder announces an order before it is sent.
 	KindOrder   lease.Kind = "order"
 	KindOutcome lease.Kind = "order-outcome"
-	// KindBind reserves an engine that ignores fencing for one incarnation.
-	KindBind       lease.Kind = "unfenced-bind"
-	KindUnbind     lease.Kind = "unfenced-release"
+	// KindSend announces that a copy of an order is about to be sent to an engine
+	// that ignores fencing; KindSendEnd tells that the copy can have no effect any
+	// more.
+	KindSend       lease.Kind = "unfenced-send"
+	KindSendEnd    lease.Kind = "unfenced-send-end"
 	KindCheckpoint lease.Kind = "checkpoint"
 )
 
@@ -32,6 +34,17 @@
 	OutcomeGone = "engine gone"
 )
 
+// Ends of a copy.
+const (
+	// CopyAccepted means that the engine answered that it carries out the order.
+	CopyAccepted = "accepted"
+	CopyRefused  = "refused"
+	CopyNotSent  = "not sent"
+	// CopyCutOff means that the incarnation it was sent to has ended, and with it
+	// the connection that carried the copy.
+	CopyCutOff = "engine restarted"
+)
+
 // Record is the content of a record on a control stream. The embedded fields name
 // the writer and its lease.
 type Record struct {
@@ -41,9 +54,14 @@
 	Order  *port.Order `json:"order,omitempty"`
 	// Unfenced is set when the engine ignores fencing.
 	Unfenced bool `json:"unfenced,omitempty"`
-	// OrderID and Outcome belong to KindOutcome.
+	// OrderID belongs to KindOutcome and KindSend, Outcome to KindOutcome and
+	// KindSendEnd.
 	OrderID string `json:"order_id,omitempty"`
 	Outcome string `json:"outcome,omitempty"`
+	// Incarnation is the engine's; it belongs to KindOutcome and KindSend.
+	Incarnation string `json:"incarnation,omitempty"`
+	// Copy is the number of the copy that KindSendEnd is about.
+	Copy int64 `json:"copy,omitempty"`
 	// Reasons tell why the holder wrote the record.
 	Reasons    []decision.Input `json:"reasons,omitempty"`
 	Checkpoint *Checkpoint      `json:"checkpoint,omitempty"`
--- a/internal/order/state.go
+++ b/internal/order/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
 
@@ -22,6 +23,24 @@
 	// refuses a late repetition of an earlier order.
 	Token    int64 `json:"token"`
 	Unfenced bool  `json:"unfenced,omitempty"`
+	// Accepted is the incarnation of an engine that ignores fencing that answered
+	// a copy of the order.
+	Accepted string `json:"accepted,omitempty"`
+}
+
+// maxCopies is the number of copies of one order whose fate may be open at once.
+const maxCopies = 3
+
+// Copy is one send of an order to an engine that ignores fencing. It is on the
+// log from before the send until it is proved that it can have no effect any more.
+type Copy struct {
+	// Number is the offset of the copy's record plus 1.
+	Number int64  `json:"number"`
+	Order  string `json:"order"`
+	// Incarnation is the only one of the engine that the copy can reach.
+	Incarnation string `json:"incarnation"`
+	// Sender is the incarnation of the daemon that may send the copy.
+	Sender string `json:"sender"`
 }
 
 // EngineState is what the stream says about one engine.
@@ -30,13 +49,15 @@
 	// Drain is the offset of the open drain plus 1, 0 for none.
 	Drain   int64    `json:"drain,omitempty"`
 	Pending *Pending `json:"pending,omitempty"`
-	// Bound is the only incarnation that may send orders to an engine that ignores
-	// fencing, "" for none; BoundDaemon is its VM id.
-	Bound       string `json:"bound,omitempty"`
-	BoundDaemon string `json:"bound_daemon,omitempty"`
+	// Copies may still take effect, oldest first. All are of one order. The slice
+	// is never changed in place.
+	Copies []Copy `json:"copies,omitempty"`
 }
 
-func (e EngineState) settled() bool { return e.Drain == 0 && e.Pending == nil && e.Bound == "" }
+// Changing tells whether a drain or an order is open.
+func (e EngineState) Changing() bool { return e.Drain > 0 || e.Pending != nil }
+
+func (e EngineState) settled() bool { return !e.Changing() && len(e.Copies) == 0 }
 
 // Checkpoint is the result of all records below an offset.
 type Checkpoint struct {
@@ -70,7 +91,7 @@
 	return e
 }
 
-// Engines returns all engines with a drain, a pending order or a binding.
+// Engines returns all engines with a drain, a pending order or an open copy.
 func (s *State) Engines() []EngineState {
 	out := make([]EngineState, 0, len(s.engines))
 	for _, e := range s.engines {
@@ -155,14 +176,17 @@
 
 // decide returns an engine's state after a record, and whether the record was
 // accepted. Only the holder's records have effect, with one exception: an
-// incarnation may always give up its own binding.
+// incarnation may always tell what became of a copy that it sent.
 func (s *State) decide(offset int64, r Record) (EngineState, bool) {
 	e := s.Engine(r.Engine)
-	if r.Kind == KindUnbind && e.Bound != "" && e.Bound == r.Holder {
-		e.Bound, e.BoundDaemon = "", ""
-		return e, true
+	if r.Engine == "" {
+		return e, false
 	}
-	if r.Engine == "" || !s.Lease.Lease().Authorises(r.Holder, r.Fencing) {
+	authorised := s.Lease.Lease().Authorises(r.Holder, r.Fencing)
+	if r.Kind == KindSendEnd {
+		return e.endCopy(r, authorised)
+	}
+	if !authorised {
 		return e, false
 	}
 	switch {
@@ -170,14 +194,14 @@
 		e.Drain = offset + 1
 	case r.Kind == KindDrainEnd && e.Drain > 0 && e.Pending == nil:
 		e.Drain = 0
-	case r.Kind == KindBind && e.Bound == "":
-		e.Bound, e.BoundDaemon = r.Holder, r.Daemon
-	case r.Kind == KindUnbind && e.Bound != "":
-		// The holder has proof that the bound incarnation is gone.
-		e.Bound, e.BoundDaemon = "", ""
+	case r.Kind == KindSend && e.maySend(r):
+		e.Copies = append(slices.Clip(e.Copies), Copy{
+			Number: offset + 1, Order: r.OrderID, Incarnation: r.Incarnation, Sender: r.Holder,
+		})
 	case r.Kind == KindOrder && e.mayOrder(r):
 		e.Pending = &Pending{Order: *r.Order, Token: offset + 1, Unfenced: r.Unfenced}
 	case r.Kind == KindOutcome && e.Pending != nil && e.Pending.Order.ID == r.OrderID:
+		e.Copies = e.copiesAfter(r)
 		e.Pending = nil
 	default:
 		return e, false
@@ -185,14 +209,41 @@
 	return e, true
 }
 
-// mayOrder tells whether an order may follow. An engine that some incarnation is
-// bound to takes orders of no other one.
+// mayOrder tells whether an order may follow. While a copy of an earlier order
+// may still take effect, it must not meet a different one.
 func (e EngineState) mayOrder(r Record) bool {
-	if r.Order == nil || e.Drain == 0 || e.Pending != nil {
-		return false
+	return r.Order != nil && e.Drain > 0 && e.Pending == nil && len(e.Copies) == 0
+}
+
+func (e EngineState) maySend(r Record) bool {
+	p := e.Pending
+	return p != nil && p.Unfenced && p.Order.ID == r.OrderID && len(e.Copies) < maxCopies
+}
+
+func (e EngineState) endCopy(r Record, authorised bool) (EngineState, bool) {
+	i := slices.IndexFunc(e.Copies, func(c Copy) bool { return c.Number == r.Copy })
+	if i < 0 || (!authorised && e.Copies[i].Sender != r.Holder) {
+		return e, false
+	}
+	if r.Outcome == CopyAccepted && e.Pending != nil {
+		pending := *e.Pending
+		pending.Accepted = e.Copies[i].Incarnation
+		e.Pending = &pending
+	}
+	e.Copies = slices.Delete(slices.Clone(e.Copies), i, i+1)
+	return e, true
+}
+
+// copiesAfter returns the copies that may still arrive after an outcome. An order
+// that was carried out by an incarnation accounts for one copy to it, which is the
+// answered one if there is one.
+func (e EngineState) copiesAfter(r Record) []Copy {
+	if r.Outcome == OutcomeGone {
+		return nil
 	}
-	if r.Unfenced {
-		return e.Bound == r.Holder
+	i := slices.IndexFunc(e.Copies, func(c Copy) bool { return c.Incarnation == r.Incarnation })
+	if r.Incarnation == "" || e.Pending.Accepted == r.Incarnation || i < 0 {
+		return e.Copies
 	}
-	return e.Bound == ""
+	return slices.Delete(slices.Clone(e.Copies), i, i+1)
 }
--- a/internal/port/engine.go
+++ b/internal/port/engine.go
@@ -129,6 +129,9 @@
 	Version string    `json:"version,omitempty"`
 	Adapter string    `json:"adapter,omitempty"`
 	Fencing int64     `json:"fencing"`
+	// Incarnation, when set, is the only incarnation of the engine that the order
+	// may reach; the client checks it.
+	Incarnation string `json:"-"`
 }
 
 // CacheEvent reports that an engine stored or evicted a prompt prefix block.
@@ -146,7 +149,9 @@
 	// Cancel stops a request; cancelling an unknown request is not an error.
 	Cancel(ctx context.Context, requestID string) error
 	Status(ctx context.Context) (EngineStatus, error)
-	// Order sends an order. It returns ErrStaleFencing when the engine refused it.
+	// Order sends an order once. It returns ErrStaleFencing when the engine refused
+	// the fencing number, ErrNotRun when it refused the order, and ErrNotSent when
+	// nothing was sent. After any other error the order may still take effect.
 	Order(ctx context.Context, o Order) error
 	// CacheEvents returns events from sequence number from on; there may be gaps.
 	CacheEvents(ctx context.Context, from int64) ([]CacheEvent, error)
