Count the control bytes of make scale by kind of message

make scale printed one number of bytes, measured five minutes after a common start, so that it did not say where they go nor what the start itself costs. It now lists bytes and writes per kind of message and per part of a probe, in the first minute after a common start and when steady.

--- a/internal/daemon/scale_test.go
+++ b/internal/daemon/scale_test.go
@@ -1,11 +1,16 @@
 package daemon
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -19,6 +24,9 @@
 const (
 	// scaleWindow is the virtual time over which control work is measured.
 	scaleWindow = 30 * time.Second
+	// scaleStart is the virtual time from a common start over which its cost is
+	// measured.
+	scaleStart = time.Minute
 	// scaleWarmUp is the virtual time until the news of the start have spread.
 	scaleWarmUp = 5 * time.Minute
 	// Intervals at the target size; docs/CAPACITY.md gives their reasons.
@@ -62,15 +70,22 @@
 	for i := range engines {
 		c.addEngine(fmt.Sprintf("engine-%d", i), dataCentre(i), standin.EngineOptions{})
 	}
+	starting := c.countKinds()
+	start := time.Now()
 	for i := range daemons {
 		c.addDaemon(fmt.Sprintf("daemon-%d", i), dataCentre(i))
 	}
 	c.publish("r1", 0, document())
 	c.awaitReady()
-	time.Sleep(scaleWarmUp)
+	time.Sleep(scaleStart - time.Since(start))
+	c.net.Observe(nil)
+	atStart := c.sample().bytes
+	time.Sleep(scaleWarmUp - scaleStart)
+	kinds := c.countKinds()
 	before := c.sample()
 	time.Sleep(scaleWindow)
 	after := c.sample()
+	c.net.Observe(nil)
 	perDaemon := 1 / float64(daemons) / scaleWindow.Seconds()
 	loadAge := c.meanLoadAge()
 	config := c.timeToConfigure()
@@ -84,6 +99,82 @@
 		float64(after.memory)/(1<<20)/float64(daemons),
 		loadAge.Seconds(), config.Seconds(), death.Seconds(),
 		float64(after.appends-before.appends)/scaleWindow.Seconds())
+	perDaemonAtStart := 1 / float64(daemons) / scaleStart.Seconds()
+	fmt.Printf(" first minute after a common start: %.0f B/s sent\n", float64(atStart)*perDaemonAtStart)
+	starting.print(perDaemonAtStart)
+	fmt.Println(" steady:")
+	kinds.print(perDaemon)
+}
+
+// kindCounts counts what daemons write by the kind of message.
+type kindCounts struct {
+	mu     sync.Mutex
+	bytes  map[string]int
+	writes map[string]int
+}
+
+// countKinds counts what daemons write from now on.
+func (c *cluster) countKinds() *kindCounts {
+	k := &kindCounts{bytes: map[string]int{}, writes: map[string]int{}}
+	c.net.Observe(func(from, to string, p []byte) {
+		if !strings.HasPrefix(from, "daemon-") {
+			return
+		}
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		kind := messageKind(to, p)
+		k.bytes[kind] += len(p)
+		k.writes[kind]++
+		if strings.HasPrefix(kind, "peer.probe") {
+			k.countParts(p)
+		}
+	})
+	return k
+}
+
+// messageKind names the kind of a message by its first bytes. Messages that share a
+// write count as the first of them.
+func messageKind(to string, p []byte) string {
+	line, _, _ := bytes.Cut(p, []byte("\r\n"))
+	fields := strings.Fields(string(line))
+	switch {
+	case !strings.HasPrefix(to, "daemon-") && len(fields) == 3:
+		path, _, _ := strings.Cut(fields[1], "?")
+		stream, _, _ := strings.Cut(path, "%2F")
+		return fields[0] + " " + strings.TrimSuffix(stream, "/records")
+	case bytes.Contains(p, []byte(`"result":{"f":`)):
+		return "peer.probe answer"
+	}
+	if _, method, ok := bytes.Cut(p, []byte(`"method":"`)); ok {
+		name, _, _ := bytes.Cut(method, []byte(`"`))
+		return string(name)
+	}
+	return "other answers"
+}
+
+// countParts adds up the parts of a probe or its answer.
+func (k *kindCounts) countParts(p []byte) {
+	var m struct {
+		Params, Result map[string]json.RawMessage
+	}
+	if json.NewDecoder(bytes.NewReader(p)).Decode(&m) != nil {
+		return
+	}
+	for _, parts := range []map[string]json.RawMessage{m.Params, m.Result} {
+		for name, part := range parts {
+			k.bytes["  part "+name] += len(part)
+			k.writes["  part "+name]++
+		}
+	}
+}
+
+// print lists the kinds with bytes and writes per daemon and second.
+func (k *kindCounts) print(perDaemon float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, kind := range slices.Sorted(maps.Keys(k.bytes)) {
+		fmt.Printf("  %-32s %7.1f B/s %6.2f writes/s\n", kind, float64(k.bytes[kind])*perDaemon, float64(k.writes[kind])*perDaemon)
+	}
 }
 
 // controlUsage is a sample of what all daemons, and the fakes beside them, have used.
