Encode engine changes with short names and without what is usual

A change carried the JSON of a whole port.EngineStatus, about 330 B, of which half are names and zero values. It now has short names and leaves out zero values, the name of an engine that equals its VM's and the phase while serving. jsonrpc2 and encoding/json stay.

TestChangeKeepsTheStatus fills every field of the status, so that a new one that the wire form lacks fails it. Daemons before this change cannot read the new form.

--- a/internal/engineview/view.go
+++ b/internal/engineview/view.go
@@ -30,12 +30,13 @@
 	return s
 }
 
-// Change passes on a new state of one engine.
+// Change passes on a new state of one engine. On the wire it is a wireChange.
 type Change struct {
-	VM     string            `json:"v"`
-	Status port.EngineStatus `json:"s"`
+	VM string
+	// Status is the part of the engine's status that changes rarely.
+	Status port.EngineStatus
 	// AgeMS is the age of the observation in milliseconds when it was sent.
-	AgeMS int64 `json:"a"`
+	AgeMS int64
 }
 
 // feedback is how many sends a change counts for when another daemon sends it too
