Send the platform no headers that say nothing

Long polls of the log are 3.9 requests a second and daemon; each carried the User-Agent of net/http and, without a body, a Content-Type. Accept-Encoding stays, because it keeps large configuration documents small.

--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -61,7 +61,12 @@
 	if err != nil {
 		return 0, "", trace.Wrap(err)
 	}
-	req.Header.Set("Content-Type", "application/json")
+	// Long polls make up a large part of a daemon's control bytes, so that requests
+	// carry no header that says nothing to the platform.
+	req.Header.Set("User-Agent", "")
+	if in != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
 	if tag != "" {
 		req.Header.Set("If-None-Match", tag)
 	}
