--- a/internal/admin/control.go
+++ b/internal/admin/control.go
@@ -28,16 +28,17 @@
 	Synced bool `json:"synced"`
 }
 
-// Change is an engine that is drained, has a pending order or is bound to one
-// daemon.
+// Change is an engine that is drained, has a pending order, or has copies of orders
+// that are not accounted for.
 type Change struct {
 	DataCentre string `json:"data_centre"`
 	Engine     string `json:"engine"`
 	Draining   bool   `json:"draining,omitempty"`
 	// Order is the pending order, nil for none.
 	Order *port.Order `json:"order,omitempty"`
-	// Bound is the VM id of the only daemon that may send orders, "" for any.
-	Bound string `json:"bound,omitempty"`
+	// OpenCopies is the number of copies of orders that may still reach an engine
+	// that ignores fencing. While there is one, the engine takes no other change.
+	OpenCopies int `json:"open_copies,omitempty"`
 }
 
 // Suspect is the digest of a request that was in flight at the crash of an engine.
--- a/internal/ctl/ask_test.go
+++ b/internal/ctl/ask_test.go
@@ -34,7 +34,7 @@
 			return admin.Control{
 				Daemon:   name,
 				Leases:   []admin.Lease{{DataCentre: "anand", Holder: "holder", Fencing: 7, Synced: true}},
-				Changes:  []admin.Change{{Engine: "runner-1", Draining: true, Order: &port.Order{ID: "o1", Kind: port.OrderSetRole, Role: port.RoleDecode}}},
+				Changes:  []admin.Change{{Engine: "runner-1", Draining: true, OpenCopies: 2, Order: &port.Order{ID: "o1", Kind: port.OrderSetRole, Role: port.RoleDecode}}},
 				Suspects: []admin.Suspect{{Digest: "d1", Status: "quarantined", Engines: []string{"runner-1", "runner-2"}, RemainingMS: 90_000}},
 				Members:  []admin.Member{{Name: "peer", Status: "cut-off"}},
 			}, nil
@@ -98,7 +98,7 @@
 	}
 	lines := []string{
 		"daemon-1  anand     holder  7        claimed",
-		"daemon-1  runner-1  true      set-role decode o1  -",
+		"daemon-1  runner-1  true      set-role decode o1  2",
 		"daemon-1  d1              quarantined  runner-1 runner-2  1m30s",
 		"daemon-1  peer                  -            cut-off",
 	}
--- a/internal/ctl/control.go
+++ b/internal/ctl/control.go
@@ -62,10 +62,10 @@
 }
 
 func printChanges(w io.Writer, answers []admin.Control) {
-	fmt.Fprintln(w, "SEEN BY\tENGINE\tDRAINING\tPENDING ORDER\tBOUND TO")
+	fmt.Fprintln(w, "SEEN BY\tENGINE\tDRAINING\tPENDING ORDER\tOPEN COPIES")
 	for _, a := range answers {
 		for _, c := range a.Changes {
-			fmt.Fprintf(w, "%s\t%s\t%t\t%s\t%s\n", a.Daemon, c.Engine, c.Draining, pendingOrder(c), orDash(c.Bound))
+			fmt.Fprintf(w, "%s\t%s\t%t\t%s\t%d\n", a.Daemon, c.Engine, c.Draining, pendingOrder(c), c.OpenCopies)
 		}
 	}
 }
--- a/internal/daemon/admin_control.go
+++ b/internal/daemon/admin_control.go
@@ -37,7 +37,7 @@
 	}
 	var changes []admin.Change
 	for _, e := range c.state.Engines() {
-		change := admin.Change{DataCentre: dataCentre, Engine: e.Engine, Draining: e.Drain > 0, Bound: e.BoundDaemon}
+		change := admin.Change{DataCentre: dataCentre, Engine: e.Engine, Draining: e.Drain > 0, OpenCopies: len(e.Copies)}
 		if e.Pending != nil {
 			order := e.Pending.Order
 			change.Order = &order
