Print how far a run was from a role change; record whether changes pay

Package roles proposed no change in any scenario, and nobody had traced why.

Cause, from a trace of each decision on mix: the best change is predicted to save 3% to 7% of the fleet's time for 5 minutes, 28 to 75 engine seconds, while 50 s of drain and reload at the margin of a small data centre ask for 110 to 330. The utilisation is high enough (0.8 to 1.37 on mix; Busy is 0.85), so that neither the estimate nor the busy threshold is the reason.

The refusal is right.

--- a/internal/bench/report.go
+++ b/internal/bench/report.go
@@ -14,10 +14,10 @@
 		if section := r.Fleet + " " + r.Scenario; section != last {
 			last = section
 			fmt.Fprintf(w, "\n%s\t\n", section)
-			fmt.Fprintln(w, "policy\tgoodput\tuseful\troles\turgent\tstandard\tbackgr\tkept u/of\tkept s/of\tkept b/of\trefused\tlate\tlost\twasted Mtok\t")
+			fmt.Fprintln(w, "policy\tgoodput\tuseful\troles\trole gain\turgent\tstandard\tbackgr\tkept u/of\tkept s/of\tkept b/of\trefused\tlate\tlost\twasted Mtok\t")
 		}
-		fmt.Fprintf(w, "%s\t%.3f\t%.2f\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f\t\n",
-			r.Policy, r.Goodput, r.Useful, r.RoleChanges, r.Within[0], r.Within[1], r.Within[2],
+		fmt.Fprintf(w, "%s\t%.3f\t%.2f\t%d\t%.2f\t%.3f\t%.3f\t%.3f\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f\t\n",
+			r.Policy, r.Goodput, r.Useful, r.RoleChanges, r.RoleGain, r.Within[0], r.Within[1], r.Within[2],
 			r.kept(0), r.kept(1), r.kept(2), r.Refused, r.Late, r.Lost, float64(r.Wasted)/1e6)
 	}
 	return w.Flush()
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -17,6 +17,9 @@
 	// answers within target.
 	Useful      float64 `json:"useful"`
 	RoleChanges int     `json:"role_changes"`
+	// RoleGain is the largest predicted gain of a role change, relative to the gain
+	// that package roles asks for. It tells how far a run was from a change.
+	RoleGain float64 `json:"role_gain"`
 	// Within is the share of requests answered within target by rank.
 	Within [3]float64 `json:"within"`
 	// Kept is the goodput by rank relative to the rank alone on the fleet, and
@@ -61,7 +64,7 @@
 		out.Goodput += out.worth[rank] / engineTime
 	}
 	out.Useful = useful.Seconds() / (max(w.length, w.lastEnd).Seconds() * float64(w.fleet.engineCount()))
-	out.RoleChanges = w.roleChanges
+	out.RoleChanges, out.RoleGain = w.roleChanges, w.roleGain
 	return out
 }
 
--- a/internal/bench/rolecontrol.go
+++ b/internal/bench/rolecontrol.go
@@ -65,6 +65,9 @@
 		}
 	}
 	p := l.planner.Propose(now, in)
+	if p.Cost > 0 {
+		l.w.roleGain = max(l.w.roleGain, p.Gain/(p.Margin*p.Cost))
+	}
 	if p.Verdict == roles.Change {
 		l.w.roleChanges++
 		byID[p.Engine].change(p.To, func() {})
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -51,6 +51,7 @@
 	// cut is the data centre that reaches no other, or -1.
 	cut         int
 	roleChanges int
+	roleGain    float64
 	length      time.Duration
 	// lastEnd is when the last attempt ended.
 	lastEnd  time.Duration
