Check every revision that a daemon puts in force against going back

Cause: the history test sampled the configuration every 500 ms and forgot a daemon's last revision when the daemon was replaced, so a revision that is superseded at once, or an older one at a replacement, stayed unseen. A data centre that is cut off from the log but not from its peers was tested one daemon at a time only, and two bounds after an outage were 10 s and 30 s.

TestConfigurationHistory reads every revision from the daemons' logs, keeps the last one over a replacement when the new daemon reaches the log or a peer that has it, and cuts whole data centres off from the platform. TestEachDataCentreServesAlone lets two operators race while a data centre reaches only its peers, and replaces one of its daemons then; all daemons must have the winner within 4 s. After a partition and after a long outage the bound is now 4 s at every daemon.

--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -11,12 +11,15 @@
 
 	"github.com/anishathalye/porcupine"
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/platform"
 	"bergamotsill.example/bergamotsill/internal/ctl"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/seedtest"
+	"bergamotsill.example/bergamotsill/internal/settings"
 	"bergamotsill.example/bergamotsill/internal/standin"
 )
 
@@ -77,6 +80,7 @@
 	// which it must know.
 	reachable, good map[string]time.Time
 	last            map[string]int64
+	logs            map[string]*observer.ObservedLogs
 	vms             []port.VM
 	// open is set while the log cannot be followed because of a loss.
 	open bool
@@ -92,11 +96,16 @@
 	})
 }
 
-// marked returns the document that clusters start with, with a marker.
-func marked(marker int) []byte {
+// markedDocument returns the document that clusters start with, with a marker.
+func markedDocument(marker int) *profile.Document {
 	doc := document()
 	doc.Organisations = []profile.Organisation{{Name: "marker", Weight: float64(marker)}}
-	data, err := json.Marshal(doc)
+	return doc
+}
+
+// marked returns the JSON of markedDocument.
+func marked(marker int) []byte {
+	data, err := json.Marshal(markedDocument(marker))
 	if err != nil {
 		panic(err)
 	}
@@ -204,6 +213,7 @@
 // what was in force 4 s ago, or before the daemon lost its connections.
 func (r *configRun) sample() {
 	now := time.Now()
+	r.checkMonotonic()
 	r.open = r.lost() != nil
 	for i, vm := range r.vms {
 		id := vm.ID
@@ -217,10 +227,6 @@
 		if s == nil {
 			continue
 		}
-		if s.Revision < r.last[id] {
-			r.t.Errorf("%s went back from revision %d to %d", id, r.last[id], s.Revision)
-		}
-		r.last[id] = s.Revision
 		r.record(100+i, configOperation{}, r.good[id], markerOf(s), now)
 	}
 }
@@ -228,7 +234,7 @@
 // fault switches one random fault on or off.
 func (r *configRun) fault() {
 	vm := r.vms[r.rng.IntN(len(r.vms))]
-	switch r.rng.IntN(10) {
+	switch r.rng.IntN(11) {
 	case 0:
 		r.setLog(standin.LogFaults{Down: true})
 	case 1, 2:
@@ -247,15 +253,72 @@
 		}
 	case 6:
 		// The replacement starts without any state.
-		_ = r.daemons[vm.ID].Kill()
-		r.startDaemon(vm)
-		r.reachable[vm.ID], r.last[vm.ID] = time.Now(), 0
+		r.replace(vm)
 	case 7:
 		r.expire(r.rng.IntN(6))
 	case 8:
 		r.heal()
 	case 9:
 		r.loseUnread()
+	case 10:
+		r.cutDataCentre(vm.DataCentre)
+	}
+}
+
+// cutDataCentre cuts a data centre off from the platform but not from its peers.
+func (r *configRun) cutDataCentre(name string) {
+	for _, vm := range r.vms {
+		if vm.DataCentre == name {
+			r.cutOff[vm.ID] = true
+			r.net.Block(vm.ID, platformHost)
+		}
+	}
+}
+
+// replace starts a new daemon on a VM. It must not begin with an older revision than
+// its predecessor had if it can learn that one.
+func (r *configRun) replace(vm port.VM) {
+	_ = r.daemons[vm.ID].Kill()
+	r.checkMonotonic()
+	if r.cutOff[vm.ID] || r.logDown || r.lost() != nil {
+		r.last[vm.ID] = min(r.last[vm.ID], r.newestAtPeers(vm.ID))
+	}
+	r.startDaemon(vm)
+	r.reachable[vm.ID] = time.Now()
+}
+
+// newestAtPeers returns the newest revision at the peers that a daemon reaches.
+func (r *configRun) newestAtPeers(id string) int64 {
+	newest := int64(0)
+	r.eachPeer(id, func(peer string) {
+		if s := r.daemons[peer].config.Snapshot(); s != nil && !r.isolated[id] && !r.isolated[peer] {
+			newest = max(newest, s.Revision)
+		}
+	})
+	return newest
+}
+
+// observe keeps what a daemon logs.
+func (r *configRun) observe(s settings.Settings, deps *Dependencies) {
+	core, logs := observer.New(zap.InfoLevel)
+	deps.Logger = zap.New(core)
+	r.logs[s.Name] = logs
+}
+
+// checkMonotonic checks that no daemon has put an older revision in force after a
+// newer one. The log shows every revision, also one that is replaced at once.
+func (r *configRun) checkMonotonic() {
+	for _, vm := range r.vms {
+		for _, entry := range r.logs[vm.ID].TakeAll() {
+			if entry.Message != "configuration in force" {
+				continue
+			}
+			revision := entry.ContextMap()["revision"].(int64)
+			if revision < r.last[vm.ID] {
+				r.t.Errorf("%s went back from revision %d to %d", vm.ID, r.last[vm.ID], revision)
+			}
+			r.last[vm.ID] = revision
+		}
 	}
 }
 
@@ -318,6 +381,7 @@
 }
 
 func (r *configRun) run() {
+	r.connect = r.observe
 	for i := range 6 {
 		r.addDaemon(fmt.Sprintf("daemon-%d", i), []string{"anand", "kheda", "mehsana"}[i%3])
 	}
@@ -374,10 +438,8 @@
 	r.expire(0)
 	time.Sleep(2 * maxCheckpointDelay)
 	vm := r.vms[0]
-	_ = r.daemons[vm.ID].Kill()
 	r.eachPeer(vm.ID, func(peer string) { r.net.Block(vm.ID, peer) })
-	r.startDaemon(vm)
-	r.reachable[vm.ID], r.last[vm.ID] = time.Now(), 0
+	r.replace(vm)
 	time.Sleep(inForceBound)
 	if r.daemons[vm.ID].config.Snapshot() == nil {
 		r.t.Fatal("the replaced daemon has no configuration after the stream expired")
@@ -427,7 +489,7 @@
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
 			r := &configRun{
 				cutOff: map[string]bool{}, isolated: map[string]bool{}, last: map[string]int64{},
-				reachable: map[string]time.Time{}, good: map[string]time.Time{},
+				reachable: map[string]time.Time{}, good: map[string]time.Time{}, logs: map[string]*observer.ObservedLogs{},
 			}
 			inCluster(t, seed, func(c *cluster) {
 				r.cluster = c
--- a/internal/daemon/outage_test.go
+++ b/internal/daemon/outage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"bergamotsill.example/bergamotsill/internal/ctl"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/settings"
 	"bergamotsill.example/bergamotsill/internal/standin"
 )
 
@@ -61,14 +63,8 @@
 		c.platform.VMs.SetDown(false)
 		c.startDaemon(c.vm(replaced))
 		c.publish("r2", 1, document())
-		c.await("all daemons follow after the outage", 10*time.Second, func() bool {
-			for _, d := range c.daemons {
-				if s := d.config.Snapshot(); s == nil || s.Revision != 2 {
-					return false
-				}
-			}
-			return true
-		})
+		time.Sleep(inForceBound)
+		c.checkInForce(2, unmarked)
 		time.Sleep(6 * time.Second)
 		c.checkServing("after", daemons)
 		for _, d := range daemons {
@@ -80,7 +76,8 @@
 }
 
 // Guards against a data centre that stops serving when it is cut off from the others
-// and from the platform.
+// and from the platform, and against one that misses revisions, or goes back to an
+// older one, while it is cut off from the platform only.
 func TestEachDataCentreServesAlone(t *testing.T) {
 	forSeeds(t, func(c *cluster) {
 		centres := []string{"anand", "kheda", "mehsana"}
@@ -93,6 +90,7 @@
 		c.awaitReady()
 		time.Sleep(6 * time.Second)
 		alone := centres[c.rng.IntN(len(centres))]
+		base := c.checkWithoutLog(hosts[alone][:2])
 		partition := func(f func(a, b string)) {
 			for _, h := range hosts[alone] {
 				f(h, platformHost)
@@ -111,24 +109,68 @@
 			c.checkServing("partition "+dc, hosts[dc][:2])
 		}
 		c.checkRefusedConfirmation("partition", hosts[alone][0], "key-1")
-		c.publish("r2", 1, document())
-		time.Sleep(4 * time.Second)
+		c.publish("r4", base, markedDocument(4))
+		newest := c.platform.Log.Next(profile.Stream)
+		time.Sleep(inForceBound)
 		for name, d := range c.daemons {
-			want := int64(2)
+			want := newest
 			if d.settings.DataCentre == alone {
-				want = 1
+				want = base
 			}
 			if got := d.config.Snapshot().Revision; got != want {
 				c.t.Errorf("during the partition %s has revision %d, want %d", name, got, want)
 			}
 		}
 		partition(c.net.Unblock)
-		c.await("the data centre follows after the partition", 30*time.Second, func() bool {
-			return c.daemons[hosts[alone][0]].config.Snapshot().Revision == 2
-		})
+		time.Sleep(inForceBound)
+		c.checkInForce(newest, 4)
 	})
 }
 
+// checkWithoutLog lets operators race while daemons are cut off from the platform but
+// not from their peers, and replaces one of these daemons. It returns the revision
+// that won.
+func (c *cluster) checkWithoutLog(daemons []string) int64 {
+	c.t.Helper()
+	for _, d := range daemons {
+		c.net.Block(d, platformHost)
+	}
+	var verdicts [2]profile.Verdict
+	var group sync.WaitGroup
+	for i := range verdicts {
+		group.Go(func() {
+			p := c.operator()
+			p.Base = 1
+			verdicts[i], _ = p.Publish(context.Background(), "", marked(2+i))
+		})
+	}
+	group.Wait()
+	winner := 0
+	if verdicts[1].Accepted {
+		winner = 1
+	}
+	revision := verdicts[winner].Revision
+	if !verdicts[winner].Accepted || verdicts[1-winner].Accepted || verdicts[1-winner].Revision != revision {
+		c.t.Fatalf("racing operators got %+v", verdicts)
+	}
+	time.Sleep(inForceBound)
+	c.checkInForce(revision, 2+winner)
+	_ = c.daemons[daemons[0]].Kill()
+	c.adjust = func(s *settings.Settings) { s.Peers = c.daemons[daemons[1]].peerAddresses() }
+	c.startDaemon(c.vm(daemons[0]))
+	c.adjust = nil
+	time.Sleep(inForceBound)
+	c.checkInForce(revision, 2+winner)
+	for _, d := range daemons {
+		c.net.Unblock(d, platformHost)
+	}
+	time.Sleep(inForceBound)
+	return revision
+}
+
+// unmarked is what markerOf returns for a document without a marker.
+const unmarked = 1
+
 // Guards against daemons that wait for good after a configuration record has expired
 // on the log before any of them could read it, that do not say so, that do
 // not serve when they start meanwhile, or that take up a publication after the loss late
@@ -158,7 +200,7 @@
 		}
 		time.Sleep(time.Minute)
 		base := c.checkLost(daemons)
-		c.checkInForce(base, 1)
+		c.checkInForce(base, unmarked)
 		verdict, err := c.operator().PublishAfterLoss(context.Background(), "r3", marked(3), profile.Loss{First: 2, Newest: 2})
 		if err != nil || !verdict.Accepted || verdict.Revision <= base {
 			c.t.Fatalf("publication after the loss: %+v, %v", verdict, err)
