Compare a rank in a flood with the same requests alone

The share that a rank keeps in a flood was its goodput over that of a run of the rank alone, which drew other requests at the same rate: one random stream serves all ranks, and the others were left out.

The runs alone now play the scenario's own requests of the rank, those of the flooded rank thinned to the capacity. The floods themselves are unchanged.

TestAloneRunsPlayTheSameRequests fails without the thinning.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -120,3 +120,24 @@
 	}
 	return now + s.phases[len(s.phases)-1].length
 }
+
+// Guards against a rank that is compared with other requests than it has in the
+// flood: only the flooded rank may be thinned.
+func TestAloneRunsPlayTheSameRequests(t *testing.T) {
+	sc := shortScenario()
+	for _, seed := range testSeeds() {
+		c := cell{fleet: fleets()[0], scenario: sc}
+		requests := c.load(&sc, seed)
+		for rank := range 3 {
+			want := 0.0
+			for _, r := range requests {
+				if r.rank == rank {
+					want += 1 / max(1, sc.phaseAt(r.arrived).load[rank])
+				}
+			}
+			if got := float64(len(sc.only(rank, requests))); got < want-1 || got > want+1 {
+				t.Errorf("seed %d, rank %d: %.0f requests alone, want %.1f", seed, rank, got, want)
+			}
+		}
+	}
+}
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -87,18 +87,22 @@
 }
 
 func (c *cell) play(sc *scenario, seed uint64) Result {
+	return c.playRequests(sc, seed, c.load(sc, seed))
+}
+
+func (c *cell) playRequests(sc *scenario, seed uint64, requests []*request) Result {
 	w := newWorld(&c.fleet, sc, &c.policy, seed)
 	if c.policy.control != nil {
 		c.policy.control(w)
 	}
-	w.run(sc, c.load(sc, seed))
+	w.run(sc, requests)
 	return w.measure()
 }
 
 // compareAlone relates the goodput of each rank in a flood to the rank's goodput
 // alone on the fleet under this system.
 func (c *cell) compareAlone(seed uint64) {
-	if c.scenario.alone == nil {
+	if !c.scenario.alone {
 		return
 	}
 	c.alone.once.Do(func() { c.playAlone(seed) })
@@ -112,17 +116,30 @@
 	}
 }
 
-// playAlone plays the load of each rank alone, a flood at the fleet's capacity.
+// playAlone plays the requests of each rank alone.
 func (c *cell) playAlone(seed uint64) {
 	for rank := range c.alone.worth {
-		sc := c.scenario
-		sc.phases = nil
-		for _, p := range c.scenario.phases {
-			alone := phase{length: p.length}
-			alone.load[rank] = min(p.load[rank], 1)
-			sc.phases = append(sc.phases, alone)
-		}
 		own := cell{fleet: c.fleet, policy: policies()[0]}
-		c.alone.worth[rank] = own.play(&sc, seed).worth[rank]
+		requests := c.scenario.only(rank, c.load(&c.scenario, seed))
+		c.alone.worth[rank] = own.playRequests(&c.scenario, seed, requests).worth[rank]
+	}
+}
+
+// only returns the requests of one rank, those of a flood thinned to the fleet's
+// capacity. Other requests at the same rate would differ in number by several
+// percent, and the goodput that a rank keeps with them.
+func (s *scenario) only(rank int, requests []*request) []*request {
+	var out []*request
+	part := 0.0
+	for _, r := range requests {
+		if r.rank != rank {
+			continue
+		}
+		part += 1 / max(1, s.phaseAt(r.arrived).load[rank])
+		if part >= 1 {
+			part--
+			out = append(out, r)
+		}
 	}
+	return out
 }
--- a/internal/bench/scenario.go
+++ b/internal/bench/scenario.go
@@ -16,8 +16,8 @@
 	uneven float64
 	// away is the number of engines of each data centre that take no new work.
 	away int
-	// alone is the load of each rank in the comparison without a flood.
-	alone *[3]float64
+	// alone compares each rank with the rank alone on the fleet.
+	alone bool
 	// ablate adds the rows with one mechanism switched off.
 	ablate bool
 }
@@ -30,6 +30,17 @@
 	return total
 }
 
+// phaseAt returns the phase of a time before the end.
+func (s *scenario) phaseAt(at time.Duration) *phase {
+	for i := range s.phases {
+		if at < s.phases[i].length {
+			return &s.phases[i]
+		}
+		at -= s.phases[i].length
+	}
+	return &s.phases[len(s.phases)-1]
+}
+
 // weights returns the balancer's weight of each daemon.
 func (s *scenario) weights(f *fleet) []float64 {
 	var out []float64
@@ -61,7 +72,7 @@
 		flood("flood-background", 2, 10),
 		flood("flood-urgent", 0, 5),
 		{
-			name: "flood-both", cut: -1, alone: &calm,
+			name: "flood-both", cut: -1, alone: true,
 			phases: []phase{
 				{30 * time.Second, calm},
 				{floodLength, [3]float64{5, calm[1], 10}},
@@ -150,7 +161,7 @@
 	high := calm
 	high[rank] = times
 	return scenario{
-		name: name, cut: -1, alone: &calm, ablate: true,
+		name: name, cut: -1, alone: true, ablate: true,
 		phases: []phase{{30 * time.Second, calm}, {floodLength, high}, {30 * time.Second, calm}},
 	}
 }
