Hold suspects back while daemons of the data centre cannot be asked

A trial of a suspect started as soon as every peer that answered had no run of its digest; peers that did not answer counted as idle. Two groups of daemons that lost contact for a few seconds each ran a trial. Now a suspect waits up to 6 s, and at most half of its remaining time, while a daemon on the VM list may be alive and does not answer; a refused connection proves that the process is gone. A daemon also answers busy for a trial of another daemon that it knows, since the asking daemon may not reach its holder. The first try of a report is bounded to 100 ms: its connection may have gone silent. Requests that are no suspects do not depend on any of it. Innocent requests still complete, after the wait at the latest.

The fake engine let a run that had ended with a crash crash the restarted engine again; it no longer does, and it keeps when each crashing run began.

Ruled out: asking two peers, chosen by rendezvous hashing, before a request starts in the 2 s after a crash. Limiting a digest to two engines by hashing would bound the first concurrent runs, but changes the balance of all requests, which was not measured.

--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -65,6 +65,9 @@
 	// resumeAt is the engine that should continue the answer, or nil.
 	resumeAt   *routing.Upstream
 	firstToken time.Time
+	// heldUntil is the end of the time for which a suspect waits for daemons that
+	// cannot be asked, or zero.
+	heldUntil time.Time
 }
 
 // generate runs a request until its answer is whole.
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -42,8 +42,10 @@
 	RetriesDelayed expvar.Int
 	// CrashSuspects counts digests in flight at a crash of an engine, Trials their
 	// isolated runs, QuarantineRefusals the requests refused as quarantined.
-	CrashSuspects      expvar.Int
-	Trials             expvar.Int
+	CrashSuspects expvar.Int
+	Trials        expvar.Int
+	// SuspectsHeld counts suspects that waited for daemons that could not be asked.
+	SuspectsHeld       expvar.Int
 	QuarantineRefusals expvar.Int
 	// QuarantineEntries is the number of digests in the table, QuarantineEvicted
 	// the number that was forgotten because the table was full.
@@ -89,6 +91,7 @@
 	m.vars.Set("retries_delayed", &m.RetriesDelayed)
 	m.vars.Set("crash_suspects", &m.CrashSuspects)
 	m.vars.Set("trials", &m.Trials)
+	m.vars.Set("suspects_held", &m.SuspectsHeld)
 	m.vars.Set("quarantine_refusals", &m.QuarantineRefusals)
 	m.vars.Set("quarantine_entries", &m.QuarantineEntries)
 	m.vars.Set("quarantine_evicted", &m.QuarantineEvicted)
--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,8 +17,16 @@
 )
 
 const (
-	// reportTimeout bounds one report to a peer. A caller's answer may wait for it.
+	// firstReportTimeout bounds the first try of a report to a peer. Its connection
+	// may have gone silent, and a new one costs only a handshake.
+	firstReportTimeout = 100 * time.Millisecond
+	// reportTimeout bounds the second try. A caller's answer may wait for it.
 	reportTimeout = 500 * time.Millisecond
+	// holdBack is how long a suspect waits while a daemon of the data centre cannot
+	// be asked for its runs of the digest. Within it the daemons that are connected
+	// through others have exchanged their entries, and a dead one has left the VM
+	// list; an innocent request still has time to complete.
+	holdBack = 6 * time.Second
 	// reportInterval is the time between renewals of trials, repeated reports and
 	// exchanges with one peer in turn.
 	reportInterval = time.Second
@@ -173,8 +182,8 @@
 	if !ok {
 		return nil, nil
 	}
-	busy := s.exchange(ctx, report)
-	if busy || s.verdict(g.digest).Status != quarantine.Suspect {
+	answer := s.exchange(ctx, report)
+	if answer.busy || (answer.missing && s.holds(g)) || s.verdict(g.digest).Status != quarantine.Suspect {
 		s.release(g.digest)
 		return nil, nil
 	}
@@ -198,6 +207,17 @@
 	}
 }
 
+// holds tells whether a suspect still waits for daemons that could not be asked,
+// at most for half of the time that was left when it began to wait.
+func (s *suspects) holds(g *generation) bool {
+	now := time.Now()
+	if g.heldUntil.IsZero() {
+		s.daemon.metrics.SuspectsHeld.Add(1)
+		g.heldUntil = now.Add(min(holdBack, g.deadline.Sub(now)/2))
+	}
+	return now.Before(g.heldUntil)
+}
+
 // intend announces a trial and returns the report that asks peers for it. The
 // report carries the digest's entry, in case a peer missed it.
 func (s *suspects) intend(digest quarantine.Digest, u *routing.Upstream) (quarantine.Report, bool) {
@@ -296,39 +316,49 @@
 	return report
 }
 
+// exchanged is what the peers of the data centre answered to a report.
+type exchanged struct {
+	// busy is set when one of them is busy with a trial's digest.
+	busy bool
+	// missing is set when one of them may be alive and did not answer.
+	missing bool
+}
+
 // exchange sends a report to all peers and merges their answers. It waits for the
-// peers of the data centre and tells whether one of them is busy with a trial's
-// digest.
-func (s *suspects) exchange(ctx context.Context, report quarantine.Report) bool {
+// peers of the data centre.
+func (s *suspects) exchange(ctx context.Context, report quarantine.Report) exchanged {
 	ctx = context.WithoutCancel(ctx)
 	var group sync.WaitGroup
 	var mu sync.Mutex
-	busy := false
+	var out exchanged
 	for _, vm := range s.daemon.fleet.peerDaemons() {
 		ask := func() {
 			result, err := s.report(ctx, vm, report)
 			mu.Lock()
 			defer mu.Unlock()
-			busy = busy || (err == nil && len(result.Busy) > 0)
+			out.busy = out.busy || (err == nil && len(result.Busy) > 0)
+			// A process that is gone refuses connections; its runs ended with it.
+			out.missing = out.missing || (err != nil && !errors.Is(err, syscall.ECONNREFUSED))
 		}
 		if vm.DataCentre == s.daemon.settings.DataCentre {
 			group.Go(ask)
 		} else {
-			go ask()
+			go func() {
+				// A failure marks the peer for the next tick.
+				_, _ = s.report(ctx, vm, report)
+			}()
 		}
 	}
 	group.Wait()
-	mu.Lock()
-	defer mu.Unlock()
-	return busy
+	return out
 }
 
 // report sends one report to one peer, and again over a new connection when the
 // first one may have gone silent. A peer that misses both gets all entries later.
 func (s *suspects) report(ctx context.Context, vm port.VM, report quarantine.Report) (quarantine.ReportResult, error) {
-	result, err := s.call(ctx, vm, report)
+	result, err := s.call(ctx, vm, report, firstReportTimeout)
 	if err != nil {
-		result, err = s.call(ctx, vm, report)
+		result, err = s.call(ctx, vm, report, reportTimeout)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -342,8 +372,8 @@
 	return result, nil
 }
 
-func (s *suspects) call(ctx context.Context, vm port.VM, report quarantine.Report) (quarantine.ReportResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+func (s *suspects) call(ctx context.Context, vm port.VM, report quarantine.Report, timeout time.Duration) (quarantine.ReportResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var result quarantine.ReportResult
 	// The client closes its connection after a failure.
--- /dev/null
+++ b/internal/daemon/resend_test.go
@@ -0,0 +1,185 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+// resendCase is a state of the links between daemons during concurrent resends.
+type resendCase struct {
+	name string
+	// cut disturbs links between daemons before the resends.
+	cut func(c *cluster, daemons []string)
+	// window is how long after the first crash a daemon may not know of it, so that
+	// it runs the request as an innocent one.
+	window time.Duration
+	// total bounds the crashes, 0 when only those after the window are bounded.
+	total int
+}
+
+const (
+	resendDaemons = 5
+	// bothTries is how long a report takes whose first try is lost.
+	bothTries = firstReportTimeout + reportTimeout
+)
+
+var resendCases = []resendCase{
+	{name: "links work", cut: func(*cluster, []string) {}, window: 20 * time.Millisecond},
+	{name: "links go silent", cut: func(c *cluster, daemons []string) { c.silencePeers(daemons) }, window: bothTries},
+	{name: "links are cut", cut: cutLinks, window: bothTries + resendDaemons*reportInterval},
+	{name: "nobody reaches anybody", cut: cutAllLinks, total: maxEnginesLost * resendDaemons},
+}
+
+// cutLinks cuts a few links, so that each daemon reaches any other one at least
+// through a third.
+func cutLinks(c *cluster, daemons []string) {
+	for _, i := range c.rng.Perm(len(daemons))[:2] {
+		c.net.Block(daemons[i], daemons[(i+1)%len(daemons)])
+	}
+}
+
+func cutAllLinks(c *cluster, daemons []string) {
+	for i, a := range daemons {
+		for _, b := range daemons[:i] {
+			c.net.Block(a, b)
+		}
+	}
+}
+
+// Guards against a request that crashes one engine after another because its caller
+// sends it through all daemons at once, again and again, and against innocent
+// requests that are lost with it.
+func TestConcurrentResendsOfCrashingRequest(t *testing.T) {
+	for _, tc := range resendCases {
+		t.Run(tc.name, func(t *testing.T) {
+			forSeeds(t, func(c *cluster) { resendEverywhere(c, tc) })
+		})
+	}
+}
+
+func resendEverywhere(c *cluster, tc resendCase) {
+	opts := standin.EngineOptions{PrefillRate: []float64{7, 70, 700, 0}[c.rng.IntN(4)]}
+	engines, daemons := c.settled(6, resendDaemons, opts)
+	faults := standin.EngineFaults{DownMS: []int64{500, 1000, 3000}[c.rng.IntN(3)]}
+	for _, e := range engines {
+		c.engines[e].SetFaults(faults)
+	}
+	tc.cut(c, daemons)
+	prompt := standin.CrashMarker + " tokens=20"
+	var group sync.WaitGroup
+	c.bystanders(&group, daemons, 60, 3*time.Second)
+	time.Sleep(time.Duration(c.rng.IntN(1000)) * time.Millisecond)
+	for range 3 {
+		for _, d := range daemons {
+			delay := time.Duration(c.rng.IntN([]int{1, 20, 800}[c.rng.IntN(3)])) * time.Millisecond
+			group.Go(func() {
+				time.Sleep(delay)
+				c.complete(d, prompt)
+			})
+		}
+		time.Sleep(time.Duration(c.rng.IntN(2000)) * time.Millisecond)
+	}
+	group.Wait()
+	// A trial that was held back may come later.
+	c.complete(daemons[0], prompt)
+	early, late := c.lossesAround(prompt, tc.window)
+	c.t.Logf("engines lost: %d by runs that began within %s of the first crash, %d by later ones", early, tc.window, late)
+	bound := max(maxEnginesLost, early)
+	if tc.total > 0 {
+		bound = tc.total
+	}
+	if early+late > bound {
+		c.t.Errorf("the request crashed %d engines, want at most %d", early+late, bound)
+	}
+}
+
+// lossesAround counts the crashes by runs of a prompt that began up to a time after
+// the first crash, and those by later ones.
+func (c *cluster) lossesAround(prompt string, window time.Duration) (early, late int) {
+	var all []standin.Loss
+	for _, e := range c.engines {
+		all = append(all, e.Losses(prompt)...)
+	}
+	if len(all) == 0 {
+		return 0, 0
+	}
+	first := slices.MinFunc(all, func(a, b standin.Loss) int { return a.Crashed.Compare(b.Crashed) })
+	for _, l := range all {
+		if l.Started.After(first.Crashed.Add(window)) {
+			late++
+		} else {
+			early++
+		}
+	}
+	return early, late
+}
+
+// bystanders starts innocent requests. Each is answered in full, unless it is
+// refused before it runs or was in flight at two crashes.
+func (c *cluster) bystanders(group *sync.WaitGroup, daemons []string, count int, period time.Duration) {
+	for i := range count {
+		prompt := fmt.Sprintf("bystander %d tokens=%d", i, 1+c.rng.IntN(100))
+		daemon := daemons[c.rng.IntN(len(daemons))]
+		delay := time.Duration(c.rng.Int64N(int64(period)))
+		group.Go(func() {
+			time.Sleep(delay)
+			got := c.complete(daemon, prompt)
+			switch {
+			case got.status == http.StatusOK && got.text() == standin.Answer(testModel, prompt, 4000):
+			case got.refusal != nil && got.refusal.Code == refusal.Overloaded && got.refusal.Outcome == refusal.NotRun:
+			case got.refusal != nil && got.refusal.Code == refusal.Quarantined:
+				c.t.Logf("%q was in flight at two crashes", prompt)
+			default:
+				c.t.Errorf("%q is answered %d: %s", prompt, got.status, got.body)
+			}
+		})
+	}
+}
+
+// cutBetween cuts the links between the daemons of different groups.
+func (c *cluster) cutBetween(groups ...[]string) {
+	for i, group := range groups {
+		for _, other := range groups[:i] {
+			for _, a := range group {
+				for _, b := range other {
+					c.net.Block(a, b)
+				}
+			}
+		}
+	}
+}
+
+// Guards against trials in each of two groups of daemons that lose contact for a few
+// seconds, and against innocent requests that fail because a suspect is held back.
+func TestSuspectIsHeldWhileDaemonsCannotBeAsked(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		engines, daemons := c.settled(6, 4, standin.EngineOptions{})
+		for _, e := range engines {
+			c.engines[e].SetFaults(standin.EngineFaults{DownMS: 1000})
+		}
+		c.cutBetween(daemons[:2], daemons[2:])
+		prompt := standin.CrashMarker + " tokens=20"
+		var group sync.WaitGroup
+		c.innocents(&group, daemons, 6, time.Second)
+		for i, d := range []string{daemons[0], daemons[2], daemons[1], daemons[3]} {
+			group.Go(func() { c.complete(d, prompt) })
+			time.Sleep(time.Duration(300+c.rng.IntN(400*(i+1))) * time.Millisecond)
+		}
+		for _, a := range daemons[:2] {
+			for _, b := range daemons[2:] {
+				c.net.Unblock(a, b)
+			}
+		}
+		group.Wait()
+		if n := c.lost(prompt); n > maxEnginesLost {
+			c.t.Errorf("the request crashed %d engines, want at most %d", n, maxEnginesLost)
+		}
+	})
+}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -482,3 +482,29 @@
 		t.Errorf("expired entries of a peer revive %v", worse)
 	}
 }
+
+// Guards against two trials of a digest by daemons that do not reach each other but
+// both reach a third one.
+func TestThirdDaemonKnowsOfTrial(t *testing.T) {
+	now := time.Unix(0, 0)
+	witness := NewTable(Options{Self: "witness", MaxEntries: 8, Hold: time.Minute})
+	first := Trial{Digest: "a", Holder: "daemon-1", Engine: "engine-1"}
+	second := Trial{Digest: "a", Holder: "daemon-2", Engine: "engine-2"}
+	ask := func(trial Trial) bool {
+		result, _ := witness.Merge(Report{Trials: []Trial{trial}}, now)
+		return len(result.Busy) == 0
+	}
+	if !ask(first) {
+		t.Error("the first trial has to wait")
+	}
+	if !ask(first) {
+		t.Error("the renewal of a trial has to wait")
+	}
+	if ask(second) {
+		t.Error("a second trial is admitted beside the first one")
+	}
+	witness.Merge(Report{Released: []Trial{first}}, now)
+	if !ask(second) {
+		t.Error("a trial has to wait for one that has ended")
+	}
+}
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -92,9 +92,24 @@
 	return false
 }
 
+// heldByOther tells whether a third daemon holds a trial of the same digest.
+func (t *Table) heldByOther(trial Trial, now time.Time) bool {
+	for other, until := range t.peers {
+		if other.Digest == trial.Digest && other.Holder != trial.Holder && now.Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // admit records a peer's trial, or returns false when it has to wait. Of two
 // daemons that ask at the same time, the one with the lower incarnation goes first.
+// A daemon also speaks for other peers' trials that it knows, because the asking
+// daemon may not reach their holders.
 func (t *Table) admit(trial Trial, now time.Time) bool {
+	if t.heldByOther(trial, now) {
+		return false
+	}
 	t.peers[trial] = now.Add(trialLease)
 	if t.running(trial.Digest, now) || t.Open(trial.Engine, now) {
 		return false
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -91,7 +91,7 @@
 	callerIDs   map[string]int
 	prompts     map[uint64]int
 	running     map[string]*run
-	lost        map[string]int
+	lost        map[string][]Loss
 	interrupted int
 }
 
@@ -107,7 +107,7 @@
 		prompts:   map[uint64]int{},
 
 		running: map[string]*run{},
-		lost:    map[string]int{},
+		lost:    map[string][]Loss{},
 	}
 	e.status = port.EngineStatus{
 		Engine:     opts.Name,
@@ -171,7 +171,20 @@
 func (e *Engine) Lost(prompt string) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.lost[prompt]
+	return len(e.lost[prompt])
+}
+
+// Loss is a crash by a request.
+type Loss struct {
+	// Started is when the request started, Crashed when the engine crashed.
+	Started, Crashed time.Time
+}
+
+// Losses returns the crashes by requests with the given prompt.
+func (e *Engine) Losses(prompt string) []Loss {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Loss(nil), e.lost[prompt]...)
 }
 
 // Started returns the number of attempts that the engine started.
@@ -262,8 +275,9 @@
 	down     <-chan struct{}
 	silenced <-chan struct{}
 	// held is a chunk that is sent after the one that follows it.
-	held  *port.Chunk
-	ended bool
+	held    *port.Chunk
+	started time.Time
+	ended   bool
 }
 
 // start begins a request. It ends an older attempt at the same request.
@@ -280,7 +294,7 @@
 		e.endLocked(older)
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	r := &run{req: req, ctx: ctx, cancel: cancel, down: e.down, silenced: e.silenced}
+	r := &run{req: req, ctx: ctx, cancel: cancel, down: e.down, silenced: e.silenced, started: time.Now()}
 	e.running[req.RequestID] = r
 	e.runs[req.RequestID]++
 	e.callerIDs[req.CallerRequestID]++
@@ -338,7 +352,7 @@
 		return
 	}
 	if strings.Contains(req.Prompt, CrashMarker) {
-		e.crashBy(req.Prompt)
+		e.crashBy(running)
 	}
 	e.decode(w, running)
 }
@@ -349,11 +363,20 @@
 	return e.faults
 }
 
-// crashBy crashes the engine on behalf of a prompt.
-func (e *Engine) crashBy(prompt string) {
+// crashBy crashes the engine on behalf of a run, unless the run ended with an
+// earlier crash or was cancelled.
+func (e *Engine) crashBy(r *run) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.lost[prompt]++
+	select {
+	case <-r.down:
+		return
+	default:
+	}
+	if r.ended {
+		return
+	}
+	e.lost[r.req.Prompt] = append(e.lost[r.req.Prompt], Loss{Started: r.started, Crashed: time.Now()})
 	e.crashLocked()
 }
 
