Report a crash once to each peer, with digests only

Each request in flight at a crash was reported with an entry of its own to all peers at once, in messages of 32, every trial and its end went to all data centres, and every answer and each exchange in turn carried up to 32 entries. Now a report names each loss once with the digests that were in flight at it (at most 512), goes to the data centre at once and then at most every 50 ms, and to other data centres in rounds of 32 peers a second, 5 s apart and with at most 1024 digests. A trial asks the data centre, and that of its engine when it is another one. Exchanges in turn compare a checksum first.

--- a/internal/daemon/quarantine.go
+++ b/internal/daemon/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -30,6 +31,17 @@
 	// reportInterval is the time between renewals of trials, repeated reports and
 	// exchanges with one peer in turn.
 	reportInterval = time.Second
+	// gatherInterval is the least time between two reports to the data centre, except
+	// for the first one. It gathers requests that fail a moment after the first.
+	gatherInterval = 50 * time.Millisecond
+	// roundInterval is the time between two rounds of reports to other data centres,
+	// and roundPeers the number of peers per reportInterval in a round: 380 daemons
+	// hear of a crash within 12 s.
+	roundInterval = 5 * time.Second
+	roundPeers    = 32
+	// roundDigests bounds the digests that wait for the next round; peers learn the
+	// rest from exchanges in turn.
+	roundDigests = 1024
 	// drainPoll is how often a trial looks whether its engine has become idle.
 	drainPoll = 20 * time.Millisecond
 )
@@ -47,6 +59,10 @@
 	cancels map[*quarantine.Run]context.CancelCauseFunc
 	// behind holds the peers that missed a report, by VM id.
 	behind map[string]bool
+	// centres holds the data centre of the engine of each own trial.
+	centres map[quarantine.Digest]string
+	// distant are the reports to other data centres.
+	distant rounds
 	// released are trials whose end no peer has been told yet.
 	released []quarantine.Trial
 	// turn counts the exchanges with one peer in turn.
@@ -55,6 +71,8 @@
 	// publishing holds a token while a report is under way, so that a caller's answer
 	// waits for it.
 	publishing chan struct{}
+	// published is when the last report was sent. The holder of the token owns it.
+	published time.Time
 }
 
 func newSuspects(d *Daemon) *suspects {
@@ -67,6 +85,7 @@
 		}),
 		cancels: map[*quarantine.Run]context.CancelCauseFunc{},
 		behind:  map[string]bool{},
+		centres: map[quarantine.Digest]string{},
 
 		publishing: make(chan struct{}, 1),
 	}
@@ -227,6 +246,7 @@
 	if !s.table.Intend(digest, u.VM.ID, now) {
 		return quarantine.Report{}, false
 	}
+	s.centres[digest] = u.VM.DataCentre
 	trial := quarantine.Trial{Digest: digest, Holder: s.daemon.incarnation, Engine: u.VM.ID}
 	return quarantine.Report{Entries: s.table.Entry(digest, now), Trials: []quarantine.Trial{trial}}, true
 }
@@ -234,6 +254,7 @@
 func (s *suspects) release(digest quarantine.Digest) {
 	s.mu.Lock()
 	s.released = append(s.released, s.table.Release(digest))
+	delete(s.centres, digest)
 	s.mu.Unlock()
 	go s.publish(s.daemon.context())
 }
@@ -294,16 +315,18 @@
 	return s.daemon.fleet.readEngine(ctx, u) == nil
 }
 
-// publish tells all peers what this daemon changed, and waits for those of its
-// data centre.
+// publish tells the peers of the data centre what this daemon changed and waits for
+// them. The others are told in rounds.
 func (s *suspects) publish(ctx context.Context) {
 	s.publishing <- struct{}{}
 	defer func() { <-s.publishing }()
 	for {
+		sleep(ctx, time.Until(s.published.Add(gatherInterval)))
 		report := s.takeChanges()
-		if len(report.Entries) == 0 && len(report.Released) == 0 {
+		if len(report.Crashes) == 0 && len(report.Released) == 0 {
 			return
 		}
+		s.published = time.Now()
 		s.exchange(ctx, report)
 	}
 }
@@ -311,8 +334,9 @@
 func (s *suspects) takeChanges() quarantine.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	report := quarantine.Report{Entries: s.table.TakeChanged(time.Now()), Released: s.released}
+	report := quarantine.Report{Crashes: s.table.TakeChanged(time.Now()), Released: s.released}
 	s.released = nil
+	s.distant.add(report.Crashes)
 	return report
 }
 
@@ -324,14 +348,14 @@
 	missing bool
 }
 
-// exchange sends a report to all peers and merges their answers. It waits for the
-// peers of the data centre.
+// exchange sends a report to the peers that it concerns and merges their answers. It
+// waits for the peers of the data centre.
 func (s *suspects) exchange(ctx context.Context, report quarantine.Report) exchanged {
 	ctx = context.WithoutCancel(ctx)
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	var out exchanged
-	for _, vm := range s.daemon.fleet.peerDaemons() {
+	for _, vm := range s.concerned(report) {
 		ask := func() {
 			result, err := s.report(ctx, vm, report)
 			mu.Lock()
@@ -353,6 +377,18 @@
 	return out
 }
 
+// concerned returns the peers of the data centre, and those of the data centres in
+// which a trial of the report uses an engine.
+func (s *suspects) concerned(report quarantine.Report) []port.VM {
+	centres := map[string]bool{s.daemon.settings.DataCentre: true}
+	s.mu.Lock()
+	for _, trial := range report.Trials {
+		centres[s.centres[trial.Digest]] = true
+	}
+	s.mu.Unlock()
+	return slices.DeleteFunc(s.daemon.fleet.peerDaemons(), func(vm port.VM) bool { return !centres[vm.DataCentre] })
+}
+
 // report sends one report to one peer, and again over a new connection when the
 // first one may have gone silent. A peer that misses both gets all entries later.
 func (s *suspects) report(ctx context.Context, vm port.VM, report quarantine.Report) (quarantine.ReportResult, error) {
@@ -368,6 +404,10 @@
 		return result, err
 	}
 	s.daemon.metrics.QuarantineReports.Add(1)
+	if report.Sum != 0 && len(result.Entries) > 0 {
+		// The tables differ; the peer gets this daemon's entries in the next tick.
+		s.behind[vm.ID] = true
+	}
 	s.cancelLocked(s.table.MergeEntries(result.Entries, time.Now()))
 	return result, nil
 }
@@ -406,6 +446,12 @@
 	s.publish(ctx)
 	peers := s.daemon.fleet.peerDaemons()
 	var group sync.WaitGroup
+	crashes, round := s.nextRound(peers)
+	for _, vm := range round {
+		group.Go(func() {
+			_, _ = s.report(ctx, vm, quarantine.Report{Crashes: crashes})
+		})
+	}
 	for _, vm := range peers {
 		if report, due := s.due(vm, peers); due {
 			group.Go(func() {
@@ -426,16 +472,32 @@
 	s.daemon.metrics.QuarantineEvicted.Set(s.table.Evicted())
 }
 
+// nextRound returns the report to other data centres that is under way and the peers
+// that get it in this tick.
+func (s *suspects) nextRound(peers []port.VM) ([]quarantine.Crash, []port.VM) {
+	distant := slices.DeleteFunc(slices.Clone(peers), func(vm port.VM) bool {
+		return vm.DataCentre == s.daemon.settings.DataCentre
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.distant.next(distant, time.Now())
+}
+
 // due returns what one peer has to be told in this tick.
 func (s *suspects) due(vm port.VM, peers []port.VM) (quarantine.Report, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	report := quarantine.Report{Trials: s.table.OwnTrials()}
+	own := s.daemon.settings.DataCentre
+	report := quarantine.Report{Trials: slices.DeleteFunc(s.table.OwnTrials(), func(trial quarantine.Trial) bool {
+		return vm.DataCentre != own && vm.DataCentre != s.centres[trial.Digest]
+	})}
 	inTurn := peers[s.turn%len(peers)].ID == vm.ID
 	starting := s.turn <= len(peers)
-	if s.behind[vm.ID] || inTurn {
+	if s.behind[vm.ID] {
 		report.Entries = s.table.Entries(time.Now())
 		delete(s.behind, vm.ID)
+	} else if inTurn {
+		report.Sum = s.table.Sum(time.Now())
 	}
-	return report, len(report.Trials) > 0 || len(report.Entries) > 0 || (inTurn && starting)
+	return report, len(report.Trials) > 0 || len(report.Entries) > 0 || report.Sum != 0 || (inTurn && starting)
 }
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -9,8 +9,12 @@
 // MethodReport is the peer method that carries a Report.
 const MethodReport = "quarantine.report"
 
-// maxReportEntries bounds the entries of one message.
-const maxReportEntries = 32
+const (
+	// maxReportEntries bounds the entries of one message.
+	maxReportEntries = 32
+	// maxReportDigests bounds the digests of one message, which take about 18 KB.
+	maxReportDigests = 512
+)
 
 // Digest identifies what a request asks an engine to compute.
 type Digest string
@@ -49,6 +53,15 @@
 	RemainingMS int64 `json:"remaining_ms"`
 }
 
+// Crash is one loss of an engine with the digests that were in flight at it.
+type Crash struct {
+	ReportedLoss
+	Digests []Digest `json:"digests"`
+	// RemainingMS is the time in milliseconds until the entries of the digests
+	// expire, at most.
+	RemainingMS int64 `json:"remaining_ms"`
+}
+
 // Trial is a run of a suspect on an engine that does nothing else meanwhile.
 type Trial struct {
 	Digest Digest `json:"digest"`
@@ -61,6 +74,11 @@
 // Report is the argument of MethodReport.
 type Report struct {
 	Entries []ReportEntry `json:"entries,omitempty"`
+	// Crashes are the changes that the sender made.
+	Crashes []Crash `json:"crashes,omitempty"`
+	// Sum is the checksum of the sender's entries, or 0. The receiver answers with its
+	// own entries only when they differ.
+	Sum uint64 `json:"sum,omitempty"`
 	// Trials are the trials that the sender holds or asks for.
 	Trials []Trial `json:"trials,omitempty"`
 	// Released are trials that the sender has ended.
@@ -72,7 +90,9 @@
 	// Busy lists the trials that must not start yet: the receiver has a run of the
 	// digest, or a trial that takes precedence.
 	Busy []Digest `json:"busy,omitempty"`
-	// Entries are the receiver's entries.
+	// Entries are the receiver's entries: of the digests of trials, of those digests
+	// of crashes of which it knows more than the sender, or else its newest ones
+	// unless the checksums agree.
 	Entries []ReportEntry `json:"entries,omitempty"`
 }
 
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Intend announces a trial of a suspect on an engine. It returns false while the
@@ -130,16 +133,57 @@
 		delete(t.peers, trial)
 	}
 	worse := t.MergeEntries(r.Entries, now)
+	worse = append(worse, t.MergeEntries(entriesOf(r.Crashes), now)...)
 	var result ReportResult
 	for _, trial := range r.Trials {
 		if !t.admit(trial, now) {
 			result.Busy = append(result.Busy, trial.Digest)
 		}
 	}
-	result.Entries = t.Entries(now)
+	result.Entries = t.answer(r, now)
 	return result, worse
 }
 
+// answer returns the entries that the sender of a report may lack.
+func (t *Table) answer(r Report, now time.Time) []ReportEntry {
+	if r.Sum != 0 && r.Sum == t.Sum(now) {
+		return nil
+	}
+	if r.Sum != 0 || len(r.Entries) > 0 || len(r.Trials)+len(r.Crashes)+len(r.Released) == 0 {
+		return t.Entries(now)
+	}
+	var out []ReportEntry
+	for _, trial := range r.Trials {
+		out = append(out, t.Entry(trial.Digest, now)...)
+	}
+	for _, told := range entriesOf(r.Crashes) {
+		for _, known := range t.Entry(told.Digest, now) {
+			if len(known.Losses) > len(told.Losses) && len(out) < maxReportEntries {
+				out = append(out, known)
+			}
+		}
+	}
+	return out
+}
+
+// entriesOf returns what crashes say of each digest.
+func entriesOf(crashes []Crash) []ReportEntry {
+	var out []ReportEntry
+	index := map[Digest]int{}
+	for _, c := range crashes {
+		for _, d := range c.Digests {
+			i, ok := index[d]
+			if !ok {
+				i = len(out)
+				index[d] = i
+				out = append(out, ReportEntry{Digest: d, RemainingMS: c.RemainingMS})
+			}
+			out[i].Losses = append(out[i].Losses, c.ReportedLoss)
+		}
+	}
+	return out
+}
+
 // MergeEntries applies a peer's entries and returns the digests that they made
 // suspect or quarantined here. Entries may arrive late, repeated and in any order.
 func (t *Table) MergeEntries(entries []ReportEntry, now time.Time) []Digest {
@@ -193,22 +237,9 @@
 
 // Entries returns the newest entries, for peers that may have missed them.
 func (t *Table) Entries(now time.Time) []ReportEntry {
-	return t.collect(now, func(*entry) bool { return true })
-}
-
-// TakeChanged returns the entries that this daemon changed since the last call.
-func (t *Table) TakeChanged(now time.Time) []ReportEntry {
-	out := t.collect(now, func(e *entry) bool { return e.changed })
-	for _, r := range out {
-		t.entries[r.Digest].changed = false
-	}
-	return out
-}
-
-func (t *Table) collect(now time.Time, wanted func(*entry) bool) []ReportEntry {
 	var out []ReportEntry
 	for d, e := range t.entries {
-		if wanted(e) && now.Before(e.expires) {
+		if now.Before(e.expires) {
 			out = append(out, e.report(d, now))
 		}
 	}
@@ -218,6 +249,55 @@
 	return out[:min(len(out), maxReportEntries)]
 }
 
+// Sum returns a checksum of what the table knows of digests, 0 when it is empty.
+func (t *Table) Sum(now time.Time) uint64 {
+	var sum uint64
+	for d, e := range t.entries {
+		if !now.Before(e.expires) {
+			continue
+		}
+		for loss, state := range e.losses {
+			key := fmt.Sprintf("%s\x00%s\x00%s\x00%t", d, loss.Engine, loss.Incarnation, state.cleared)
+			sum ^= xxhash.Sum64String(key)
+		}
+	}
+	return sum
+}
+
+// TakeChanged returns the changes that this daemon made since the last call, as one
+// crash for each loss. When there are too many digests it leaves some for the next
+// call.
+func (t *Table) TakeChanged(now time.Time) []Crash {
+	var changed []Digest
+	for d, e := range t.entries {
+		if e.changed && now.Before(e.expires) && len(changed) < maxReportDigests {
+			changed = append(changed, d)
+			e.changed = false
+		}
+	}
+	slices.Sort(changed)
+	byLoss := map[ReportedLoss]*Crash{}
+	var out []*Crash
+	for _, d := range changed {
+		entry := t.entries[d].report(d, now)
+		for _, loss := range entry.Losses {
+			c, ok := byLoss[loss]
+			if !ok {
+				c = &Crash{ReportedLoss: loss}
+				byLoss[loss] = c
+				out = append(out, c)
+			}
+			c.Digests = append(c.Digests, d)
+			c.RemainingMS = max(c.RemainingMS, entry.RemainingMS)
+		}
+	}
+	crashes := make([]Crash, len(out))
+	for i, c := range out {
+		crashes[i] = *c
+	}
+	return crashes
+}
+
 func (e *entry) report(d Digest, now time.Time) ReportEntry {
 	out := ReportEntry{Digest: d, RemainingMS: e.expires.Sub(now).Milliseconds()}
 	for loss, state := range e.losses {
