Resume an answer that brings heartbeats and no tokens elsewhere

The progress deadline of a stream counts bytes, so that an engine that sends heartbeats for ever held a request for good. Now, when no token arrives for twice that deadline, plus the time in which the engine reads a prompt of that size before the first token, the daemon reads the engine's status once per interval. While the queue of prompts changes the request waits; a stream that has brought tokens waits for three such intervals at most. Else the attempt ends and the request resumes on another engine, or on the same one when it is the only one. The cost per token is two atomic stores.

A stalled stream before its first token on an engine whose queue goes on moving for others is not detected: it looks like a request that waits legitimately.

Ruled out: a fixed deadline for the first token, which cuts prompts that wait behind long ones (TestLongReadingIsNoStall: three prompts of 323 to 327 tokens at 10 tokens/s are answered after 97.7 s in one attempt each).

--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -235,16 +235,19 @@
 	if g.attempt > 1 {
 		d.metrics.Resumed.Add(1)
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	ctx, run := d.suspects.begin(ctx, g.digest, u)
-	err := d.stream(ctx, g, u)
-	if err != nil && errors.Is(context.Cause(ctx), errSuspected) {
-		err = errSuspected
+	watch := d.watchStall(ctx, cancel, g, u)
+	err := d.stream(ctx, g, u, watch)
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errSuspected) || errors.Is(cause, errStalled)) {
+		err = cause
 	}
 	g.ran = d.suspects.end(run, err) || g.ran
 	return run, err
 }
 
-func (d *Daemon) stream(ctx context.Context, g *generation, u *routing.Upstream) error {
+func (d *Daemon) stream(ctx context.Context, g *generation, u *routing.Upstream, watch *stall) error {
 	g.assembler.Begin(g.attempt)
 	stream, err := u.Engine.Generate(ctx, port.GenerateRequest{
 		RequestID:       g.engineID,
@@ -260,21 +263,27 @@
 		return err
 	}
 	defer stream.Close()
-	return d.receive(g, stream)
+	return d.receive(g, stream, watch)
 }
 
-func (d *Daemon) receive(g *generation, stream port.ChunkStream) error {
+func (d *Daemon) receive(g *generation, stream port.ChunkStream, watch *stall) error {
 	for {
 		chunk, err := stream.Next()
 		if err != nil {
 			return err
 		}
 		result := g.assembler.Accept(chunk)
+		if len(result.Ready) > 0 {
+			watch.rest()
+		}
 		for _, ready := range result.Ready {
 			if err := g.deliver(ready); err != nil {
 				return err
 			}
 		}
+		if len(result.Ready) > 0 {
+			watch.begin()
+		}
 		switch result.Verdict {
 		case answer.Drop:
 			d.metrics.ChunksDropped.Add(1)
@@ -316,7 +325,8 @@
 		zap.Error(cause),
 	)
 	notRun := errors.Is(cause, port.ErrNotSent) || errors.Is(cause, port.ErrNotRun)
-	if notRun || !d.settle(ctx, g, u, run) {
+	stalled := errors.Is(cause, errStalled)
+	if notRun || !d.settle(ctx, g, u, run) || stalled {
 		g.excluded[u.VM.ID] = true
 	} else if g.reconnects[u.VM.ID]++; g.reconnects[u.VM.ID] > maxReconnects {
 		g.excluded[u.VM.ID] = true
@@ -333,6 +343,8 @@
 	switch {
 	case errors.Is(cause, port.ErrSilent):
 		d.metrics.SilentConnections.Add(1)
+	case errors.Is(cause, errStalled):
+		d.metrics.Stalled.Add(1)
 	case errors.Is(cause, errChunksLacked):
 		d.metrics.ChunksMissing.Add(1)
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -32,6 +32,8 @@
 	ChunksMissing   expvar.Int
 	// SilentConnections counts attempts without progress within the deadline.
 	SilentConnections expvar.Int
+	// Stalled counts attempts that brought heartbeats and no tokens.
+	Stalled expvar.Int
 	// Cancels counts cancellations sent to engines; CancelsFailed those that were
 	// not confirmed.
 	Cancels       expvar.Int
@@ -85,6 +87,7 @@
 	m.vars.Set("chunks_reordered", &m.ChunksReordered)
 	m.vars.Set("chunks_missing", &m.ChunksMissing)
 	m.vars.Set("silent_connections", &m.SilentConnections)
+	m.vars.Set("stalled", &m.Stalled)
 	m.vars.Set("cancels", &m.Cancels)
 	m.vars.Set("cancels_failed", &m.CancelsFailed)
 	m.vars.Set("callers_silent", &m.CallersSilent)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -31,6 +31,8 @@
 	PrefillRate float64
 	// TokenTime is the time between tokens of one answer.
 	TokenTime time.Duration
+	// ReportQueue adds the prompts that wait or are read to the status.
+	ReportQueue bool
 	// ChangeTime is how long a change of role or model takes.
 	ChangeTime time.Duration
 	// Crash is called when a request crashes the engine. Nil only drops the
@@ -60,6 +62,9 @@
 	FailGenerate bool `json:"fail_generate"`
 	// CrashAt crashes the engine at this position of an answer once; 0 does not.
 	CrashAt int `json:"crash_at"`
+	// StallAt makes every answer that is under way or begins stop at this position,
+	// with heartbeats for ever; 0 stalls none and ends no stall.
+	StallAt int `json:"stall_at"`
 	// Leaving makes the engine report that it will stop.
 	Leaving bool `json:"leaving"`
 	// LoseAnswer starts every answer and closes its connection without a byte.
@@ -211,6 +216,9 @@
 	defer e.mu.Unlock()
 	s := e.status
 	s.Time = time.Now()
+	if e.opts.ReportQueue {
+		s.Queued, s.QueuedPrefillTokens = e.prefill.pending(e.opts.PrefillRate)
+	}
 	return s
 }
 
@@ -417,7 +425,7 @@
 	if e.opts.PrefillRate <= 0 {
 		return true
 	}
-	turn := e.prefill.enter(r.req.Priority)
+	turn := e.prefill.enter(r.req.Priority, PromptTokens(r.req.Prompt))
 	defer e.prefill.leave(turn)
 	if !e.awaitTurn(w, r, turn) {
 		return false
@@ -470,6 +478,12 @@
 		if !e.wait(r, e.opts.TokenTime) {
 			return
 		}
+		if at := e.currentFaults().StallAt; at > 0 && i >= at {
+			for e.wait(r, heartbeatInterval) {
+				writeHeartbeat(w)
+			}
+			return
+		}
 		if e.takeFault(&e.faults.CrashAt, i) {
 			e.Crash()
 			panic(http.ErrAbortHandler)
--- a/internal/standin/prefill.go
+++ b/internal/standin/prefill.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
 // prefillQueue lets one prompt at a time be read, by priority and then in the
@@ -11,18 +12,23 @@
 	mu      sync.Mutex
 	current chan struct{}
 	waiting []prefillWaiter
+	// reading is the length of the current prompt in tokens and began the time at
+	// which its reading began.
+	reading int
+	began   time.Time
 }
 
 type prefillWaiter struct {
 	priority int
+	tokens   int
 	turn     chan struct{}
 }
 
 // enter returns a channel that is closed when it is the caller's turn.
-func (q *prefillQueue) enter(priority int) chan struct{} {
+func (q *prefillQueue) enter(priority, tokens int) chan struct{} {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	w := prefillWaiter{priority: priority, turn: make(chan struct{})}
+	w := prefillWaiter{priority: priority, tokens: tokens, turn: make(chan struct{})}
 	q.waiting = append(q.waiting, w)
 	slices.SortStableFunc(q.waiting, func(a, b prefillWaiter) int { return a.priority - b.priority })
 	q.next()
@@ -45,6 +51,24 @@
 		return
 	}
 	q.current = q.waiting[0].turn
+	q.reading, q.began = q.waiting[0].tokens, time.Now()
 	q.waiting = q.waiting[1:]
 	close(q.current)
 }
+
+// pending returns the number of prompts that wait or are read at a rate in tokens per
+// second, and the tokens that are not read yet.
+func (q *prefillQueue) pending(rate float64) (prompts int, tokens int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, w := range q.waiting {
+		tokens += int64(w.tokens)
+	}
+	prompts = len(q.waiting)
+	if q.current != nil {
+		prompts++
+		read := int64(time.Since(q.began).Seconds() * rate)
+		tokens += max(0, int64(q.reading)-read)
+	}
+	return prompts, tokens
+}
