Withdraw an order that cannot succeed and go on with other engines

Cause: an order that an engine refuses, or accepts and fails to carry out, stayed pending and was sent every 250 ms for ever. Its engine stayed drained and no other change of the data centre began.

After 3 refusals, or when the engine reports the order as its last one with its old state, the holder withdraws it on the log and the engine serves again. First it proves that no copy can take effect: an engine that checks fencing confirms a number above the order's, all copies to another engine are accounted for. The change is proposed again after a delay that doubles from 1 minute to 1 hour, or when the configuration of its pool changes; count, time and the pool's digest are kept on the control stream and in its checkpoint. The role decisions, a warning and orders_withdrawn tell why. Attempts are counted by one holder, so a takeover starts them again.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -67,6 +67,9 @@
 	// OrderCopiesOpen is the number of copies of orders that may still reach engines
 	// that ignore fencing; such an engine takes no other change until it restarts.
 	OrderCopiesOpen expvar.Int
+	// OrdersWithdrawn counts orders that this daemon withdrew because an engine
+	// refused them or failed to carry them out.
+	OrdersWithdrawn expvar.Int
 	// Revision is the configuration revision in force.
 	Revision expvar.Int
 }
@@ -105,6 +108,7 @@
 	m.vars.Set("claim_entries", &m.ClaimEntries)
 	m.vars.Set("claim_calls", &m.ClaimCalls)
 	m.vars.Set("order_copies_open", &m.OrderCopiesOpen)
+	m.vars.Set("orders_withdrawn", &m.OrdersWithdrawn)
 	m.vars.Set("revision", &m.Revision)
 	return m
 }
--- a/internal/daemon/order_controller.go
+++ b/internal/daemon/order_controller.go
@@ -61,14 +61,12 @@
 		o.appendRecords(ctx, c, action.Records)
 	case order.ActRaise:
 		if o.send(ctx, c, action) == nil {
-			o.controller.Raised(action.Engine, fencing)
+			o.controller.Raised(action.Engine, action.Order.Fencing)
 		}
 	case order.ActSend:
 		// Whether the order was carried out shows in the engine's status.
 		err := o.send(ctx, c, action)
-		if action.Copy > 0 {
-			o.controller.Sent(action.Copy, copyResult(err))
-		}
+		o.controller.Sent(action, sendResult(action, err), fmt.Sprint(err))
 	}
 }
 
@@ -80,9 +78,12 @@
 	o.daemon.metrics.OrderCopiesOpen.Set(int64(open))
 }
 
-// copyResult tells what became of a copy, "" when it may still take effect.
-func copyResult(err error) string {
+// sendResult tells what became of an order, "" when it may still take effect.
+func sendResult(action order.Action, err error) string {
 	switch {
+	case errors.Is(err, port.ErrStaleFencing) && action.Copy == 0:
+		// The engine refused the holder, not the order.
+		return ""
 	case err == nil:
 		return order.CopyAccepted
 	case errors.Is(err, port.ErrNotSent):
@@ -137,6 +138,10 @@
 	if a.Verdict == "" {
 		return
 	}
+	if strings.HasPrefix(a.Verdict, order.OutcomeWithdrawn) {
+		o.daemon.metrics.OrdersWithdrawn.Add(1)
+		o.daemon.log.Warn("order withdrawn", zap.String("engine", a.Engine), zap.Any("reasons", a.Reasons))
+	}
 	inputs := append([]decision.Input{decision.In("fencing", fencing)}, a.Reasons...)
 	if a.Order.ID != "" {
 		inputs = append(inputs, decision.In("order-id", a.Order.ID))
@@ -210,7 +215,7 @@
 			continue
 		}
 		e := order.Engine{VM: u.VM}
-		i := slices.IndexFunc(states, func(s order.EngineState) bool { return s.Engine == u.VM.ID })
+		i := slices.IndexFunc(states, func(s order.EngineState) bool { return s.Engine == u.VM.ID && s.Open() })
 		if i >= 0 {
 			e.Changing = states[i].Changing()
 			status, err := u.Engine.Status(ctx)
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -555,7 +555,7 @@
 	vm := r.daemon[r.rng.IntN(len(r.daemon))]
 	engine := r.engines[fmt.Sprintf("engine-%d", r.rng.IntN(3))]
 	holder := r.holder()
-	switch r.rng.IntN(14) {
+	switch r.rng.IntN(15) {
 	case 0:
 		r.replace(vm)
 	case 1:
@@ -572,6 +572,8 @@
 		engine.SetFaults(standin.EngineFaults{CrashOnOrder: true, DownMS: 3000})
 	case 6:
 		engine.SetFaults(standin.EngineFaults{LoseOrderAnswers: 2})
+	case 14:
+		engine.SetFaults(standin.EngineFaults{RefuseOrders: 1 + r.rng.IntN(5)})
 	case 7:
 		if engine.Status().Phase == port.PhaseChanging {
 			engine.Crash()
@@ -709,7 +711,7 @@
 // Guards against conflicting orders, orders without authority and interrupted
 // requests when several failures meet: a holder killed between record, send and
 // outcome, paused or stopped; copies of orders that arrive minutes after they timed
-// out; engines that crash halfway; lost and late appends;
+// out; engines that refuse orders or crash halfway; lost and late appends;
 // outages of the log; expiry of the stream; daemons replaced meanwhile.
 func TestOrdersUnderFaults(t *testing.T) {
 	forFencing(t, func(r *orderRun) {
--- a/internal/order/controller.go
+++ b/internal/order/controller.go
@@ -88,6 +88,9 @@
 	order string
 	// first is when the holder saw the order pending, last when it sent a copy.
 	first, last time.Time
+	// refused counts the refusals, detail is what the engine said at the last.
+	refused int
+	detail  string
 	// shown is set once the operator was told that the order is unresolved.
 	shown bool
 }
@@ -103,9 +106,17 @@
 // Raised notes that an engine has confirmed a fencing number.
 func (c *Controller) Raised(engine string, fencing int64) { c.raised[engine] = fencing }
 
-// Sent notes what became of a copy that this holder was told to send: CopyAccepted,
-// CopyRefused, CopyNotSent, or "" when it may still take effect.
-func (c *Controller) Sent(number int64, result string) { c.copies[number] = result }
+// Sent notes what became of an order that this holder was told to send:
+// CopyAccepted, CopyRefused, CopyNotSent, or "" when it may still take effect.
+func (c *Controller) Sent(action Action, result, detail string) {
+	if action.Copy > 0 {
+		c.copies[action.Copy] = result
+	}
+	if a := c.attempts[action.Engine]; a != nil && result == CopyRefused {
+		a.refused++
+		a.detail = detail
+	}
+}
 
 // Yield returns the records by which a daemon that has lost the lease tells what
 // became of its copies. It sends none of them later. It must not be called while
@@ -250,17 +261,65 @@
 	if done(engine.Status, e.Pending.Order) {
 		return c.finish(s, e, OutcomeDone, engine.Status.Incarnation)
 	}
-	if !v.idle(engine) {
+	a := c.attempt(e, v.Now)
+	if failed := engine.Status.LastOrder == e.Pending.Order.ID; failed || a.refused >= refusedLimit {
+		return c.withdraw(s, e, engine, v, failed)
+	}
+	if !v.idle(engine) || (a.refused > 0 && v.Now.Sub(a.last) < refusedRetry<<(a.refused-1)) {
 		return Action{}
 	}
 	if e.Pending.Unfenced {
 		return c.settleUnfenced(s, e, engine, v)
 	}
+	a.last = v.Now
 	order := e.Pending.Order
-	order.Fencing = max(e.Pending.Token, s.Lease.Lease().Fencing)
+	order.Fencing = c.fencing(s, e)
 	return Action{Kind: ActSend, Engine: e.Engine, Order: order, Verdict: "send " + string(order.Kind)}
 }
 
+// fencing returns the number that a pending order is sent with.
+func (c *Controller) fencing(s *State, e EngineState) int64 {
+	return max(e.Pending.Token, s.Lease.Lease().Fencing)
+}
+
+// withdraw ends an order that the engine has refused several times, or failed to
+// carry out, once no copy of it can take effect any more: an engine that checks
+// fencing has confirmed a higher number, and the others' copies are accounted for.
+// The engine's status was asked for after that.
+func (c *Controller) withdraw(s *State, e EngineState, engine Engine, v View, failed bool) Action {
+	if barrier := c.fencing(s, e) + 1; !e.Pending.Unfenced && c.raised[e.Engine] < barrier {
+		return Action{Kind: ActRaise, Engine: e.Engine, Order: port.Order{
+			ID: c.newID(), Kind: port.OrderRaiseFencing, Fencing: barrier,
+		}}
+	}
+	a := c.attempt(e, v.Now)
+	if !failed && len(e.Copies) > 0 {
+		return a.unresolved(e)
+	}
+	detail, incarnation := a.detail, ""
+	if failed {
+		// Repetitions of the order that the engine executed last have no effect.
+		detail, incarnation = "engine executed the order and reports its old state", engine.Status.Incarnation
+	}
+	order, refused := e.Pending.Order, a.refused
+	action := c.finish(s, e, OutcomeWithdrawn, incarnation)
+	result := &action.Records[0]
+	result.Basis = basis(v.Configuration, engine.VM.Pool)
+	after := e.afterOutcome(*result, v.Now)
+	last := after[len(after)-1]
+	action.Reasons = append(action.Reasons,
+		decision.In("refused-attempts", refused),
+		decision.In("cause", detail),
+		decision.In("kind", order.Kind),
+		decision.In("version", order.Version),
+		decision.In("role", order.Role),
+		decision.In("withdrawals", last.Count),
+		decision.In("not-before", last.At.Add(last.delay())),
+	)
+	result.Reasons = action.Reasons
+	return action
+}
+
 // settleUnfenced sends a copy of an order after it was recorded. A further copy
 // follows only when the earlier ones are proved ended, or late: an engine ignores a
 // repetition of the order that it executed last, and no different order follows
@@ -282,17 +341,25 @@
 	}
 	late := v.Now.Sub(a.last) >= copyPatience
 	switch {
-	case len(e.Copies) == 0 || (late && len(e.Copies) < maxCopies):
+	case len(e.Copies) == 0, late && len(e.Copies) < maxCopies:
 		announce := c.record(s, KindSend, e.Engine)
 		announce.OrderID, announce.Incarnation = e.Pending.Order.ID, engine.Status.Incarnation
 		return appendAction("", e.Engine, announce)
-	case late && !a.shown:
-		a.shown = true
-		return Action{Engine: e.Engine, Verdict: "order unresolved until the engine restarts", Reasons: copyReasons(e)}
+	case late:
+		return a.unresolved(e)
 	}
 	return Action{}
 }
 
+// unresolved tells the operator once that only a restart of the engine helps.
+func (a *attempt) unresolved(e EngineState) Action {
+	if a.shown {
+		return Action{}
+	}
+	a.shown = true
+	return Action{Engine: e.Engine, Verdict: "order unresolved until the engine restarts", Reasons: copyReasons(e)}
+}
+
 func copyReasons(e EngineState) []decision.Input {
 	return []decision.Input{
 		decision.In("order-id", e.Copies[0].Order),
@@ -368,8 +435,11 @@
 		return Action{}
 	}
 	v.Engines = slices.Clone(v.Engines)
+	v.refusals = map[string][]Refusal{}
 	for i, e := range v.Engines {
-		v.Engines[i].Held = held(s.Engine(e.VM.ID))
+		state := s.Engine(e.VM.ID)
+		v.Engines[i].Held = held(state)
+		v.refusals[e.VM.ID] = state.Refusals
 	}
 	for _, p := range c.planners {
 		change := p.Plan(v.Input)
@@ -418,7 +488,7 @@
 // within the weight store's rate.
 func (v View) allows(s *State, change Change) bool {
 	engine, ok := v.engine(change.Engine)
-	if !ok || !engine.Serving() || engine.Held != "" {
+	if !ok || !v.MayChange(engine, change.Order) {
 		return false
 	}
 	pool := v.Configuration.Pool(engine.VM.Pool)
--- a/internal/order/planner.go
+++ b/internal/order/planner.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"slices"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/decision"
@@ -35,6 +36,21 @@
 	Configuration *profile.Snapshot
 	// Engines are those of the data centre, sorted by VM id.
 	Engines []Engine
+
+	// refusals holds the withdrawn changes by engine.
+	refusals map[string][]Refusal
+}
+
+// MayChange tells whether a change of an engine may be proposed: the engine serves,
+// and no order for the same change was withdrawn a short while ago.
+func (in Input) MayChange(e Engine, change port.Order) bool {
+	if !e.Serving() || e.Held != "" {
+		return false
+	}
+	digest := basis(in.Configuration, e.VM.Pool)
+	return !slices.ContainsFunc(in.refusals[e.VM.ID], func(r Refusal) bool {
+		return r.blocks(change, digest, in.Now)
+	})
 }
 
 // Change is an order that a planner proposes. The order's ID and Fencing are
@@ -59,21 +75,25 @@
 func (VersionPlanner) Plan(in Input) *Change {
 	for _, e := range in.Engines {
 		pool := in.Configuration.Pool(e.VM.Pool)
-		if pool == nil || !e.Serving() || e.Held != "" {
+		if pool == nil {
 			continue
 		}
 		want := pool.Version(e.Status.Model)
 		if want == "" || want == e.Status.Version {
 			continue
 		}
+		load := port.Order{
+			Kind:    port.OrderLoadModel,
+			Model:   e.Status.Model,
+			Version: want,
+			Adapter: e.Status.Adapter,
+		}
+		if !in.MayChange(e, load) {
+			continue
+		}
 		return &Change{
 			Engine: e.VM.ID,
-			Order: port.Order{
-				Kind:    port.OrderLoadModel,
-				Model:   e.Status.Model,
-				Version: want,
-				Adapter: e.Status.Adapter,
-			},
+			Order:  load,
 			Reasons: []decision.Input{
 				decision.In("revision", in.Configuration.Revision),
 				decision.In("loaded-version", e.Status.Version),
--- a/internal/order/record.go
+++ b/internal/order/record.go
@@ -32,6 +32,9 @@
 	OutcomeDone = "done"
 	// OutcomeGone means that the engine's VM has left before the order was done.
 	OutcomeGone = "engine gone"
+	// OutcomeWithdrawn means that the engine refused the order or failed to carry it
+	// out, and that no copy of it can take effect any more.
+	OutcomeWithdrawn = "withdrawn"
 )
 
 // Ends of a copy.
@@ -60,6 +63,8 @@
 	Outcome string `json:"outcome,omitempty"`
 	// Incarnation is the engine's; it belongs to KindOutcome and KindSend.
 	Incarnation string `json:"incarnation,omitempty"`
+	// Basis is the digest of the pool's configuration; it belongs to KindOutcome.
+	Basis string `json:"basis,omitempty"`
 	// Copy is the number of the copy that KindSendEnd is about.
 	Copy int64 `json:"copy,omitempty"`
 	// Reasons tell why the holder wrote the record.
--- a/internal/order/state.go
+++ b/internal/order/state.go
@@ -52,12 +52,17 @@
 	// Copies may still take effect, oldest first. All are of one order. The slice
 	// is never changed in place.
 	Copies []Copy `json:"copies,omitempty"`
+	// Refusals are changes whose orders were withdrawn, the newest last.
+	Refusals []Refusal `json:"refusals,omitempty"`
 }
 
 // Changing tells whether a drain or an order is open.
 func (e EngineState) Changing() bool { return e.Drain > 0 || e.Pending != nil }
 
-func (e EngineState) settled() bool { return !e.Changing() && len(e.Copies) == 0 }
+// Open tells whether an order is open or may still arrive.
+func (e EngineState) Open() bool { return e.Changing() || len(e.Copies) > 0 }
+
+func (e EngineState) settled() bool { return !e.Open() && len(e.Refusals) == 0 }
 
 // Checkpoint is the result of all records below an offset.
 type Checkpoint struct {
@@ -91,7 +96,8 @@
 	return e
 }
 
-// Engines returns all engines with a drain, a pending order or an open copy.
+// Engines returns all engines with a drain, a pending order, an open copy or a
+// refusal.
 func (s *State) Engines() []EngineState {
 	out := make([]EngineState, 0, len(s.engines))
 	for _, e := range s.engines {
@@ -152,9 +158,12 @@
 	case lease.KindClaim, lease.KindRenew, lease.KindRelease:
 		return s.Lease.Apply(rec.ID, rec.Offset, r.Record, now)
 	}
-	e, accepted := s.decide(rec.Offset, r)
+	e, accepted := s.decide(rec, r)
 	if accepted {
 		s.store(e)
+		if r.Kind == KindOutcome {
+			s.forgetRefusals(rec.Time)
+		}
 		s.noteLoad(r, rec.Time)
 	}
 	return accepted
@@ -168,6 +177,16 @@
 	s.engines[e.Engine] = e
 }
 
+// forgetRefusals drops old refusals, also those of engines that have left.
+func (s *State) forgetRefusals(now time.Time) {
+	for _, e := range s.engines {
+		e.Refusals = slices.DeleteFunc(slices.Clone(e.Refusals), func(r Refusal) bool {
+			return now.Sub(r.At) >= refusalKept
+		})
+		s.store(e)
+	}
+}
+
 func (s *State) noteLoad(r Record, at time.Time) {
 	if r.Kind == KindOrder && r.Order.Kind == port.OrderLoadModel {
 		s.lastLoad = at
@@ -177,7 +196,8 @@
 // decide returns an engine's state after a record, and whether the record was
 // accepted. Only the holder's records have effect, with one exception: an
 // incarnation may always tell what became of a copy that it sent.
-func (s *State) decide(offset int64, r Record) (EngineState, bool) {
+func (s *State) decide(rec port.Record, r Record) (EngineState, bool) {
+	offset := rec.Offset
 	e := s.Engine(r.Engine)
 	if r.Engine == "" {
 		return e, false
@@ -201,7 +221,7 @@
 	case r.Kind == KindOrder && e.mayOrder(r):
 		e.Pending = &Pending{Order: *r.Order, Token: offset + 1, Unfenced: r.Unfenced}
 	case r.Kind == KindOutcome && e.Pending != nil && e.Pending.Order.ID == r.OrderID:
-		e.Copies = e.copiesAfter(r)
+		e.Copies, e.Refusals = e.copiesAfter(r), e.afterOutcome(r, rec.Time)
 		e.Pending = nil
 	default:
 		return e, false
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -42,6 +43,12 @@
 	Silent bool `json:"silent"`
 	// CrashOnOrder crashes the engine halfway through the next order.
 	CrashOnOrder bool `json:"crash_on_order"`
+	// RefuseOrders refuses that many orders.
+	RefuseOrders int `json:"refuse_orders"`
+	// MissingVersion is a model version that the engine cannot load. It refuses the
+	// order, or with FailLate accepts it and fails.
+	MissingVersion string `json:"missing_version"`
+	FailLate       bool   `json:"fail_late"`
 	// LoseOrderAnswers executes that many orders and drops their answers.
 	LoseOrderAnswers int `json:"lose_order_answers"`
 	// RepeatChunks sends every chunk twice.
@@ -546,7 +553,11 @@
 		return
 	}
 	answered, err := e.Execute(o)
-	if err != nil {
+	switch {
+	case errors.Is(err, port.ErrNotRun):
+		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+		return
+	case err != nil:
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
 	}
@@ -557,7 +568,8 @@
 }
 
 // Execute carries out an order. It returns port.ErrStaleFencing when the engine
-// checks fencing and has seen a higher number, and false when the answer is lost.
+// checks fencing and has seen a higher number, port.ErrNotRun when it cannot carry
+// out the order, and false when the answer is lost.
 // An order whose id is the last one executed has no second effect.
 func (e *Engine) Execute(o port.Order) (bool, error) {
 	e.mu.Lock()
@@ -569,6 +581,9 @@
 		e.status.Fencing = o.Fencing
 	}
 	if o.Kind != port.OrderRaiseFencing && o.ID != e.status.LastOrder {
+		if e.refuses(o) {
+			return true, port.ErrNotRun
+		}
 		e.beginChange(o)
 	}
 	if e.faults.LoseOrderAnswers > 0 {
@@ -578,6 +593,18 @@
 	return true, nil
 }
 
+func (e *Engine) refuses(o port.Order) bool {
+	if e.faults.RefuseOrders > 0 {
+		e.faults.RefuseOrders--
+		return true
+	}
+	return e.missing(o) && !e.faults.FailLate
+}
+
+func (e *Engine) missing(o port.Order) bool {
+	return o.Kind == port.OrderLoadModel && o.Version != "" && o.Version == e.faults.MissingVersion
+}
+
 func (e *Engine) beginChange(o port.Order) {
 	e.orders = append(e.orders, o)
 	if e.status.Phase == port.PhaseChanging || o.Fencing < e.fencing {
@@ -603,10 +630,11 @@
 	if e.generation != generation {
 		return
 	}
-	switch o.Kind {
-	case port.OrderSetRole:
+	switch {
+	case e.missing(o):
+	case o.Kind == port.OrderSetRole:
 		e.status.Role = o.Role
-	case port.OrderLoadModel:
+	case o.Kind == port.OrderLoadModel:
 		e.status.Model, e.status.Version, e.status.Adapter = o.Model, o.Version, o.Adapter
 	}
 	e.status.Phase = port.PhaseServing
