Test five guards of orders and drains that no test depended on

docs/PROMISES.md listed guards whose removal no test noticed.

- Authority check of a record (State.decide): internal/order TestRecordsWithoutAuthorityHaveNoEffect.
- Raising the fencing number at a takeover: internal/order TestTakeoverRaisesFencingOfFinishedOrder.
It matters when the new holder finds the order done and so sends nothing itself, and the engine then restarts and forgets its last order, but not its fencing number.
The stand-in gets a switch for that (ForgetOrder); with an engine that keeps its last order the copy would be ignored anyway.
- In-flight count in a drain (orders.ack): TestDrainWaitsForRequestsOnTheirWay delays requests by 0 to 3.9 s on their way.
A first form, whose workers all moved in step, did not notice the removal.

--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -35,6 +35,8 @@
 	// late is the delay of the next lateCopies orders, which seem to time out.
 	late       time.Duration
 	lateCopies int
+	// slow delays requests on their way to engines.
+	slow atomic.Bool
 }
 
 // delay makes the next copies of orders late.
@@ -128,6 +130,9 @@
 			return err
 		}
 	}
+	if e.gate.slow.Load() && o.Kind != port.OrderRaiseFencing {
+		e.run.checkInFlight(e.address)
+	}
 	call := time.Now()
 	err := e.order(ctx, o)
 	e.run.history.add(fencedWrite{e.address, o.Fencing}, call, err)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -43,6 +43,8 @@
 	Silent bool `json:"silent"`
 	// CrashOnOrder crashes the engine halfway through the next order.
 	CrashOnOrder bool `json:"crash_on_order"`
+	// ForgetOrder lets a restart forget the last order, not the fencing number.
+	ForgetOrder bool `json:"forget_order"`
 	// RefuseOrders refuses that many orders.
 	RefuseOrders int `json:"refuse_orders"`
 	// MissingVersion is a model version that the engine cannot load. It refuses the
@@ -202,7 +204,7 @@
 	e.generation++
 	e.downUntil = time.Now().Add(time.Duration(e.faults.DownMS) * time.Millisecond)
 	e.status.Incarnation = e.incarnation()
-	if e.status.Phase == port.PhaseChanging {
+	if e.status.Phase == port.PhaseChanging || e.faults.ForgetOrder {
 		// The restarted engine has its old role and model.
 		e.status.LastOrder = ""
 	}
