Let the configuration state the speed of each role

The role planner needs what one engine does in each role. pools[].speeds lists prompt and output tokens per second by role; a role without an entry will be derived from the capacity that engines report. The field needs schema version 3, because daemons of version 2 refuse it as unknown.

--- a/internal/profile/document.go
+++ b/internal/profile/document.go
@@ -55,6 +55,22 @@
 	// Versions are the model versions that engines must run. Models without an
 	// entry keep the version that is loaded. Since schema version 2.
 	Versions []ModelVersion `json:"versions,omitempty"`
+	// Speeds are what an engine does in each role. A role without an entry is derived
+	// from the capacity that the engines report: mixed engines do either kind of work
+	// at it, prefill engines read at 1.8 and write at 0.33 times, decode engines read
+	// at 0.3 and write at 1.8 times the capacity. Since schema version 3.
+	Speeds []RoleSpeed `json:"speeds,omitempty"`
+}
+
+// RoleSpeed is what one engine does in a role, in tokens per second, while it does
+// one kind of work only.
+type RoleSpeed struct {
+	// Role is one of the pool's roles.
+	Role port.Role `json:"role"`
+	// PromptTokens is the number of prompt tokens read per second.
+	PromptTokens float64 `json:"prompt_tokens"`
+	// OutputTokens is the number of output tokens generated per second.
+	OutputTokens float64 `json:"output_tokens"`
 }
 
 // ModelVersion names the version that engines with a model must run.
@@ -162,7 +178,7 @@
 // SchemaVersion is the newest version of Document that this program knows. The
 // rules of a published version never change, because every daemon must decide
 // alike about a record; a new field or rule needs a new version.
-const SchemaVersion = 2
+const SchemaVersion = 3
 
 // ParseDocument decodes and checks a document of the newest schema version. The
 // list holds every finding.
@@ -178,6 +194,9 @@
 	if schema < 2 {
 		checkNoVersion2Fields(list, data)
 	}
+	if schema < 3 {
+		checkNoVersion3Fields(list, data)
+	}
 	doc.check(list)
 	return doc, list
 }
@@ -203,6 +222,23 @@
 	}
 }
 
+// checkNoVersion3Fields reports fields that programs with schema version 2 refuse
+// as unknown.
+func checkNoVersion3Fields(list *findings.List, data []byte) {
+	var later struct {
+		Pools []struct {
+			Speeds json.RawMessage `json:"speeds"`
+		} `json:"pools"`
+	}
+	// A document of another shape has findings already.
+	_ = json.Unmarshal(data, &later)
+	for i, p := range later.Pools {
+		if p.Speeds != nil {
+			list.Add(fmt.Sprintf("pools[%d].speeds", i), "requires schema version 3")
+		}
+	}
+}
+
 func (d *Document) check(list *findings.List) {
 	d.checkRanks(list)
 	pools := d.checkPools(list)
@@ -272,6 +308,7 @@
 			}
 		}
 		p.checkVersions(list, place)
+		p.checkSpeeds(list, place)
 	}
 	return pools
 }
@@ -289,6 +326,31 @@
 	}
 }
 
+func (p *Pool) checkSpeeds(list *findings.List, place string) {
+	seen := map[port.Role]bool{}
+	for i, s := range p.Speeds {
+		place := fmt.Sprintf("%s.speeds[%d]", place, i)
+		if !slices.Contains(p.Roles, s.Role) {
+			list.Add(place+".role", "role %q is not a role of pool %q", s.Role, p.Name)
+		}
+		if seen[s.Role] {
+			list.Add(place+".role", "duplicate role %q", s.Role)
+		}
+		seen[s.Role] = true
+		checkSpeed(list, place+".prompt_tokens", s.PromptTokens)
+		checkSpeed(list, place+".output_tokens", s.OutputTokens)
+	}
+}
+
+// maxSpeed is far above what one engine can do, so that sums stay exact.
+const maxSpeed = 1e9
+
+func checkSpeed(list *findings.List, path string, v float64) {
+	if v <= 0 || v > maxSpeed {
+		list.Add(path, "must be greater than 0 and at most %g, found %g", float64(maxSpeed), v)
+	}
+}
+
 func (d *Document) checkWithdrawn(list *findings.List) {
 	upstreams := newNames(list, "withdrawn.upstreams")
 	for i, id := range d.Withdrawn.Upstreams {
