--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -35,6 +35,8 @@
 	// late is the delay of the next lateCopies orders, which seem to time out.
 	late       time.Duration
 	lateCopies int
+	// slow delays requests on their way to engines.
+	slow atomic.Bool
 }
 
 // delay makes the next copies of orders late.
@@ -128,6 +130,9 @@
 			return err
 		}
 	}
+	if e.gate.slow.Load() && o.Kind != port.OrderRaiseFencing {
+		e.run.checkInFlight(e.address)
+	}
 	call := time.Now()
 	err := e.order(ctx, o)
 	e.run.history.add(fencedWrite{e.address, o.Fencing}, call, err)
@@ -555,7 +560,7 @@
 	vm := r.daemon[r.rng.IntN(len(r.daemon))]
 	engine := r.engines[fmt.Sprintf("engine-%d", r.rng.IntN(3))]
 	holder := r.holder()
-	switch r.rng.IntN(14) {
+	switch r.rng.IntN(15) {
 	case 0:
 		r.replace(vm)
 	case 1:
@@ -572,6 +577,8 @@
 		engine.SetFaults(standin.EngineFaults{CrashOnOrder: true, DownMS: 3000})
 	case 6:
 		engine.SetFaults(standin.EngineFaults{LoseOrderAnswers: 2})
+	case 14:
+		engine.SetFaults(standin.EngineFaults{RefuseOrders: 1 + r.rng.IntN(5)})
 	case 7:
 		if engine.Status().Phase == port.PhaseChanging {
 			engine.Crash()
@@ -709,7 +716,7 @@
 // Guards against conflicting orders, orders without authority and interrupted
 // requests when several failures meet: a holder killed between record, send and
 // outcome, paused or stopped; copies of orders that arrive minutes after they timed
-// out; engines that crash halfway; lost and late appends;
+// out; engines that refuse orders or crash halfway; lost and late appends;
 // outages of the log; expiry of the stream; daemons replaced meanwhile.
 func TestOrdersUnderFaults(t *testing.T) {
 	forFencing(t, func(r *orderRun) {
