--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -44,11 +44,11 @@
 	RetriesDelayed expvar.Int
 	// CrashSuspects counts digests in flight at a crash of an engine, Trials their
 	// isolated runs, QuarantineRefusals the requests refused as quarantined.
-	CrashSuspects expvar.Int
-	Trials        expvar.Int
-	// SuspectsHeld counts suspects that waited for daemons that could not be asked.
-	SuspectsHeld       expvar.Int
+	CrashSuspects      expvar.Int
+	Trials             expvar.Int
 	QuarantineRefusals expvar.Int
+	// SuspectsHeld counts suspects that waited for daemons that could not be asked.
+	SuspectsHeld expvar.Int
 	// QuarantineEntries is the number of digests in the table, QuarantineEvicted
 	// the number that was forgotten because the table was full.
 	QuarantineEntries expvar.Int
