Publish only the changed items of a configuration document

Since schema version 3 a record may carry changes by section and name in place of the document. The verdict depends on the same base as before, so every reader that can decide about a whole document can decide about changes; the result is checked by the same rules.

Ruled out: JSON Patch (list items by index), a record per item (no check across items), a new kind of record (older programs reject unknown kinds and would not wait for a checkpoint).

Guards removed on a scratch copy, each makes a test fail: copy of the base list (TestChangesGiveTheDocument); removal, refusal to remove a missing item, check of the result (TestStateMatchesWholeLog); schema version, strict fields behind a pointer (TestChangesAreChecked); documents rebuilt for revisions (TestDiffAndRollForwardFollowTheLog).

--- a/internal/ctl/configuration_test.go
+++ b/internal/ctl/configuration_test.go
@@ -20,6 +20,7 @@
 
 func document(worth int) []byte {
 	doc := profile.Document{
+		Ranks: []profile.RankPolicy{},
 		Pools: []profile.Pool{{Name: "a", Models: []string{"m"}}},
 		Profiles: []profile.Profile{{
 			Name: "p", Rank: profile.Urgent, Pool: "a", Model: "m", FirstTokenMS: 1, TokenMS: 1, TotalMS: 1,
@@ -75,7 +76,7 @@
 
 func (o *configurationOracle) publish(t *testing.T, log *standin.Log, worth int) {
 	t.Helper()
-	p := Publisher{Log: log, Base: -1}
+	p := Publisher{Log: log, Base: -1, Changes: worth%2 == 0}
 	verdict, err := p.Publish(context.Background(), "c.json", document(worth))
 	if err != nil || !verdict.Accepted {
 		t.Fatalf("publish: %+v, %v", verdict, err)
--- a/internal/ctl/history.go
+++ b/internal/ctl/history.go
@@ -30,6 +30,18 @@
 
 	mu      sync.Mutex
 	records []port.Record
+	// documents holds the whole documents of revisions by number. Those before the
+	// checkpoint that the reader started from are missing.
+	documents map[int64]json.RawMessage
+}
+
+// keepDocument keeps the document of a record that was accepted.
+func (l *recordingLog) keepDocument(rec port.Record, state *profile.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if currentRevision(state) == rec.Offset+1 {
+		l.documents[rec.Offset+1] = state.Document()
+	}
 }
 
 // Read implements port.Log.
@@ -54,15 +66,19 @@
 			continue
 		}
 		var pub profile.Publication
-		if json.Unmarshal(rec.Data, &pub) != nil || len(pub.Document) == 0 {
+		if json.Unmarshal(rec.Data, &pub) != nil || len(pub.Document)+len(pub.Changes) == 0 {
 			continue
 		}
+		document := pub.Document
+		if len(document) == 0 {
+			document = l.documents[verdict.Revision]
+		}
 		out = append(out, revisionInfo{
 			Revision: verdict.Revision,
 			Base:     pub.Base,
 			Author:   pub.Author,
 			Time:     rec.Time,
-			document: pub.Document,
+			document: document,
 		})
 	}
 	return out
@@ -70,9 +86,9 @@
 
 // history reads the configuration stream to its end.
 func history(ctx context.Context, log port.Log) (*profile.State, []revisionInfo, error) {
-	recording := &recordingLog{Log: log}
+	recording := &recordingLog{Log: log, documents: map[int64]json.RawMessage{}}
 	state := profile.NewState()
-	if err := (Publisher{Log: recording}).follow(ctx, state); err != nil {
+	if err := (Publisher{Log: recording, applied: recording.keepDocument}).follow(ctx, state); err != nil {
 		return nil, nil, err
 	}
 	return state, recording.accepted(state), nil
--- a/internal/ctl/loss.go
+++ b/internal/ctl/loss.go
@@ -117,7 +117,10 @@
 
 // entry returns a publication as an entry with an id of its own.
 func (p Publisher) entry(pub profile.Publication) (port.Entry, error) {
-	pub.Schema = profile.SchemaVersion
+	pub.Schema = profile.WholeSchema
+	if len(pub.Changes) > 0 {
+		pub.Schema = profile.SchemaVersion
+	}
 	pub.Author = p.Author
 	record, err := json.Marshal(pub)
 	if err != nil {
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -21,6 +21,7 @@
 	var logURL, author string
 	var base int64
 	var afterLoss lossFlag
+	var changes bool
 	cmd := &cobra.Command{
 		Use:   "publish FILE",
 		Short: "Publish a configuration document through the log service",
@@ -36,7 +37,7 @@
 			if err != nil {
 				return err
 			}
-			p := Publisher{Log: log, Author: author, Base: base}
+			p := Publisher{Log: log, Author: author, Base: base, Changes: changes}
 			publish := p.Publish
 			if afterLoss.loss != nil {
 				publish = func(ctx context.Context, file string, data []byte) (profile.Verdict, error) {
@@ -55,7 +56,9 @@
 	flags.StringVar(&author, "author", os.Getenv("USER"), "name recorded with the revision")
 	flags.Int64Var(&base, "base", -1, "revision that the document revises; -1 takes the one in force")
 	flags.Var(&afterLoss, "after-loss", "publish although records expired unread: the oldest retained offset and the newest one")
+	flags.BoolVar(&changes, "changes", false, "publish only the items of the document that differ from its base")
 	cmd.MarkFlagsMutuallyExclusive("base", "after-loss")
+	cmd.MarkFlagsMutuallyExclusive("changes", "after-loss")
 	return cmd
 }
 
@@ -66,13 +69,19 @@
 	Author string
 	// Base is the revision that the document revises; -1 takes the one in force.
 	Base int64
+	// Changes publishes only the items that differ from the base.
+	Changes bool
+
+	// applied is called with the state after each record that is read; may be nil.
+	applied func(port.Record, *profile.State)
 }
 
 // Publish validates and publishes a document; file names it in findings. On an
 // error that is not a finding the document may still be published later, unless
 // the error is port.ErrLogUnavailable.
 func (p Publisher) Publish(ctx context.Context, file string, data []byte) (profile.Verdict, error) {
-	if _, list := profile.ParseDocument(file, data); list.Err() != nil {
+	doc, list := profile.ParseDocument(file, data)
+	if list.Err() != nil {
 		return profile.Verdict{}, list.Err()
 	}
 	state := profile.NewState()
@@ -83,7 +92,13 @@
 	if base < 0 {
 		base = currentRevision(state)
 	}
-	entry, err := p.entry(profile.Publication{Base: base, Document: data})
+	pub := profile.Publication{Base: base, Document: data}
+	if p.Changes && base > 0 && base == currentRevision(state) {
+		if changes := state.ChangesTo(doc); changes != nil {
+			pub.Document, pub.Changes = nil, changes
+		}
+	}
+	entry, err := p.entry(pub)
 	if err != nil {
 		return profile.Verdict{}, err
 	}
@@ -148,6 +163,9 @@
 		if _, err := state.Apply(rec); err != nil && !state.Recovering() {
 			return page, trace.Wrap(err)
 		}
+		if p.applied != nil {
+			p.applied(rec, state)
+		}
 	}
 	return page, nil
 }
--- a/internal/ctl/rollforward.go
+++ b/internal/ctl/rollforward.go
@@ -51,7 +51,7 @@
 	}
 	document := documentOf(revisions, revision)
 	if document == nil {
-		return profile.Verdict{}, trace.NotFound("revision %d was not accepted or is no longer on the log", revision)
+		return profile.Verdict{}, trace.NotFound("revision %d was not accepted or is no longer on the log as a whole", revision)
 	}
 	p.Base = currentRevision(state)
 	return p.Publish(ctx, fmt.Sprintf("revision %d", revision), document)
--- a/internal/daemon/config_test.go
+++ b/internal/daemon/config_test.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
-	"bergamotsill.example/bergamotsill/internal/adapter/platform"
 	"bergamotsill.example/bergamotsill/internal/ctl"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
@@ -132,7 +131,8 @@
 	vm := r.vms[r.rng.IntN(len(r.vms))]
 	snapshot := r.daemons[vm.ID].config.Snapshot()
 	r.mu.Unlock()
-	p := ctl.Publisher{Log: platform.NewLog("http://"+platformAddress, r.net.Host("operator"))}
+	p := r.operator()
+	p.Base, p.Changes = 0, op.marker%2 == 0
 	if snapshot != nil {
 		p.Base, op.base = snapshot.Revision, markerOf(snapshot)
 	}
--- a/internal/findings/decode.go
+++ b/internal/findings/decode.go
@@ -46,6 +46,9 @@
 	switch {
 	case !custom && dst.Kind() == reflect.Struct:
 		decodeStruct(list, path, data, dst)
+	case !custom && dst.Kind() == reflect.Pointer && dst.Type().Elem().Kind() == reflect.Struct && !bytes.Equal(data, null):
+		dst.Set(reflect.New(dst.Type().Elem()))
+		decodeValue(list, path, data, dst.Elem())
 	case bytes.Equal(data, null) && dst.Kind() != reflect.Slice && dst.Kind() != reflect.Pointer:
 		list.Add(path, "expected a value, found null")
 	case !custom && dst.Kind() == reflect.Slice && dst.Type().Elem().Kind() != reflect.Uint8:
--- /dev/null
+++ b/internal/profile/changes.go
@@ -0,0 +1,152 @@
+package profile
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+
+	"bergamotsill.example/bergamotsill/internal/findings"
+)
+
+// changesSchema is the first schema version whose records may carry Changes.
+const changesSchema = 3
+
+// Changes turn the document of a base revision into a new one. An item replaces the
+// one of its name, or is added at the end of its list.
+type Changes struct {
+	Ranks         []RankPolicy   `json:"ranks,omitempty"`
+	Pools         []Pool         `json:"pools,omitempty"`
+	Profiles      []Profile      `json:"profiles,omitempty"`
+	Services      []ServiceRoute `json:"services,omitempty"`
+	Organisations []Organisation `json:"organisations,omitempty"`
+	// Withdrawn replaces the whole section unless it is nil.
+	Withdrawn *Withdrawn `json:"withdrawn,omitempty"`
+	// Remove names the items that the new document does not have.
+	Remove Removal `json:"remove,omitzero"`
+}
+
+// Removal names items by section.
+type Removal struct {
+	Ranks         []string `json:"ranks,omitempty"`
+	Pools         []string `json:"pools,omitempty"`
+	Profiles      []string `json:"profiles,omitempty"`
+	Services      []string `json:"services,omitempty"`
+	Organisations []string `json:"organisations,omitempty"`
+}
+
+func rankName(r RankPolicy) string           { return string(r.Name) }
+func poolName(p Pool) string                 { return p.Name }
+func profileName(p Profile) string           { return p.Name }
+func serviceName(s ServiceRoute) string      { return s.Name }
+func organisationName(o Organisation) string { return o.Name }
+
+// newChanges returns the changes from one document to another. The order of items
+// is no change.
+func newChanges(from, to *Document) *Changes {
+	c := &Changes{}
+	c.Ranks, c.Remove.Ranks = difference(from.Ranks, to.Ranks, rankName)
+	c.Pools, c.Remove.Pools = difference(from.Pools, to.Pools, poolName)
+	c.Profiles, c.Remove.Profiles = difference(from.Profiles, to.Profiles, profileName)
+	c.Services, c.Remove.Services = difference(from.Services, to.Services, serviceName)
+	c.Organisations, c.Remove.Organisations = difference(from.Organisations, to.Organisations, organisationName)
+	if !reflect.DeepEqual(from.Withdrawn, to.Withdrawn) {
+		c.Withdrawn = &to.Withdrawn
+	}
+	return c
+}
+
+// difference returns the items of to that are new or changed, and the names of the
+// items of from that to does not have.
+func difference[T any](from, to []T, name func(T) string) (set []T, remove []string) {
+	known := make(map[string]T, len(from))
+	for _, item := range from {
+		known[name(item)] = item
+	}
+	for _, item := range to {
+		old, ok := known[name(item)]
+		if !ok || !reflect.DeepEqual(old, item) {
+			set = append(set, item)
+		}
+		delete(known, name(item))
+	}
+	for _, item := range from {
+		if _, ok := known[name(item)]; ok {
+			remove = append(remove, name(item))
+		}
+	}
+	return set, remove
+}
+
+// applyTo returns the new document. It does not change the base; findings are those
+// of the changes, not of the result.
+func (c *Changes) applyTo(base *Document, list *findings.List) *Document {
+	doc := *base
+	doc.Ranks = change(list, "ranks", base.Ranks, c.Ranks, c.Remove.Ranks, rankName)
+	doc.Pools = change(list, "pools", base.Pools, c.Pools, c.Remove.Pools, poolName)
+	doc.Profiles = change(list, "profiles", base.Profiles, c.Profiles, c.Remove.Profiles, profileName)
+	doc.Services = change(list, "services", base.Services, c.Services, c.Remove.Services, serviceName)
+	doc.Organisations = change(list, "organisations", base.Organisations, c.Organisations, c.Remove.Organisations, organisationName)
+	if c.Withdrawn != nil {
+		doc.Withdrawn = *c.Withdrawn
+	}
+	return &doc
+}
+
+func change[T any](list *findings.List, section string, base, set []T, remove []string, name func(T) string) []T {
+	out := slices.Clone(base)
+	place := make(map[string]int, len(out))
+	for i, item := range out {
+		place[name(item)] = i
+	}
+	given := map[string]bool{}
+	for i, item := range set {
+		key := name(item)
+		if given[key] {
+			list.Add(fmt.Sprintf("changes.%s[%d].name", section, i), "duplicate name %q", key)
+		}
+		given[key] = true
+		if at, ok := place[key]; ok {
+			out[at] = item
+		} else {
+			out = append(out, item)
+		}
+	}
+	removed := map[string]bool{}
+	for i, key := range remove {
+		if _, ok := place[key]; !ok || given[key] || removed[key] {
+			list.Add(fmt.Sprintf("changes.remove.%s[%d]", section, i), "%q is not in the base, or named twice", key)
+		}
+		removed[key] = true
+	}
+	return slices.DeleteFunc(out, func(item T) bool { return removed[name(item)] })
+}
+
+// ChangesTo returns the changes from the document in force to another, encoded for
+// Publication.Changes, or nil when only a whole document can be published.
+func (s *State) ChangesTo(doc *Document) json.RawMessage {
+	if s.current == nil || s.schema > SchemaVersion {
+		return nil
+	}
+	return encode(newChanges(s.current.Document, doc))
+}
+
+// encode returns the JSON of a struct of plain values, which always encodes.
+func encode(v any) json.RawMessage {
+	data, _ := json.Marshal(v)
+	return data
+}
+
+// changed returns the document with encoded changes, checked like one that is
+// published whole. All schema versions with changes have the same rules so far; a
+// later one has to check by the newer rules of the record and its base.
+func (d *Document) changed(data json.RawMessage) (*Document, *findings.List) {
+	changes := &Changes{}
+	list := findings.Decode("", data, changes)
+	if len(list.Items()) > 0 {
+		return nil, list
+	}
+	doc := changes.applyTo(d, list)
+	doc.check(list)
+	return doc, list
+}
--- a/internal/profile/document.go
+++ b/internal/profile/document.go
@@ -161,8 +161,13 @@
 
 // SchemaVersion is the newest version of Document that this program knows. The
 // rules of a published version never change, because every daemon must decide
-// alike about a record; a new field or rule needs a new version.
-const SchemaVersion = 2
+// alike about a record; a new field or rule needs a new version. Version 3 adds
+// Publication.Changes and has the documents of version 2.
+const SchemaVersion = 3
+
+// WholeSchema is the version with which whole documents are published, so that
+// programs of version 2 take them up at once.
+const WholeSchema = 2
 
 // ParseDocument decodes and checks a document of the newest schema version. The
 // list holds every finding.
--- a/internal/profile/state.go
+++ b/internal/profile/state.go
@@ -27,7 +27,9 @@
 	// AfterLoss is set with KindAfterLoss only.
 	AfterLoss *Loss           `json:"after_loss,omitempty"`
 	Author    string          `json:"author,omitempty"`
-	Document  json.RawMessage `json:"document"`
+	Document  json.RawMessage `json:"document,omitempty"`
+	// Changes takes the place of Document since schema version 3; see type Changes.
+	Changes json.RawMessage `json:"changes,omitempty"`
 }
 
 // Verdict tells what became of one publication.
@@ -161,6 +163,9 @@
 // Current returns the snapshot in force, or nil.
 func (s *State) Current() *Snapshot { return s.current }
 
+// Document returns the document in force as it is published whole, or nil.
+func (s *State) Document() json.RawMessage { return s.document }
+
 // Verdict returns what became of the record with the given id.
 func (s *State) Verdict(id string) (Verdict, bool) {
 	v, ok := s.verdicts[id]
@@ -258,20 +263,38 @@
 		v.Reason = "schema version is missing"
 		return v, nil
 	}
-	doc, list := ParseVersion(pub.Schema, "", pub.Document)
+	if len(pub.Changes) > 0 && pub.Kind == "" && s.schema > SchemaVersion {
+		return v, fmt.Errorf("%w: base has %d, know %d", ErrNewerSchema, s.schema, SchemaVersion)
+	}
+	doc, list := s.proposed(pub)
 	if items := list.Items(); len(items) > 0 {
 		v.Reason = "document is invalid"
 		v.Findings = items
 		return v, nil
 	}
 	s.current = newSnapshot(rec.Offset+1, doc)
-	s.schema = pub.Schema
-	s.document = pub.Document
+	s.schema, s.document = pub.Schema, pub.Document
+	if len(pub.Document) == 0 {
+		s.schema, s.document = max(pub.Schema, s.schema), encode(doc)
+	}
 	v.Accepted = true
 	v.Revision = s.current.Revision
 	return v, nil
 }
 
+// proposed returns the whole document of a publication, checked.
+func (s *State) proposed(pub *Publication) (*Document, *findings.List) {
+	if len(pub.Changes) == 0 {
+		return ParseVersion(pub.Schema, "", pub.Document)
+	}
+	list := &findings.List{}
+	if s.current == nil || pub.Schema < changesSchema || pub.Kind != "" || len(pub.Document) > 0 {
+		list.Add("changes", "require schema version %d, a base revision and no document beside them", changesSchema)
+		return nil, list
+	}
+	return s.current.Document.changed(pub.Changes)
+}
+
 // obstacle returns why a publication cannot follow the revision in force, or "".
 func (s *State) obstacle(rec port.Record, pub *Publication) string {
 	switch {
--- a/internal/profile/state_test.go
+++ b/internal/profile/state_test.go
@@ -1,10 +1,13 @@
 package profile
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -78,7 +81,7 @@
 
 func (w *world) expect() expected {
 	e := expected{revision: []int{0}, weight: []int{0}}
-	revision, weight := 0, 0
+	revision, weight, listed := 0, 0, false
 	seen := map[string]bool{}
 	for i, rec := range w.records {
 		var p struct {
@@ -86,15 +89,25 @@
 			Schema, Base int
 			AfterLoss    struct{ First, Newest int } `json:"after_loss"`
 			Document     struct{ Organisations []struct{ Weight int } }
+			Changes      *struct {
+				Organisations []struct{ Weight int }
+				Remove        struct{ Organisations []string }
+			}
 		}
 		_ = json.Unmarshal(rec.Data, &p)
 		valid := len(p.Document.Organisations) > 0 && p.Document.Organisations[0].Weight > 0
 		switch {
 		case valid && p.Kind == "after-loss" && p.AfterLoss.First > 0 && p.AfterLoss.First <= i && p.AfterLoss.Newest == i-1:
-			revision, weight = i+1, p.Document.Organisations[0].Weight
+			revision, weight, listed = i+1, p.Document.Organisations[0].Weight, true
 			clear(seen)
-		case valid && p.Kind == "" && !seen[rec.ID] && p.Base == revision:
-			revision, weight = i+1, p.Document.Organisations[0].Weight
+		case p.Kind != "" || seen[rec.ID] || p.Base != revision:
+		case valid && p.Changes == nil:
+			revision, weight, listed = i+1, p.Document.Organisations[0].Weight, true
+		case p.Changes == nil || valid || revision == 0 || p.Schema < 3:
+		case len(p.Changes.Remove.Organisations) > 0 && listed:
+			revision, weight, listed = i+1, 1, false
+		case len(p.Changes.Remove.Organisations) == 0 && p.Changes.Organisations[0].Weight > 0:
+			revision, weight, listed = i+1, p.Changes.Organisations[0].Weight, true
 		}
 		seen[rec.ID] = seen[rec.ID] || p.Kind != KindCheckpoint
 		e.revision = append(e.revision, revision)
@@ -111,7 +124,7 @@
 		if got := s.revision(); got != want {
 			return fmt.Errorf("reader %d has revision %d at offset %d, want %d", i, got, s.Next(), want)
 		}
-		if want > 0 && int(s.current.Weight("o")) != e.weight[s.Next()] {
+		if want > 0 && (int(s.current.Weight("o")) != e.weight[s.Next()] || s.current.Profile("a") == nil) {
 			return fmt.Errorf("reader %d has the document of another revision", i)
 		}
 		if s.Next() < before[i] {
@@ -188,6 +201,26 @@
 	}}
 }
 
+// publishChanges appends a change of the weight, or the removal of the organisation
+// for weight -1.
+func publishChanges(id, shift, weight int) step {
+	name := fmt.Sprintf("publishChanges(id=%d shift=%d weight=%d)", id, shift, weight)
+	return step{name, -1, func(w *world) {
+		e := w.expect()
+		changes := &Changes{Organisations: []Organisation{{Name: "o", Weight: float64(weight)}}}
+		if weight < 0 {
+			changes = &Changes{Remove: Removal{Organisations: []string{"o"}}}
+		}
+		data, err := json.Marshal(changes)
+		if err != nil {
+			panic(err)
+		}
+		w.append(strconv.Itoa(id), Publication{
+			Schema: 2 + id%2, Base: int64(e.revision[w.next()] + shift), Changes: data,
+		})
+	}}
+}
+
 // repeat appends a record again, as a writer does that has no answer.
 func repeat(n int) step {
 	return step{fmt.Sprintf("repeat(%d)", n), -1, func(w *world) {
@@ -220,6 +253,9 @@
 		afterLoss(n, 0, 1+n%7),
 		afterLoss(400+n, -n%3, n%2),
 		repeat(n),
+		publishChanges(501+2*n, 0, 10+n),
+		publishChanges(601+2*n, 0, -1),
+		publishChanges(700+n, -n%3, n%3),
 	)
 }
 
@@ -286,3 +322,102 @@
 		t.Errorf("revision %d, next %d (%v) after the newer program's checkpoint, want 3 and 3", s.revision(), s.Next(), err)
 	}
 }
+
+// Guards against changes that lose or keep the wrong items, reach into the base, or
+// cost as much as the document.
+func TestChangesGiveTheDocument(t *testing.T) {
+	for _, seed := range seedtest.Seeds() {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		w := &world{}
+		s := NewState()
+		w.append("first", Publication{Schema: WholeSchema, Document: manyOrganisations(rng, nil)})
+		_, _ = s.Apply(w.records[0])
+		for i := range 3 {
+			before, _ := json.Marshal(s.current.Document)
+			base := s.current
+			whole := manyOrganisations(rng, base.Document)
+			doc, list := ParseDocument("", whole)
+			if list.Err() != nil {
+				t.Fatal(list.Err())
+			}
+			w.append(strconv.Itoa(i), Publication{Schema: SchemaVersion, Base: s.revision(), Changes: s.ChangesTo(doc)})
+			record := w.records[len(w.records)-1]
+			if v, err := s.Apply(record); err != nil || !v.Accepted {
+				t.Fatalf("seed %d: changes %d: %+v, %v", seed, i, v, err)
+			}
+			after, _ := json.Marshal(base.Document)
+			if !bytes.Equal(before, after) {
+				t.Fatalf("seed %d: changes %d reach into the base revision", seed, i)
+			}
+			if rest := newChanges(s.current.Document, doc); !reflect.DeepEqual(rest, &Changes{}) {
+				t.Fatalf("seed %d: changes %d leave the differences %+v", seed, i, rest)
+			}
+			if len(record.Data)*20 > len(whole) {
+				t.Errorf("seed %d: changes take %d bytes of %d", seed, len(record.Data), len(whole))
+			}
+			if i == 0 {
+				t.Logf("seed %d: changes take %d bytes, the document %d", seed, len(record.Data), len(whole))
+			}
+		}
+	}
+}
+
+// manyOrganisations returns a document of the target size that differs from base in a
+// few items.
+func manyOrganisations(rng *rand.Rand, base *Document) json.RawMessage {
+	doc := &Document{}
+	if base == nil {
+		_ = json.Unmarshal(testDocument(1), doc)
+		for i := range 9800 {
+			doc.Organisations = append(doc.Organisations, Organisation{Name: fmt.Sprintf("organisation-%d", i), Weight: 2})
+		}
+	} else {
+		data, _ := json.Marshal(base)
+		_ = json.Unmarshal(data, doc)
+		at := rng.IntN(len(doc.Organisations))
+		doc.Organisations[at].Weight++
+		doc.Organisations = slices.Delete(doc.Organisations, at+1, min(at+3, len(doc.Organisations)))
+		doc.Organisations = append(doc.Organisations, Organisation{Name: fmt.Sprintf("new-%d", rng.Uint64()), Weight: 3})
+		doc.Profiles[0].Worth++
+		doc.Pools[0].Versions = []ModelVersion{{Model: "m", Version: fmt.Sprint(rng.IntN(9))}}
+		doc.Withdrawn.Upstreams = []string{fmt.Sprint(rng.IntN(9))}
+	}
+	data, _ := json.Marshal(doc)
+	return data
+}
+
+// Guards against changes that one program reads differently from another, and against
+// a publication after a loss that needs a base.
+func TestChangesAreChecked(t *testing.T) {
+	const good = `{"organisations":[{"name":"o","weight":2}]}`
+	tests := []struct {
+		name     string
+		pub      Publication
+		accepted bool
+	}{
+		{"change", Publication{Schema: 3, Base: 1, Changes: json.RawMessage(good)}, true},
+		{"schema 2", Publication{Schema: 2, Base: 1, Changes: json.RawMessage(good)}, false},
+		{"old base", Publication{Schema: 3, Changes: json.RawMessage(good)}, false},
+		{"document beside it", Publication{Schema: 3, Base: 1, Document: testDocument(3), Changes: json.RawMessage(good)}, false},
+		{"after a loss", Publication{Kind: KindAfterLoss, AfterLoss: &Loss{First: 1}, Schema: 3, Changes: json.RawMessage(good)}, false},
+		{"name twice", Publication{Schema: 3, Base: 1,
+			Changes: json.RawMessage(`{"organisations":[{"name":"o","weight":2},{"name":"o","weight":3}]}`)}, false},
+		{"unknown field in a section", Publication{Schema: 3, Base: 1, Changes: json.RawMessage(`{"withdrawn":{"later":[]}}`)}, false},
+		{"pool in use removed", Publication{Schema: 3, Base: 1, Changes: json.RawMessage(`{"remove":{"pools":["p"]}}`)}, false},
+		{"removed and set", Publication{Schema: 3, Base: 1,
+			Changes: json.RawMessage(`{"organisations":[{"name":"o","weight":2}],"remove":{"organisations":["o"]}}`)}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := &world{}
+			s := NewState()
+			w.append("first", Publication{Schema: WholeSchema, Document: testDocument(1)})
+			w.append("second", test.pub)
+			_, _ = s.Apply(w.records[0])
+			v, err := s.Apply(w.records[1])
+			if err != nil || v.Accepted != test.accepted {
+				t.Errorf("verdict %+v (%v), want accepted %t", v, err, test.accepted)
+			}
+		})
+	}
+}
