Ignore changes in records of schema versions that do not have them

Cause: a program of schema version 2 ignores the unknown field changes and accepts a document beside it, while this program rejected the record.

--- a/internal/profile/changes.go
+++ b/internal/profile/changes.go
@@ -35,6 +35,10 @@
 	Organisations []string `json:"organisations,omitempty"`
 }
 
+// hasChanges tells whether the publication's changes count. Programs of earlier schema
+// versions do not know the field, so it has no effect there.
+func (p *Publication) hasChanges() bool { return len(p.Changes) > 0 && p.Schema >= changesSchema }
+
 func rankName(r RankPolicy) string           { return string(r.Name) }
 func poolName(p Pool) string                 { return p.Name }
 func profileName(p Profile) string           { return p.Name }
--- a/internal/profile/state.go
+++ b/internal/profile/state.go
@@ -263,7 +263,7 @@
 		v.Reason = "schema version is missing"
 		return v, nil
 	}
-	if len(pub.Changes) > 0 && pub.Kind == "" && s.schema > SchemaVersion {
+	if pub.hasChanges() && pub.Kind == "" && s.schema > SchemaVersion {
 		return v, fmt.Errorf("%w: base has %d, know %d", ErrNewerSchema, s.schema, SchemaVersion)
 	}
 	doc, list := s.proposed(pub)
@@ -274,7 +274,7 @@
 	}
 	s.current = newSnapshot(rec.Offset+1, doc)
 	s.schema, s.document = pub.Schema, pub.Document
-	if len(pub.Document) == 0 {
+	if pub.hasChanges() {
 		s.schema, s.document = max(pub.Schema, s.schema), encode(doc)
 	}
 	v.Accepted = true
@@ -284,12 +284,12 @@
 
 // proposed returns the whole document of a publication, checked.
 func (s *State) proposed(pub *Publication) (*Document, *findings.List) {
-	if len(pub.Changes) == 0 {
+	if !pub.hasChanges() {
 		return ParseVersion(pub.Schema, "", pub.Document)
 	}
 	list := &findings.List{}
-	if s.current == nil || pub.Schema < changesSchema || pub.Kind != "" || len(pub.Document) > 0 {
-		list.Add("changes", "require schema version %d, a base revision and no document beside them", changesSchema)
+	if s.current == nil || pub.Kind != "" || len(pub.Document) > 0 {
+		list.Add("changes", "require a base revision and no document beside them")
 		return nil, list
 	}
 	return s.current.Document.changed(pub.Changes)
--- a/internal/profile/state_test.go
+++ b/internal/profile/state_test.go
@@ -397,6 +397,7 @@
 	}{
 		{"change", Publication{Schema: 3, Base: 1, Changes: json.RawMessage(good)}, true},
 		{"schema 2", Publication{Schema: 2, Base: 1, Changes: json.RawMessage(good)}, false},
+		{"schema 2 with a document", Publication{Schema: 2, Base: 1, Document: testDocument(3), Changes: json.RawMessage(good)}, true},
 		{"old base", Publication{Schema: 3, Changes: json.RawMessage(good)}, false},
 		{"document beside it", Publication{Schema: 3, Base: 1, Document: testDocument(3), Changes: json.RawMessage(good)}, false},
 		{"after a loss", Publication{Kind: KindAfterLoss, AfterLoss: &Loss{First: 1}, Schema: 3, Changes: json.RawMessage(good)}, false},
