--- a/internal/profile/document.go
+++ b/internal/profile/document.go
@@ -177,9 +177,25 @@
 
 // SchemaVersion is the newest version of Document that this program knows. The
 // rules of a published version never change, because every daemon must decide
-// alike about a record; a new field or rule needs a new version.
+// alike about a record; a new field or rule needs a new version. Version 3 adds
+// Publication.Changes and pools[].speeds.
 const SchemaVersion = 3
 
+// wholeSchema is the version with which documents without newer fields are
+// published, so that programs of version 2 take them up at once.
+const wholeSchema = 2
+
+// SchemaOf returns the version with which a whole document is published: the lowest
+// one, from 2 on, that has all of its fields.
+func SchemaOf(data json.RawMessage) int {
+	newer := &findings.List{}
+	checkNoVersion3Fields(newer, data)
+	if len(newer.Items()) > 0 {
+		return SchemaVersion
+	}
+	return wholeSchema
+}
+
 // ParseDocument decodes and checks a document of the newest schema version. The
 // list holds every finding.
 func ParseDocument(file string, data []byte) (*Document, *findings.List) {
--- a/internal/profile/speeds_test.go
+++ b/internal/profile/speeds_test.go
@@ -33,3 +33,16 @@
 		}
 	}
 }
+
+// Guards against a document with newer fields that is published with a version whose
+// programs refuse it, and against one without them that older programs cannot read.
+func TestDocumentIsPublishedWithTheLowestSchema(t *testing.T) {
+	for document, want := range map[string]int{
+		`{"pools":[{"name":"p","models":["m"]}]}`:                                        2,
+		`{"pools":[{"name":"p","models":["m"],"speeds":[{"role":"mixed"}]}],"ranks":[]}`: 3,
+	} {
+		if got := SchemaOf([]byte(document)); got != want {
+			t.Errorf("%s is published with schema %d, want %d", document, got, want)
+		}
+	}
+}
