Let engines change role with the mix of prompts and output

Minimum stay, hysteresis and min_serving are those of package roles, and min_serving, drains and withdrawals those of every order. Proposals go to the role decisions with their numbers, and so do rejections whose gain would have paid the cost, at most once a minute per model.

Predicted output was ruled out as demand: an unknown profile is predicted at half of its limit, which looks like a shift. Demand in the existing probes (demand.go) was ruled out as well: it carries one number per daemon, without model or kind of work. A new holder forgets nothing wrongly: it starts stays and averages at its takeover.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -33,6 +33,7 @@
 		methodConfigRecords: d.config.serveRecords,
 		methodDrainAck:      d.orders.serveAck,
 		methodDrains:        d.orders.serveDrains,
+		methodDemandWork:    d.orders.serveWork,
 
 		methodClaimAppend: d.claims.serveAppend,
 		methodClaimStatus: d.claims.serveStatus,
--- a/internal/daemon/order_controller.go
+++ b/internal/daemon/order_controller.go
@@ -42,9 +42,12 @@
 		return
 	}
 	if !o.held(c) {
+		o.rolePlanner.reset()
+		clear(o.workSeen)
 		o.yield(ctx, c)
 		return
 	}
+	o.collectWork(ctx)
 	view := o.view(ctx, c)
 	c.mu.Lock()
 	if !c.state.Lease.Held(o.daemon.deps.Clock.Now()) || c.state.Recovering() {
--- /dev/null
+++ b/internal/daemon/order_roles.go
@@ -0,0 +1,182 @@
+package daemon
+
+import (
+	"slices"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/decision"
+	"bergamotsill.example/bergamotsill/internal/order"
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/profile"
+	"bergamotsill.example/bergamotsill/internal/roles"
+)
+
+// Speeds of a role relative to an engine's reported capacity, for roles whose speed
+// the configuration does not state. The ratios are those of the tests of package
+// roles; no engine was measured.
+var defaultSpeeds = roles.Speeds{
+	port.RoleMixed:   {Prompt: 1, Output: 1},
+	port.RolePrefill: {Prompt: 1.8, Output: 0.33},
+	port.RoleDecode:  {Prompt: 0.3, Output: 1.8},
+}
+
+// rejectionInterval bounds how often rejected proposals of one model are recorded.
+const rejectionInterval = time.Minute
+
+// roleSince is when an engine was first seen in its role.
+type roleSince struct {
+	role port.Role
+	at   time.Time
+}
+
+// rejection is the last rejected proposal that was recorded.
+type rejection struct {
+	verdict roles.Verdict
+	engine  string
+	to      port.Role
+	at      time.Time
+}
+
+// rolePlanner implements order.Planner with package roles. It knows demand and
+// times only since its daemon holds the lease, so that it proposes nothing within
+// the minimum stay after a takeover.
+type rolePlanner struct {
+	note       func(decision.Record)
+	estimators map[queueKey]*roles.Estimator
+	since      map[string]roleSince
+	rejected   map[queueKey]rejection
+}
+
+func newRolePlanner(note func(decision.Record)) *rolePlanner {
+	p := &rolePlanner{note: note}
+	p.reset()
+	return p
+}
+
+// reset forgets everything when the lease is lost.
+func (p *rolePlanner) reset() {
+	p.estimators = map[queueKey]*roles.Estimator{}
+	p.since = map[string]roleSince{}
+	p.rejected = map[queueKey]rejection{}
+}
+
+// observe takes in the work since the last call.
+func (p *rolePlanner) observe(now time.Time, grown map[queueKey]workTotal) {
+	for key := range grown {
+		if p.estimators[key] == nil {
+			p.estimators[key] = roles.NewEstimator(roles.DefaultEstimatorOptions())
+		}
+	}
+	for key, e := range p.estimators {
+		e.Observe(now, float64(grown[key].Prompt), float64(grown[key].Output))
+	}
+}
+
+// Plan implements order.Planner.
+func (p *rolePlanner) Plan(in order.Input) *order.Change {
+	for _, e := range in.Engines {
+		if s := p.since[e.VM.ID]; e.Known && s.role != e.Status.Role {
+			p.since[e.VM.ID] = roleSince{role: e.Status.Role, at: in.Now}
+		}
+	}
+	for i := range in.Configuration.Document.Pools {
+		pool := &in.Configuration.Document.Pools[i]
+		if len(pool.Roles) < 2 {
+			continue
+		}
+		for _, model := range pool.Models {
+			if change := p.plan(in, pool, queueKey{pool: pool.Name, model: model}); change != nil {
+				return change
+			}
+		}
+	}
+	return nil
+}
+
+func (p *rolePlanner) plan(in order.Input, pool *profile.Pool, key queueKey) *order.Change {
+	estimator := p.estimators[key]
+	if estimator == nil {
+		return nil
+	}
+	input := roles.Input{
+		Allowed: pool.Roles, MinServing: pool.MinServing, Fast: estimator.Fast(), Slow: estimator.Slow(),
+	}
+	capacity := 0.0
+	for _, e := range in.Engines {
+		if e.VM.Pool != key.pool || e.Status.Model != key.model || in.Configuration.Withdrawn(e.VM) {
+			continue
+		}
+		capacity += float64(e.Status.Capacity)
+		input.Engines = append(input.Engines, roles.Engine{
+			ID: e.VM.ID, Role: e.Status.Role, Since: p.stay(in, pool, e), Serving: e.Serving(),
+		})
+	}
+	if len(input.Engines) == 0 || capacity <= 0 {
+		return nil
+	}
+	speeds := speedsOf(pool, capacity/float64(len(input.Engines)))
+	proposal := roles.NewPlanner(roles.DefaultOptions(speeds)).Propose(in.Now, input)
+	if proposal.Verdict != roles.Change {
+		p.reject(in.Now, key, proposal)
+		return nil
+	}
+	return &order.Change{
+		Engine:  proposal.Engine,
+		Order:   port.Order{Kind: port.OrderSetRole, Role: proposal.To},
+		Reasons: append([]decision.Input{decision.In("model", key.model)}, proposalInputs(proposal)...),
+	}
+}
+
+// stay returns since when an engine counts as being in its role. One that takes no
+// change now counts as new, so that the planner prefers another engine.
+func (p *rolePlanner) stay(in order.Input, pool *profile.Pool, e order.Engine) time.Time {
+	for _, role := range pool.Roles {
+		if role != e.Status.Role && !in.MayChange(e, port.Order{Kind: port.OrderSetRole, Role: role}) {
+			return in.Now
+		}
+	}
+	return p.since[e.VM.ID].at
+}
+
+// speedsOf returns the speeds of a pool's engines, whose mean capacity is given.
+func speedsOf(pool *profile.Pool, capacity float64) roles.Speeds {
+	out := roles.Speeds{}
+	for role, s := range defaultSpeeds {
+		out[role] = roles.Speed{Prompt: s.Prompt * capacity, Output: s.Output * capacity}
+	}
+	for _, s := range pool.Speeds {
+		out[s.Role] = roles.Speed{Prompt: s.PromptTokens, Output: s.OutputTokens}
+	}
+	return out
+}
+
+// reject records a rejected proposal that would have paid its cost.
+func (p *rolePlanner) reject(now time.Time, key queueKey, proposal roles.Proposal) {
+	last := p.rejected[key]
+	same := last.verdict == proposal.Verdict && last.engine == proposal.Engine && last.to == proposal.To
+	if proposal.Engine == "" || proposal.Gain <= proposal.Cost || same || now.Sub(last.at) < rejectionInterval {
+		return
+	}
+	p.rejected[key] = rejection{verdict: proposal.Verdict, engine: proposal.Engine, to: proposal.To, at: now}
+	p.note(decision.Record{
+		Time: now, Subject: proposal.Engine, Stage: "roles", Verdict: "rejected: " + string(proposal.Verdict),
+		Inputs: append([]decision.Input{decision.In("model", key.model)}, proposalInputs(proposal)...),
+	})
+}
+
+func proposalInputs(p roles.Proposal) []decision.Input {
+	return slices.Clip([]decision.Input{
+		decision.In("from", p.From),
+		decision.In("to", p.To),
+		decision.In("utilisation-before", p.Before),
+		decision.In("utilisation-after", p.After),
+		decision.In("utilisation-during", p.During),
+		decision.In("gain-s", p.Gain),
+		decision.In("cost-s", p.Cost),
+		decision.In("margin", p.Margin),
+		decision.In("fast-prompt-tokens-s", p.Fast.Prompt),
+		decision.In("fast-output-tokens-s", p.Fast.Output),
+		decision.In("slow-prompt-tokens-s", p.Slow.Prompt),
+		decision.In("slow-output-tokens-s", p.Slow.Output),
+	})
+}
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -94,6 +94,12 @@
 	// daemonIDs holds every daemon that was ever listed.
 	daemonIDs map[string]bool
 
+	// work counts this daemon's admitted work; the others belong to the holder.
+	work        *workCounter
+	rolePlanner *rolePlanner
+	workSeen    map[string]workReport
+	workAt      time.Time
+
 	// claimAt is when this daemon claims a free lease; used by runLease only.
 	claimAt time.Duration
 	rng     *rand.Rand
@@ -106,10 +112,15 @@
 		Duration: d.settings.Timing.Lease.Std(),
 		Drift:    d.settings.Timing.ClockDrift.Std(),
 	}
+	planner := newRolePlanner(d.roles.Add)
+	planners := []order.Planner{order.VersionPlanner{}, planner}
 	return &orders{
 		daemon:       d,
 		opts:         opts,
-		controller:   order.NewController(opts, []order.Planner{order.VersionPlanner{}}, newID),
+		controller:   order.NewController(opts, planners, newID),
+		work:         newWorkCounter(),
+		rolePlanner:  planner,
+		workSeen:     map[string]workReport{},
 		acting:       make(chan struct{}, 1),
 		controls:     map[string]*control{},
 		acknowledged: map[ackRequest]map[string]bool{},
