Revert "Use cache events as hints in routing"

Against it stand 8 KB per engine and daemon, a stream of events from each engine, and a block identity that the daemon cannot compute from a prompt today.

--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -70,8 +70,6 @@
 	cache   *list.List
 	cached  map[int]*list.Element
 	inCache int
-	// cacheEvent is told of prefixes that are stored or evicted; nil is allowed.
-	cacheEvent func(prefix int, held bool)
 }
 
 type cacheEntry struct {
@@ -225,22 +223,14 @@
 	}
 	e.cached[r.prefix] = e.cache.PushFront(cacheEntry{r.prefix, r.prefixTokens})
 	e.inCache += r.prefixTokens
-	e.publish(r.prefix, true)
 	for e.inCache > cacheTokens {
 		oldest := e.cache.Back()
 		entry := e.cache.Remove(oldest).(cacheEntry)
 		delete(e.cached, entry.prefix)
-		e.publish(entry.prefix, false)
 		e.inCache -= entry.tokens
 	}
 }
 
-func (e *engine) publish(prefix int, held bool) {
-	if e.cacheEvent != nil {
-		e.cacheEvent(prefix, held)
-	}
-}
-
 func (e *engine) finish(j *job) {
 	e.held -= j.held
 	j.ended(true)
--- a/internal/bench/own.go
+++ b/internal/bench/own.go
@@ -22,7 +22,7 @@
 
 // without names the mechanisms that an ablation switches off.
 type without struct {
-	ranks, shares, refusal, limits, affinity, hints, sent, remote, demand bool
+	ranks, shares, refusal, limits, affinity, sent, remote, demand bool
 }
 
 // ownNode is a daemon with the real decision packages.
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -34,7 +34,6 @@
 		{"- early refusal", without{refusal: true}},
 		{"- engine limits", without{limits: true}},
 		{"- prefix affinity", without{affinity: true}},
-		{"- cache events", without{hints: true}},
 		{"- sent since report", without{sent: true}},
 		{"- other data centres", without{remote: true}},
 		{"- peer demand", without{demand: true}},
--- a/internal/bench/world.go
+++ b/internal/bench/world.go
@@ -17,9 +17,6 @@
 	demandInterval = 500 * time.Millisecond
 	// maxRetries bounds the attempts after a crash.
 	maxRetries = 3
-	// cacheEventLag is the delay of cache events; one in missingEvents is lost.
-	cacheEventLag = time.Second
-	missingEvents = 3
 	// localTransport is the one-way delay inside a data centre.
 	localTransport = 500 * time.Microsecond
 )
@@ -77,7 +74,6 @@
 			if p.split {
 				e.role = split(i)
 			}
-			e.cacheEvent = func(prefix int, held bool) { w.sendCacheEvent(e, prefix, held) }
 			w.engines = append(w.engines, e)
 		}
 	}
@@ -175,20 +171,6 @@
 	w.clock.after(0, again)
 }
 
-// sendCacheEvent delivers a cache event to the daemons that use it, late or never.
-func (w *world) sendCacheEvent(e *engine, prefix int, held bool) {
-	if w.rng.IntN(missingEvents) == 0 {
-		return
-	}
-	w.clock.after(cacheEventLag, func() {
-		for _, n := range w.nodes {
-			if o, ok := n.decider.(*ownNode); ok && n.reaches(e) && !o.off.hints {
-				o.upstreams[e].SetHeld(uint64(prefix), held)
-			}
-		}
-	})
-}
-
 // sendReports delivers the status of all engines after the lag. A daemon notices
 // a crashed engine at once by its connections.
 func (w *world) sendReports() {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -125,8 +125,7 @@
 	Upstream *Upstream
 	// FirstToken is the predicted time to the first token.
 	FirstToken time.Duration
-	// Affine is set when the upstream is expected to hold the request's prefix: it is
-	// its home or has reported so.
+	// Affine is set when the upstream is the home of the request's prefix.
 	Affine bool
 	// Remote is set when the upstream is in another data centre.
 	Remote bool
@@ -293,18 +292,14 @@
 func (c *candidates) best(r *Request, home *Upstream, distance time.Duration) Choice {
 	var predicted [smallPool + 1]Choice
 	var total time.Duration
-	known := false
 	for i, u := range c.list[:c.count] {
 		predicted[i] = predict(r, u, 0, distance)
 		total += predicted[i].cost
-		known = known || u.held.has(r.Prefix)
 	}
 	var best Choice
 	for _, p := range predicted[:c.count] {
-		// The home counts as warm only while no candidate is known to hold the prefix.
-		warm := p.Upstream == home && !known || p.Upstream.held.has(r.Prefix)
-		if warm && withinBound(p.cost, total, c.count) {
-			p = predict(r, p.Upstream, r.PrefixTokens, distance)
+		if p.Upstream == home && withinBound(p.cost, total, c.count) {
+			p = predict(r, home, r.PrefixTokens, distance)
 			p.Affine = true
 		}
 		best = better(best, p)
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -26,7 +26,6 @@
 	tokens atomic.Int64
 	limit  atomic.Int64
 	sent   sentLog
-	held   heldSet
 	status atomic.Pointer[Report]
 	closed atomic.Bool
 }
@@ -50,9 +49,6 @@
 		u.status.Store(nil)
 		return
 	}
-	if old := u.status.Load(); old != nil && old.Status.Incarnation != r.Status.Incarnation {
-		u.held.clear()
-	}
 	stored := *r
 	stored.inFlight = u.InFlight()
 	u.status.Store(&stored)
@@ -70,10 +66,6 @@
 // upstream and then sees no request in flight.
 func (u *Upstream) Closed() bool { return u.closed.Load() }
 
-// SetHeld notes a cache event of the engine: it holds a prefix, or has evicted it.
-// Events are hints; they may be late or missing.
-func (u *Upstream) SetHeld(prefix uint64, held bool) { u.held.set(prefix, held) }
-
 // SetLimit sets the work, in tokens, that this daemon may have in flight at the
 // upstream before others are preferred; 0 means no limit.
 func (u *Upstream) SetLimit(tokens int64) { u.limit.Store(tokens) }
