--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,14 +23,6 @@
 	// engineShare is the part of the target for the first token that a request may
 	// wait inside an engine. It is kept free of waiting in this queue.
 	engineShare = 0.3
-	// underservedReading is the part of the reading speed that counts for a rank which
-	// has had less than its minimum share. Its prompts may then wait 0.45 of their
-	// target inside an engine. Of its guarantee in an urgent flood, standard work of
-	// feed-board keeps 0.88 to 0.92 with 1 and 0.89 to 0.94 with 2 (6 seeds).
-	underservedReading = 1.5
-	// sparseWaiting is the number of waiting requests up to which an underserved rank
-	// counts as sparse.
-	sparseWaiting = 2
 	// minRetryAfter keeps refused callers from coming back at once.
 	minRetryAfter = 100 * time.Millisecond
 	// unknownWait is predicted while no engine reports a throughput.
@@ -321,40 +313,6 @@
 	return state.running == 0 || state.running+head.cost <= q.part(r) && q.fitsReading(state.reading, head, q.readingPart(r))
 }
 
-// underserved tells whether a rank has had less service than its minimum share.
-func (q *Queue) underserved(rank int) bool {
-	return q.ranks[rank].rate < q.opts.MinShares[rank]*q.rate
-}
-
-// sparse tells whether a rank is underserved although it has few requests to start.
-// Its load is below its share, so that what it gets now takes nothing from others in
-// the long run. A rank with a backlog keeps to its credit instead: without this
-// condition background floods got 0.25 of the service at a share of 0.2.
-func (q *Queue) sparse(rank int) bool {
-	return q.ranks[rank].count <= sparseWaiting && q.underserved(rank)
-}
-
-// part returns the work, in tokens, that a rank may have in flight regardless of the
-// others: its share of the limit, and all of it while the rank is sparse. Long
-// answers hold tokens for long, so that a share of the tokens held is a smaller share
-// of the service.
-func (q *Queue) part(rank int) float64 {
-	if q.sparse(rank) {
-		return q.limit()
-	}
-	return q.opts.MinShares[rank] * q.limit()
-}
-
-// readingPart returns the part of the reading speed at which a rank's prompts in the
-// engines must be read in time, regardless of the other ranks. A share of the speed
-// is less than one long prompt at a time for a daemon of a small data centre.
-func (q *Queue) readingPart(rank int) float64 {
-	if q.sparse(rank) {
-		return underservedReading
-	}
-	return q.opts.MinShares[rank]
-}
-
 func (q *Queue) start(now time.Time, rank int) *Ticket {
 	r := &q.ranks[rank]
 	t := r.profiles.take()
@@ -503,129 +461,6 @@
 	return q.Cancel(t)
 }
 
-// predictWait returns the time until a request of the ticket's rank and
-// organisation would start.
-func (q *Queue) predictWait(t *Ticket) time.Duration {
-	ahead := q.ahead(t)
-	// Room is free for this request, but only if the ones ahead fit as well.
-	room := q.limit() - q.Running()
-	r := &q.ranks[t.rank]
-	room = max(room, q.part(t.rank)-r.running)
-	missing := ahead + t.cost - room
-	if missing <= 0 && q.readable(t) || (q.Running() == 0 || r.running == 0 && q.opts.MinShares[t.rank] > 0) && ahead == 0 {
-		return 0
-	}
-	if missing <= 0 && q.Waiting() == 0 {
-		return q.readingWait(t)
-	}
-	if wait, ok := q.guaranteedWait(t); ok {
-		return wait
-	}
-	if missing <= 0 || !q.readable(t) {
-		missing = ahead + t.cost
-	}
-	rate := q.rankRate(t.rank)
-	if rate <= 0 {
-		return unknownWait
-	}
-	seconds := min(missing/rate, 24*time.Hour.Seconds())
-	return time.Duration(seconds * float64(time.Second))
-}
-
-// guaranteedWait returns the time until a request starts within its rank's minimum
-// share when only prompts of its own rank are in front of it: work of other ranks
-// does not delay it. It returns false when other work of the rank waits or fills the
-// rank's part of the limit.
-func (q *Queue) guaranteedWait(t *Ticket) (time.Duration, bool) {
-	r := &q.ranks[t.rank]
-	speed := q.capacity.Reading[t.rank] * q.capacity.Share
-	if speed <= 0 || q.opts.MinShares[t.rank] <= 0 || r.count > 0 || r.running+t.cost > q.part(t.rank) {
-		return 0, false
-	}
-	allowed := speed * q.readingPart(t.rank) * EngineWait(t.Profile).Seconds()
-	excess := r.reading + float64(t.PromptTokens) - allowed
-	// A prompt that is longer than the limit starts when it is the only one.
-	seconds := max(0, min(excess, r.reading)) / speed
-	return time.Duration(seconds * float64(time.Second)), true
-}
-
-// readingWait returns the time until the engines have read enough for the next
-// request, when nothing else waits.
-func (q *Queue) readingWait(t *Ticket) time.Duration {
-	ahead := 0.0
-	for priority := range t.rank + 1 {
-		ahead += q.unread[priority]
-	}
-	speed := q.capacity.Reading[t.rank] * q.capacity.Share
-	seconds := (ahead+float64(t.PromptTokens))/speed - EngineWait(t.Profile).Seconds()
-	// A prompt that is longer than the limit starts when it is the only one.
-	seconds = max(0, min(seconds, ahead/speed))
-	return time.Duration(seconds * float64(time.Second))
-}
-
-// readable tells whether the prompt of a new request fits now.
-func (q *Queue) readable(t *Ticket) bool {
-	r := &q.ranks[t.rank]
-	share := q.opts.MinShares[t.rank]
-	return r.waiting == 0 && (q.fitsTotal(t) || share > 0 && q.fitsReading(r.reading, t, q.readingPart(t.rank)))
-}
-
-// ahead returns the work, in tokens, that starts before a new request: the more
-// urgent ranks, and in its own rank what its organisation's weight lets pass.
-func (q *Queue) ahead(t *Ticket) float64 {
-	total := 0.0
-	for i := range t.rank {
-		total += q.ranks[i].waiting
-	}
-	return total + min(q.ranks[t.rank].waiting, q.fairAhead(t))
-}
-
-// fairAhead estimates the work that deficit round robin starts before a request
-// at the end of its organisation's flow.
-func (q *Queue) fairAhead(t *Ticket) float64 {
-	r := &q.ranks[t.rank]
-	p := r.profiles.find(t.Profile.Name)
-	profiles := float64(len(r.profiles.flows))
-	if p == nil {
-		return (profiles) * t.cost
-	}
-	weights, own := t.Weight, 0.0
-	for _, f := range p.inner.flows {
-		if f.name == t.Organisation {
-			own = f.waiting()
-			continue
-		}
-		weights += f.weight
-	}
-	passed := (own+t.cost)*weights/t.Weight - t.cost
-	return passed * profiles
-}
-
-func (f *flow) waiting() float64 {
-	total := 0.0
-	for _, t := range f.tickets {
-		total += t.cost
-	}
-	return total
-}
-
-// rankRate returns the throughput, in tokens per second, that a rank can expect:
-// what more urgent ranks leave, less the guarantees of the others, and never less
-// than its own guarantee.
-func (q *Queue) rankRate(rank int) float64 {
-	left := q.rate
-	for i := range q.ranks {
-		r := &q.ranks[i]
-		switch {
-		case i < rank:
-			left -= r.rate
-		case i > rank:
-			left -= min(r.rate, q.opts.MinShares[i]*q.rate)
-		}
-	}
-	return max(left, q.opts.MinShares[rank]*q.rate)
-}
-
 // measure closes the windows that have ended.
 func (q *Queue) measure(now time.Time) {
 	if q.windowStart.IsZero() {
