Read control streams of other data centres every 10 s

A daemon followed seven control streams by long polls. Each data centre renews its lease every 3.3 s and each renewal ends the long polls of the whole fleet, so that a longer wait, the candidate in docs/CAPACITY.md, would have saved nothing. The streams of other data centres are now read every 10 s without waiting. A daemon that is asked to acknowledge a drain that it does not know reads the stream at once, so that a change of an engine waits no longer than before. A read that fails is repeated after the same interval once the stream was read; before, each stream was tried 4 times a second through an outage.

An engine whose drain has ended gets work from other data centres up to 10 s later than before.

Guard removed: without the wake-up by the request for an acknowledgement, TestRemoteDaemonLearnsOfADrainAtOnce fails (drain not known within 1 s).

--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -19,11 +19,13 @@
 const (
 	// readLimit is the number of records asked for in one read of the log.
 	readLimit = 500
-	// readWait is how long a read of the log waits for a new record, and
-	// remoteReadWait how long one of another data centre's control stream does,
-	// of which a daemon follows several.
-	readWait       = time.Second
-	remoteReadWait = 4 * time.Second
+	// readWait is how long a read of the log waits for a new record.
+	readWait = time.Second
+	// remoteReadInterval is the time between two reads of another data centre's
+	// control stream. They do not wait for records: each renewal of a lease would
+	// end the reads of every daemon. A request to acknowledge a drain that is not
+	// known yet causes a read at once.
+	remoteReadInterval = 10 * time.Second
 	// logRetryDelay is the pause after a failed operation on the log.
 	logRetryDelay = 250 * time.Millisecond
 	// minReadPatience bounds the time that a read may take beyond its wait. It is
@@ -61,6 +63,13 @@
 	limits replay.Limits
 	// wait is how long a read waits for a new record.
 	wait time.Duration
+	// interval is the time between two reads; zero reads without a pause. Wake ends
+	// a pause.
+	interval time.Duration
+	wakeUp   chan struct{}
+	// more is set when the last read returned as many records as it may; used by
+	// run only.
+	more bool
 	// apply decides about one record; the follower's lock is held.
 	apply func(port.Record)
 	// caughtUp is called without the lock after each read that reached the end.
@@ -84,13 +93,46 @@
 func (f *follower) run() error {
 	ctx := f.daemon.context()
 	for ctx.Err() == nil {
-		if err := f.readOnce(ctx); err != nil {
+		err := f.readOnce(ctx)
+		if err != nil && (f.interval == 0 || !f.hasRead()) {
 			sleep(ctx, logRetryDelay)
+			continue
 		}
+		f.more = f.more && err == nil
+		f.pause(ctx)
 	}
 	return nil
 }
 
+// hasRead tells whether the stream was read once.
+func (f *follower) hasRead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.read.IsZero()
+}
+
+// pause waits for the next read.
+func (f *follower) pause(ctx context.Context) {
+	if f.interval == 0 || f.more {
+		return
+	}
+	timer := time.NewTimer(f.interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.wakeUp:
+	}
+}
+
+// wake makes a follower that pauses read at once.
+func (f *follower) wake() {
+	select {
+	case f.wakeUp <- struct{}{}:
+	default:
+	}
+}
+
 // readOnce reads one page of the stream and applies it.
 func (f *follower) readOnce(ctx context.Context) error {
 	f.mu.Lock()
@@ -113,6 +155,7 @@
 		f.readFailed(patience, err)
 		return err
 	}
+	f.more = len(page.Records) == readLimit
 	f.readSucceeded(page, time.Since(started)-wait)
 	f.mu.Lock()
 	atEnd := f.machine.Next() >= page.Next
@@ -156,7 +199,7 @@
 // fresh tells whether the log was read to a known point a moment ago. The lock
 // is held.
 func (f *follower) fresh() bool {
-	return !f.read.IsZero() && time.Since(f.read) < f.wait+readMargin
+	return !f.read.IsZero() && time.Since(f.read) < max(f.wait, f.interval)+readMargin
 }
 
 // reading tells whether the machine follows the log without a gap.
--- a/internal/daemon/order_drains.go
+++ b/internal/daemon/order_drains.go
@@ -91,6 +91,7 @@
 	known := c.state.Engine(in.Engine).Drain == in.Drain
 	c.mu.Unlock()
 	if !known {
+		c.wake()
 		return out
 	}
 	o.daemon.fleet.refreshClosed()
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -128,12 +128,13 @@
 	c := &control{state: state, started: time.Now()}
 	writers := func() []string { return names(o.daemon.fleet.daemonsIn(dataCentre)) }
 	c.follower = follower{
-		daemon:  o.daemon,
-		stream:  order.Stream(dataCentre),
-		limits:  order.Limits,
-		wait:    remoteReadWait,
-		machine: state,
-		rng:     rand.New(rand.NewPCG(o.daemon.deps.Seed, 4)),
+		daemon:   o.daemon,
+		stream:   order.Stream(dataCentre),
+		limits:   order.Limits,
+		interval: remoteReadInterval,
+		wakeUp:   make(chan struct{}, 1),
+		machine:  state,
+		rng:      rand.New(rand.NewPCG(o.daemon.deps.Seed, 4)),
 		apply: func(rec port.Record) {
 			state.Apply(rec, o.daemon.deps.Clock.Now())
 		},
@@ -147,7 +148,7 @@
 		writers: writers,
 	}
 	if dataCentre == o.daemon.settings.DataCentre {
-		c.wait = readWait
+		c.wait, c.interval = readWait, 0
 	}
 	return c
 }
