Ask for engine states at a common start in place of passing all on

A fleet that starts all at once passed on the first state of each of 600 engines up to 26 times from every daemon, for minutes. First states that a daemon learns within 30 s of its start are no news any more. A daemon asks one daemon of each data centre for the states that it misses (peer.engines, which exists for checksums that differ), within 1 s of its start and then after a pause that doubles up to 30 s. Later changes and first states of new engines are passed on as before.

Tried: first rounds 5 to 15 s after the start, and every 3 s. With the latter TestServesFromEndToEnd failed: 2 s after the start a daemon of a data centre without engines knew none. Taking one whole view from a peer was ruled out, because at a common start no daemon knows more than its own engines.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -143,6 +143,7 @@
 	d.tomb.Go(d.runBurn)
 	d.tomb.Go(d.admission.run)
 	d.tomb.Go(d.gossip.run)
+	d.tomb.Go(d.gossip.runMissing)
 	d.claims.start()
 	d.tomb.Go(d.suspects.run)
 	d.log.Info("daemon started",
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,11 +34,19 @@
 	// changeSends is how often a change of an engine is passed on: three times
 	// log2 of 380 daemons.
 	changeSends = 26
+	// quietStart is how long after a daemon's start the first states of engines are
+	// not passed on. Asking for states that are missing begins within missingFirst
+	// and is repeated after a pause that doubles up to missingInterval.
+	quietStart      = 30 * time.Second
+	missingFirst    = time.Second
+	missingInterval = 30 * time.Second
 )
 
 // gossip probes other daemons and exchanges news with them.
 type gossip struct {
 	daemon *Daemon
+	// rng is used by runMissing only.
+	rng *rand.Rand
 
 	mu      sync.Mutex
 	members *membership.State
@@ -55,7 +65,8 @@
 	g := &gossip{
 		daemon:  d,
 		members: membership.New(self, opts, rand.New(rand.NewPCG(d.deps.Seed, 1))),
-		engines: engineview.New(changeSends),
+		engines: engineview.New(changeSends, d.started.Add(quietStart)),
+		rng:     rand.New(rand.NewPCG(d.deps.Seed, 5)),
 	}
 	for _, address := range d.settings.Peers {
 		g.members.Add(membership.Member{Address: address}, d.started)
@@ -128,6 +139,34 @@
 	return nil
 }
 
+// runMissing asks for the states of engines that are on the VM list and of which no
+// state came. The first round comes after a random part of the interval, so that a
+// fleet that starts at once does not ask at once.
+func (g *gossip) runMissing() error {
+	ctx := g.daemon.context()
+	sleep(ctx, time.Duration(g.rng.Int64N(int64(missingFirst))))
+	for pause := missingFirst; ctx.Err() == nil; pause = min(2*pause, missingInterval) {
+		g.fetchMissing(ctx)
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+// fetchMissing asks a daemon of each data centre for the missing states there.
+func (g *gossip) fetchMissing(ctx context.Context) {
+	var missing map[string][]uint32
+	g.locked(func() { missing = g.engines.Missing() })
+	for _, dataCentre := range slices.Sorted(maps.Keys(missing)) {
+		candidates := slices.DeleteFunc(g.daemon.fleet.watchersIn(dataCentre), func(a string) bool {
+			return a == g.daemon.settings.Listen.Peer
+		})
+		if len(candidates) == 0 {
+			continue
+		}
+		g.fetchEngines(ctx, candidates[g.rng.IntN(len(candidates))], missing[dataCentre], g.engines.Adopt)
+	}
+}
+
 // probeNext probes one member, first directly, then through relays.
 func (g *gossip) probeNext(ctx context.Context) {
 	var target membership.Member
@@ -211,13 +250,13 @@
 	})
 	g.daemon.fleet.heard(m)
 	if len(different) > 0 {
-		go g.fetchEngines(g.daemon.context(), m.From.Address, different)
+		go g.fetchEngines(g.daemon.context(), m.From.Address, different, g.engines.Apply)
 	}
 }
 
 // fetchEngines takes the state of some engines from a peer that knows it
 // differently. The newer observation wins, so a peer that is behind does no harm.
-func (g *gossip) fetchEngines(ctx context.Context, address string, keys []uint32) {
+func (g *gossip) fetchEngines(ctx context.Context, address string, keys []uint32, take func([]engineview.Change, time.Time)) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var changes []engineview.Change
@@ -226,7 +265,7 @@
 		g.daemon.log.Debug("peer gave no engine states", zap.String("peer-address", address), zap.Error(err))
 		return
 	}
-	g.locked(func() { g.engines.Apply(changes, time.Now()) })
+	g.locked(func() { take(changes, time.Now()) })
 	g.daemon.fleet.publishReports()
 }
 
--- a/internal/daemon/gossip_test.go
+++ b/internal/daemon/gossip_test.go
@@ -186,3 +186,32 @@
 		}
 	})
 }
+
+// Guards against engines whose state no daemon elsewhere learns when all daemons start
+// at once and pass on no first states.
+func TestCommonStartLearnsEveryEngine(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		names := c.addDaemons(6, "anand", "kheda")
+		c.publish("r1", 0, document())
+		c.awaitReady()
+		// Before daemons know each other they poll the engines of all data centres.
+		time.Sleep(3 * time.Second)
+		for i := range 12 {
+			c.addEngine(fmt.Sprintf("engine-%d", i), []string{"anand", "kheda"}[i%2], standin.EngineOptions{})
+		}
+		c.await("all daemons know the state of every engine", 20*time.Second, func() bool {
+			for _, n := range names {
+				upstreams := c.daemons[n].fleet.all()
+				if len(upstreams) < 12 {
+					return false
+				}
+				for _, u := range upstreams {
+					if u.Report() == nil {
+						return false
+					}
+				}
+			}
+			return true
+		})
+	})
+}
--- a/internal/engineview/view.go
+++ b/internal/engineview/view.go
@@ -47,7 +47,9 @@
 type record struct {
 	vm         string
 	dataCentre string
-	key        uint32
+	// engine is set for an engine on the VM list; a daemon has a record too.
+	engine bool
+	key    uint32
 	// state is the newest observation, load the newest observation of the load.
 	state Observation
 	// sum identifies the slow part of state; 0 means that nothing is known.
@@ -63,11 +65,20 @@
 	byKey   map[uint32]*record
 	// maxSends is how often a change is passed on.
 	maxSends int
+	// quietUntil is when first observations become news.
+	quietUntil time.Time
 }
 
-// New returns an empty view that passes each change on maxSends times.
-func New(maxSends int) *View {
-	return &View{records: map[string]*record{}, byKey: map[uint32]*record{}, maxSends: maxSends}
+// New returns an empty view that passes each change on maxSends times. The first
+// state of an engine that it learns before quietUntil is not passed on: a fleet that
+// starts all at once would pass on every engine. Daemons ask for what they miss.
+func New(maxSends int, quietUntil time.Time) *View {
+	return &View{
+		records:    map[string]*record{},
+		byKey:      map[uint32]*record{},
+		maxSends:   maxSends,
+		quietUntil: quietUntil,
+	}
 }
 
 // Retain forgets all engines but the given ones, and takes in their data centres.
@@ -75,7 +86,9 @@
 	keep := make(map[string]bool, len(vms))
 	for _, vm := range vms {
 		keep[vm.ID] = true
-		v.record(vm.ID).dataCentre = vm.DataCentre
+		r := v.record(vm.ID)
+		r.dataCentre = vm.DataCentre
+		r.engine = vm.Kind == port.KindEngine
 	}
 	for vm, r := range v.records {
 		if !keep[vm] {
@@ -101,7 +114,10 @@
 	if !o.At.After(r.state.At) {
 		return false
 	}
-	if r.state.At.IsZero() || o.slow() != r.state.slow() {
+	first := r.state.At.IsZero()
+	if first && o.At.Before(v.quietUntil) {
+		r.sends = v.maxSends
+	} else if first || o.slow() != r.state.slow() {
 		r.sends = 0
 	}
 	if r.load.After(o.At) {
@@ -174,6 +190,20 @@
 	return out
 }
 
+// Missing returns the keys of engines without a known state by data centre.
+func (v *View) Missing() map[string][]uint32 {
+	out := map[string][]uint32{}
+	for _, r := range v.records {
+		if r.engine && r.state.At.IsZero() {
+			out[r.dataCentre] = append(out[r.dataCentre], r.key)
+		}
+	}
+	for _, keys := range out {
+		slices.Sort(keys)
+	}
+	return out
+}
+
 // All returns the state of every engine, for a daemon that has just started.
 func (v *View) All(now time.Time) []Change {
 	out := make([]Change, 0, len(v.records))
