Do not pass on the first answer of a listed daemon

Every daemon knows the others from the VM list and takes them for alive. The first answer of each set its run and was passed on as a change, 720 B/s a daemon in the first minute of a common start at 96 daemons. It is no news any more.

A daemon that never had an answer from a member names no run when it suspects it, and those that know the run ignored that statement. It now counts as a suspicion of the present run, which the member may refute.

--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -204,13 +204,25 @@
 		e.sends = min(e.sends, math.MaxInt-feedback) + feedback
 		return false
 	}
+	if m.Incarnation == 0 && m.Status != Alive && e.member.Status == Alive {
+		// The sender never had an answer, so that it cannot name the run that it does
+		// not reach. The member may refute.
+		m = e.member
+		m.Status = Suspect
+	}
 	if !m.newer(e.member) {
 		return false
 	}
 	if e.member.Incarnation == 0 && m.Name == "" {
 		m.Name, m.DataCentre = e.member.Name, e.member.DataCentre
 	}
+	expected := e.member.Incarnation == 0 && e.member.Status == Alive && m.Status == Alive
 	s.set(e, m, now)
+	if expected {
+		// Others have the member from the VM list too and take it for alive. A fleet
+		// that starts all at once would pass on every member.
+		e.sends = math.MaxInt
+	}
 	return true
 }
 
