Bound the bytes of requests that wait or run

Default limits allowed 2,000 waiting requests with bodies of 4 MiB, 8 GB, and any number of running ones, against a budget of 128 MB. limits.in_flight_bytes, 12 MiB by default, bounds the bodies of all requests that wait or run, those to plain services included. A body is held up to three times, as received, decoded and sent, and a garbage collection may leave as much garbage: 2 x 36 MB beside 2 x 20.8 MB of a daemon at 380 (worked out; 16 MiB would take 138 of 128 MB). Bytes are taken as they arrive, so that a caller that announces a large body and sends nothing holds 4 KiB. A request to an engine is refused when it finds more in use than its rank may: all of it for urgent, three quarters for standard, half for background. The refusal is memory-full, status 503, not run, for this attempt. The metric is in_flight_bytes.

Alternative considered: a bound on the queue alone. It leaves running requests and bodies that are being read unbounded.

Not in the bound: answers of plain services, and recorded answers of claimed calls, which claims.calls x claims.answer_bytes bound at 64 MiB.

Guards removed: without the bound, or with the announced length reserved at once, TestAnnouncedBodiesTakeLittle fails; with equal shares of all ranks, or bytes that are not given back, TestBytesInFlightAreBounded fails. The bound itself did not show in the latter, since the shares keep background work below it; the former was extended.

--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -246,6 +246,9 @@
 
 // acquire waits until a request may start. The error is a refusal that did not run.
 func (a *admitter) acquire(ctx context.Context, g *generation) (*permit, error) {
+	if err := a.daemon.memory.admits(g.profile.Rank); err != nil {
+		return nil, err
+	}
 	a.mu.Lock()
 	p := a.newPermit(g)
 	if p.queue.queue.Unlimited() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,6 +57,7 @@
 	config    *configFollower
 	fleet     *fleet
 	admission *admitter
+	memory    *byteBudget
 	gossip    *gossip
 	orders    *orders
 	claims    *claims
@@ -97,6 +98,7 @@
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
 	d.admission = newAdmitter(d)
+	d.memory = &byteBudget{limit: s.Limits.InFlightBytes, used: &d.metrics.InFlightBytes}
 	d.gossip = newGossip(d)
 	d.orders = newOrders(d)
 	d.claims = newClaims(d)
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -31,8 +30,10 @@
 	organisation string
 	started      time.Time
 	body         []byte
-	request      *http.Request
-	log          *zap.Logger
+	// held is what the body takes of the daemon's byte budget.
+	held    int64
+	request *http.Request
+	log     *zap.Logger
 }
 
 // callHandler serves one call. A returned error is sent as a refusal, unless the
@@ -72,6 +73,7 @@
 			return
 		}
 		defer d.requests.Leave()
+		defer func() { d.memory.release(c.held) }()
 		err := d.accept(w, c)
 		if err == nil {
 			err = handle(r.Context(), w, c)
@@ -99,15 +101,9 @@
 	if d.config.Snapshot() == nil || !d.fleet.known() {
 		return refusal.New(refusal.NotReady, "the daemon has no configuration yet").ForAttempt().After(time.Second)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, d.settings.Limits.BodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return refusal.New(refusal.BodyTooLarge, "the body is larger than %d bytes", tooLarge.Limit).ForAttempt()
+	if err := d.readBody(w, c); err != nil {
+		return err
 	}
-	if err != nil {
-		return refusal.New(refusal.BadRequest, "the body could not be read: %v", err).ForAttempt()
-	}
-	c.body = body
 	d.metrics.Requests.Add(1)
 	return nil
 }
--- /dev/null
+++ b/internal/daemon/memory_test.go
@@ -0,0 +1,130 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/settings"
+	"bergamotsill.example/bergamotsill/internal/standin"
+)
+
+const (
+	// testBodyBytes and testFlightBytes are the limits of the tests below.
+	testBodyBytes   = 32 << 10
+	testFlightBytes = 128 << 10
+)
+
+// withByteLimits starts one daemon with small limits and an engine that can run more
+// than the limits allow.
+func (c *cluster) withByteLimits() (*Daemon, *standin.Engine) {
+	c.adjust = func(s *settings.Settings) {
+		s.Limits.BodyBytes = testBodyBytes
+		s.Limits.InFlightBytes = testFlightBytes
+	}
+	engine := c.addEngine("engine-1", "anand", standin.EngineOptions{Capacity: 1 << 20, PrefillRate: 1 << 20})
+	d := c.addDaemon("daemon-1", "anand")
+	c.publish("r1", 0, floodDocument())
+	c.awaitReady()
+	time.Sleep(2 * time.Second)
+	return d, engine
+}
+
+// Guards against bodies that take more memory than the setting allows, a refusal for
+// it that says "not run" of a request that ran, urgent work that finds all of it taken
+// by background work, and bytes that stay reserved after their request.
+func TestBytesInFlightAreBounded(t *testing.T) {
+	forSeeds(t, func(c *cluster) {
+		d, engine := c.withByteLimits()
+		f := &flooder{c: c}
+		for i := range 40 {
+			size := 4<<10 + c.rng.IntN(12<<10)
+			f.sendBody(fmt.Sprint("background-", i), backgroundProfile, size, 300)
+			if i%8 == 7 {
+				f.sendBody(fmt.Sprint("urgent-", i), testProfile, 6<<10, 20)
+			}
+			time.Sleep(time.Duration(c.rng.IntN(50)) * time.Millisecond)
+			if held := d.metrics.InFlightBytes.Value(); held > testFlightBytes {
+				c.t.Errorf("requests hold %d bytes, the limit is %d", held, testFlightBytes)
+			}
+		}
+		f.group.Wait()
+		refused := 0
+		for _, r := range f.results {
+			got := r.reply.refusal
+			if got == nil && r.reply.status == http.StatusOK {
+				continue
+			}
+			if r.profile == testProfile || got == nil || got.Code != refusal.MemoryFull || got.Outcome != refusal.NotRun ||
+				got.Scope != refusal.ScopeAttempt || got.RetryAfterMS <= 0 || engine.Runs(r.id) != 0 {
+				c.t.Errorf("%s answered %d %s after %d runs", r.id, r.reply.status, r.reply.body, engine.Runs(r.id))
+			}
+			refused++
+		}
+		if refused == 0 {
+			c.t.Error("nothing was refused")
+		}
+		time.Sleep(time.Second)
+		if held := d.metrics.InFlightBytes.Value(); held != 0 {
+			c.t.Errorf("%d bytes stay reserved after all requests", held)
+		}
+	})
+}
+
+// sendBody sends a request with a body of about size bytes to daemon-1.
+func (f *flooder) sendBody(id, profileName string, size, tokens int) {
+	prompt := fmt.Sprintf("%s tokens=%d %s", id, tokens, strings.Repeat("x", size))
+	body, err := json.Marshal(completionRequest{Model: profileName, Prompt: prompt})
+	if err != nil {
+		f.c.t.Fatal(err)
+	}
+	f.group.Go(func() {
+		header := http.Header{refusal.HeaderRequestID: {id}}
+		got := f.c.do(context.Background(), "daemon-1", http.MethodPost, "/v1/completions", header, body)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.results = append(f.results, floodResult{id: id, profile: profileName, reply: got})
+	})
+}
+
+// Guards against callers that announce large bodies, send nothing, and so take the
+// memory of others, and against bodies that are being read beyond the limit.
+func TestAnnouncedBodiesTakeLittle(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		d, _ := c.withByteLimits()
+		const callers = 16
+		var conns []net.Conn
+		for range callers {
+			conn, err := c.net.Host(callerHost).DialContext(context.Background(), "tcp", d.settings.Listen.Caller)
+			if err != nil {
+				c.t.Fatal(err)
+			}
+			defer conn.Close()
+			conns = append(conns, conn)
+			if _, err := fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: d\r\nContent-Length: %d\r\n\r\n", testBodyBytes); err != nil {
+				c.t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if held := d.metrics.InFlightBytes.Value(); held != callers*bodyStep {
+			c.t.Errorf("callers that sent nothing hold %d bytes, want %d", held, callers*bodyStep)
+		}
+		if got := c.complete("daemon-1", "slot tokens=3"); got.status != http.StatusOK {
+			c.t.Errorf("a caller beside them was answered %d: %s", got.status, got.body)
+		}
+		for _, conn := range conns {
+			// A caller that is refused may find its connection closed.
+			go func() { _, _ = conn.Write(make([]byte, testBodyBytes-1)) }()
+		}
+		time.Sleep(time.Second)
+		if held := d.metrics.InFlightBytes.Value(); held > testFlightBytes || held < testFlightBytes/2 {
+			c.t.Errorf("callers that sent most of their bodies hold %d bytes, the limit is %d", held, testFlightBytes)
+		}
+	})
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -24,6 +24,9 @@
 	Admitted expvar.Int
 	Spilled  expvar.Int
 	Waiting  expvar.Int
+	// InFlightBytes is what the bodies of all requests that wait or run take of
+	// limits.in_flight_bytes.
+	InFlightBytes expvar.Int
 	// ChunksDropped counts late and repeated chunks.
 	ChunksDropped expvar.Int
 	// ChunksReordered counts chunks that waited for an earlier one, ChunksMissing
@@ -79,6 +82,7 @@
 	m.vars.Set("admitted", &m.Admitted)
 	m.vars.Set("spilled", &m.Spilled)
 	m.vars.Set("waiting", &m.Waiting)
+	m.vars.Set("in_flight_bytes", &m.InFlightBytes)
 	m.vars.Set("chunks_dropped", &m.ChunksDropped)
 	m.vars.Set("chunks_reordered", &m.ChunksReordered)
 	m.vars.Set("chunks_missing", &m.ChunksMissing)
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -62,6 +62,7 @@
 	ClaimsFull       Code = "claims-full"
 	OutcomeUnknown   Code = "outcome-unknown"
 	Overloaded       Code = "overloaded"
+	MemoryFull       Code = "memory-full"
 	TooLarge         Code = "cost-above-capacity"
 	NoUpstream       Code = "no-upstream"
 	Quarantined      Code = "quarantined"
@@ -86,6 +87,7 @@
 	ClaimsFull:       http.StatusServiceUnavailable,
 	OutcomeUnknown:   http.StatusBadGateway,
 	Overloaded:       http.StatusTooManyRequests,
+	MemoryFull:       http.StatusServiceUnavailable,
 	TooLarge:         http.StatusUnprocessableEntity,
 	NoUpstream:       http.StatusServiceUnavailable,
 	Quarantined:      http.StatusUnprocessableEntity,
--- a/internal/settings/range.go
+++ b/internal/settings/range.go
@@ -21,6 +21,7 @@
 // ranges holds the range of every number and duration by its JSON path.
 var ranges = map[string]Range{
 	"limits.body_bytes":         {1 * kib, 64 * mib},
+	"limits.in_flight_bytes":    {4 * kib, 16 << 30},
 	"limits.queue_requests":     {1, 100_000},
 	"limits.quarantine_entries": {1, 1_000_000},
 	"limits.decision_records":   {1, 1_000_000},
@@ -97,6 +98,9 @@
 	if t.UnfencedSettle < t.VMListInterval {
 		list.Add("timing.unfenced_settle", "must not be less than timing.vm_list_interval, %s", t.VMListInterval.Std())
 	}
+	if s.Limits.InFlightBytes < 2*s.Limits.BodyBytes {
+		list.Add("limits.in_flight_bytes", "must be at least twice limits.body_bytes, %d, which reading one body may take", s.Limits.BodyBytes)
+	}
 	if s.Listen.Caller != "" && s.Listen.Caller == s.Listen.Peer {
 		list.Add("listen.peer", "must differ from listen.caller")
 	}
--- a/internal/settings/range_test.go
+++ b/internal/settings/range_test.go
@@ -101,6 +101,8 @@
 		{"timing.clock_drift", "10s", "timing.clock_drift: must be less"},
 		{"timing.probe_interval", "10s", "timing.probe_interval: must be less"},
 		{"timing.vm_list_interval", "5s", ""},
+		{"limits.in_flight_bytes", 8<<20 - 1, "limits.in_flight_bytes: must be at least twice"},
+		{"limits.in_flight_bytes", 8 << 20, ""},
 		{"log_level", "loud", "log_level: expected debug"},
 		{"name", nil, "name: expected a value, found null"},
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -106,6 +106,10 @@
 type Limits struct {
 	// BodyBytes bounds a caller's request body.
 	BodyBytes int64 `json:"body_bytes"`
+	// InFlightBytes bounds the bodies of all requests that wait or run. A body takes
+	// up to three times its size: as received, as the decoded prompt and as sent to an
+	// engine.
+	InFlightBytes int64 `json:"in_flight_bytes"`
 	// QueueRequests bounds the number of waiting requests.
 	QueueRequests int `json:"queue_requests"`
 	// QuarantineEntries bounds the table of suspect digests.
@@ -168,6 +172,7 @@
 	return Settings{
 		Limits: Limits{
 			BodyBytes:         4 << 20,
+			InFlightBytes:     12 << 20,
 			QueueRequests:     2000,
 			QuarantineEntries: 4096,
 			DecisionRecords:   4096,
