--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,6 +62,7 @@
 	config    *configFollower
 	fleet     *fleet
 	admission *admitter
+	memory    *byteBudget
 	gossip    *gossip
 	distances *distance.Tracker
 	orders    *orders
@@ -105,6 +106,7 @@
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
 	d.admission = newAdmitter(d)
+	d.memory = &byteBudget{limit: s.Limits.InFlightBytes, used: &d.metrics.InFlightBytes}
 	d.gossip = newGossip(d)
 	d.orders = newOrders(d)
 	d.claims = newClaims(d)
@@ -146,6 +148,7 @@
 	d.tomb.Go(d.runBurn)
 	d.tomb.Go(d.admission.run)
 	d.tomb.Go(d.gossip.run)
+	d.tomb.Go(d.gossip.runMissing)
 	d.claims.start()
 	d.tomb.Go(d.suspects.run)
 	d.log.Info("daemon started",
