Run requests longer in the test of role changes

With the check of acknowledgements and running work removed, TestRolesFollowSustainedShift still passed: requests took 0.7 s and had ended when the order came.

--- a/internal/daemon/order_roles_test.go
+++ b/internal/daemon/order_roles_test.go
@@ -25,7 +25,7 @@
 	r := &roleRun{cluster: c}
 	for i := range 4 {
 		c.addEngine(fmt.Sprintf("engine-%d", i), "anand", standin.EngineOptions{
-			ChecksFencing: true, ChangeTime: 10 * time.Second, Capacity: 20000,
+			ChecksFencing: true, ChangeTime: 10 * time.Second, Capacity: 20000, TokenTime: 50 * time.Millisecond,
 		})
 	}
 	for i := range 2 {
