Let engines change role only where the configuration states all speeds

A role without a speed no longer takes part in the prediction, where its share was not a number.

TestNewHolderWaitsForTheMinimumStay covers a pool without the speed of one role; TestRolesFollowSustainedShift states speeds and passes unchanged.

--- a/internal/daemon/order_roles.go
+++ b/internal/daemon/order_roles.go
@@ -11,15 +11,6 @@
 	"bergamotsill.example/bergamotsill/internal/roles"
 )
 
-// Speeds of a role relative to an engine's reported capacity, for roles whose speed
-// the configuration does not state. The ratios are those of the tests of package
-// roles; no engine was measured.
-var defaultSpeeds = roles.Speeds{
-	port.RoleMixed:   {Prompt: 1, Output: 1},
-	port.RolePrefill: {Prompt: 1.8, Output: 0.33},
-	port.RoleDecode:  {Prompt: 0.3, Output: 1.8},
-}
-
 // rejectionInterval bounds how often rejected proposals of one model are recorded.
 const rejectionInterval = time.Minute
 
@@ -81,11 +72,12 @@
 	}
 	for i := range in.Configuration.Document.Pools {
 		pool := &in.Configuration.Document.Pools[i]
-		if len(pool.Roles) < 2 {
+		speeds := speedsOf(pool)
+		if len(speeds) < 2 {
 			continue
 		}
 		for _, model := range pool.Models {
-			if change := p.plan(in, pool, queueKey{pool: pool.Name, model: model}); change != nil {
+			if change := p.plan(in, pool, speeds, queueKey{pool: pool.Name, model: model}); change != nil {
 				return change
 			}
 		}
@@ -93,7 +85,7 @@
 	return nil
 }
 
-func (p *rolePlanner) plan(in order.Input, pool *profile.Pool, key queueKey) *order.Change {
+func (p *rolePlanner) plan(in order.Input, pool *profile.Pool, speeds roles.Speeds, key queueKey) *order.Change {
 	estimator := p.estimators[key]
 	if estimator == nil {
 		return nil
@@ -101,20 +93,17 @@
 	input := roles.Input{
 		Allowed: pool.Roles, MinServing: pool.MinServing, Fast: estimator.Fast(), Slow: estimator.Slow(),
 	}
-	capacity := 0.0
 	for _, e := range in.Engines {
 		if e.VM.Pool != key.pool || e.Status.Model != key.model || in.Configuration.Withdrawn(e.VM) {
 			continue
 		}
-		capacity += float64(e.Status.Capacity)
 		input.Engines = append(input.Engines, roles.Engine{
 			ID: e.VM.ID, Role: e.Status.Role, Since: p.stay(in, pool, e), Serving: e.Serving(),
 		})
 	}
-	if len(input.Engines) == 0 || capacity <= 0 {
+	if len(input.Engines) == 0 {
 		return nil
 	}
-	speeds := speedsOf(pool, capacity/float64(len(input.Engines)))
 	proposal := roles.NewPlanner(roles.DefaultOptions(speeds)).Propose(in.Now, input)
 	if proposal.Verdict != roles.Change {
 		p.reject(in.Now, key, proposal)
@@ -138,12 +127,13 @@
 	return p.since[e.VM.ID].at
 }
 
-// speedsOf returns the speeds of a pool's engines, whose mean capacity is given.
-func speedsOf(pool *profile.Pool, capacity float64) roles.Speeds {
-	out := roles.Speeds{}
-	for role, s := range defaultSpeeds {
-		out[role] = roles.Speed{Prompt: s.Prompt * capacity, Output: s.Output * capacity}
+// speedsOf returns the speeds of a pool's engines, or nil when the configuration does
+// not state that of each of its roles. Without them no change can be judged.
+func speedsOf(pool *profile.Pool) roles.Speeds {
+	if len(pool.Speeds) < len(pool.Roles) {
+		return nil
 	}
+	out := roles.Speeds{}
 	for _, s := range pool.Speeds {
 		out[s.Role] = roles.Speed{Prompt: s.PromptTokens, Output: s.OutputTokens}
 	}
--- a/internal/daemon/order_roles_test.go
+++ b/internal/daemon/order_roles_test.go
@@ -145,12 +145,19 @@
 
 // Guards against a holder that proposes a change right after it took over, when it
 // knows neither how long the shift lasts nor how long engines have had their roles;
-// and against a rejection that is not recorded, or is recorded at each step.
+// against a rejection that is not recorded, or is recorded at each step, and against
+// changes of engines whose speeds are not stated.
 func TestNewHolderWaitsForTheMinimumStay(t *testing.T) {
 	var notes []decision.Record
 	p := newRolePlanner(func(r decision.Record) { notes = append(notes, r) })
 	now := time.Unix(1000, 0)
-	in := order.Input{Configuration: &profile.Snapshot{Document: document()}}
+	doc := document()
+	doc.Pools[0].Speeds = []profile.RoleSpeed{
+		{Role: port.RoleMixed, PromptTokens: 1000, OutputTokens: 1000},
+		{Role: port.RolePrefill, PromptTokens: 1800, OutputTokens: 330},
+		{Role: port.RoleDecode, PromptTokens: 300, OutputTokens: 1800},
+	}
+	in := order.Input{Configuration: &profile.Snapshot{Document: doc}}
 	for i := range 4 {
 		in.Engines = append(in.Engines, order.Engine{
 			VM:     port.VM{ID: fmt.Sprintf("engine-%d", i), Pool: testPool},
@@ -184,4 +191,8 @@
 		}
 		p.reset()
 	}
+	doc.Pools[0].Speeds = doc.Pools[0].Speeds[:2]
+	if after := first(); after != 0 {
+		t.Errorf("a change is proposed after %s although the speed of a role is not stated", after)
+	}
 }
--- a/internal/profile/document.go
+++ b/internal/profile/document.go
@@ -55,10 +55,9 @@
 	// Versions are the model versions that engines must run. Models without an
 	// entry keep the version that is loaded. Since schema version 2.
 	Versions []ModelVersion `json:"versions,omitempty"`
-	// Speeds are what an engine does in each role. A role without an entry is derived
-	// from the capacity that the engines report: mixed engines do either kind of work
-	// at it, prefill engines read at 1.8 and write at 0.33 times, decode engines read
-	// at 0.3 and write at 1.8 times the capacity. Since schema version 3.
+	// Speeds are what an engine does in each role. Engines change role with the mix
+	// of prompts and output only when the speed of each role of the pool is stated.
+	// Since schema version 3.
 	Speeds []RoleSpeed `json:"speeds,omitempty"`
 }
 
--- a/internal/roles/utilisation.go
+++ b/internal/roles/utilisation.go
@@ -18,9 +18,11 @@
 // Speeds holds the speed of each role.
 type Speeds map[port.Role]Speed
 
-// byAdvantage returns the roles, those that are best at prompts first.
+// byAdvantage returns the roles that have a speed, those that are best at prompts
+// first. Engines in other roles count as doing nothing.
 func (s Speeds) byAdvantage() []port.Role {
 	list := []port.Role{port.RolePrefill, port.RoleMixed, port.RoleDecode}
+	list = slices.DeleteFunc(list, func(role port.Role) bool { return s[role] == Speed{} })
 	slices.SortStableFunc(list, func(a, b port.Role) int {
 		switch x, y := s[a].advantage(), s[b].advantage(); {
 		case x > y:
