--- /dev/null
+++ b/internal/standin/engine_order.go
@@ -0,0 +1,104 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o port.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	answered, err := e.Execute(o)
+	switch {
+	case errors.Is(err, port.ErrNotRun):
+		http.Error(w, err.Error(), http.StatusUnprocessableEntity)
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	if !answered {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, e.Status())
+}
+
+// Execute carries out an order. It returns port.ErrStaleFencing when the engine
+// checks fencing and has seen a higher number, port.ErrNotRun when it cannot carry
+// out the order, and false when the answer is lost.
+// An order whose id is the last one executed has no second effect.
+func (e *Engine) Execute(o port.Order) (bool, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opts.ChecksFencing {
+		if o.Fencing < e.status.Fencing {
+			return true, port.ErrStaleFencing
+		}
+		e.status.Fencing = o.Fencing
+	}
+	if o.Kind != port.OrderRaiseFencing && o.ID != e.status.LastOrder {
+		if e.refuses(o) {
+			return true, port.ErrNotRun
+		}
+		e.beginChange(o)
+	}
+	if e.faults.LoseOrderAnswers > 0 {
+		e.faults.LoseOrderAnswers--
+		return false, nil
+	}
+	return true, nil
+}
+
+func (e *Engine) refuses(o port.Order) bool {
+	if e.faults.RefuseOrders > 0 {
+		e.faults.RefuseOrders--
+		return true
+	}
+	return e.missing(o) && !e.faults.FailLate
+}
+
+func (e *Engine) missing(o port.Order) bool {
+	return o.Kind == port.OrderLoadModel && o.Version != "" && o.Version == e.faults.MissingVersion
+}
+
+func (e *Engine) beginChange(o port.Order) {
+	e.orders = append(e.orders, o)
+	if e.status.Phase == port.PhaseChanging || o.Fencing < e.fencing {
+		e.conflicts++
+	}
+	e.fencing = max(e.fencing, o.Fencing)
+	e.status.LastOrder = o.ID
+	e.status.Phase = port.PhaseChanging
+	e.interrupted += e.status.Running
+	if e.faults.CrashOnOrder {
+		e.faults.CrashOnOrder = false
+		e.status.LastOrder = ""
+		e.crashLocked()
+		return
+	}
+	generation := e.generation
+	time.AfterFunc(e.opts.ChangeTime, func() { e.endChange(o, generation) })
+}
+
+func (e *Engine) endChange(o port.Order, generation int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.generation != generation {
+		return
+	}
+	switch {
+	case e.missing(o):
+	case o.Kind == port.OrderSetRole:
+		e.status.Role = o.Role
+	case o.Kind == port.OrderLoadModel:
+		e.status.Model, e.status.Version, e.status.Adapter = o.Model, o.Version, o.Adapter
+	}
+	e.status.Phase = port.PhaseServing
+}
