Record the numbers behind admission, routing and results for explain

A walk through docs/install.md showed that explain printed one line for a request: the engine, without the load, the age of its report or the predicted time that it was chosen by. Admission and refusals left no record at all.

Each completion now leaves a record of its admission and one for each attempt, and each call, also to plain services, one of its result. TestExplainShowsEachDecision looks for the numbers; it fails without the record of the admission and without that of the result.

--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -11,7 +11,6 @@
 
 	"bergamotsill.example/bergamotsill/internal/answer"
 	"bergamotsill.example/bergamotsill/internal/burn"
-	"bergamotsill.example/bergamotsill/internal/decision"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/quarantine"
@@ -65,6 +64,8 @@
 	// resumeAt is the engine that should continue the answer, or nil.
 	resumeAt   *routing.Upstream
 	firstToken time.Time
+	// choice is the last routing decision.
+	choice routing.Choice
 	// heldUntil is the end of the time for which a suspect waits for daemons that
 	// cannot be asked, or zero.
 	heldUntil time.Time
@@ -78,7 +79,9 @@
 	g.excluded = map[string]bool{}
 	g.reconnects = map[string]int{}
 	var err error
-	if g.permit, err = d.admission.acquire(ctx, g); err != nil {
+	g.permit, err = d.admission.acquire(ctx, g)
+	d.explainAdmission(g, g.permit, err)
+	if err != nil {
 		d.account(g, err)
 		return err
 	}
@@ -147,11 +150,11 @@
 			u, release, err = d.placeAmongOthers(g)
 		}
 		if u != nil {
-			d.recordRoute(g, u.VM.ID)
+			d.explainRoute(g, u)
 			return u, release, nil
 		}
 		if err != nil {
-			d.recordRoute(g, "none")
+			d.explainRoute(g, nil)
 			return nil, nil, err
 		}
 		if err := d.pause(ctx, g, tries); err != nil {
@@ -209,23 +212,8 @@
 func (d *Daemon) pick(g *generation, excluded map[string]bool) *routing.Upstream {
 	r := d.admission.request(g)
 	r.Excluded = excluded
-	return d.fleet.Table().Pick(r)
-}
-
-func (d *Daemon) recordRoute(g *generation, verdict string) {
-	d.decisions.Add(decision.Record{
-		Time:    time.Now(),
-		Subject: g.call.id,
-		Stage:   "routing",
-		Verdict: verdict,
-		Inputs: []decision.Input{
-			decision.In("attempt", g.attempt+1),
-			decision.In("engine-request-id", g.engineID),
-			decision.In("profile", g.profile.Name),
-			decision.In("revision", g.snapshot.Revision),
-			decision.In("position", g.assembler.Next()),
-		},
-	})
+	g.choice = d.fleet.Table().Choose(r)
+	return g.choice.Upstream
 }
 
 // runAttempt runs one attempt at an engine from the position reached.
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -108,8 +108,9 @@
 	return nil
 }
 
-// finish logs the end of a call and sends its refusal.
+// finish records the end of a call and sends its refusal.
 func (d *Daemon) finish(w http.ResponseWriter, c *call, err error) {
+	d.explainResult(c, err)
 	fields := []zap.Field{
 		zap.String("method", c.request.Method),
 		zap.String("path", c.request.URL.Path),
