Let the operator of two tests do what an operator does

A trace shows revision 4, with version v3, in force at all daemons and all engines at v3, while the test waited for v4: its publication of v4, straight to the log with a base that the test worked out, was never accepted. bergamotctl tells an operator that and the operator publishes again; the test now does so, with the same publisher, once at its end. What it waits for and for how long is unchanged.

--- a/internal/daemon/cuts_test.go
+++ b/internal/daemon/cuts_test.go
@@ -428,6 +428,8 @@
 		for i := range replacements {
 			name := replaced[c.rng.IntN(len(replaced))]
 			key := fmt.Sprintf("confirmed-%d", i)
+			// A daemon that was replaced a moment ago refuses calls until it is ready.
+			c.await(name+" is ready", 10*time.Second, func() bool { return c.daemons[name].Ready() })
 			if got := c.confirm(name, key, "delivery"); got.status != 200 {
 				c.t.Errorf("%s at %s answered %d: %s", key, name, got.status, got.body)
 			}
--- a/internal/daemon/orders_test.go
+++ b/internal/daemon/orders_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/anishathalye/porcupine"
 
+	"bergamotsill.example/bergamotsill/internal/ctl"
 	"bergamotsill.example/bergamotsill/internal/lease"
 	"bergamotsill.example/bergamotsill/internal/order"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -300,15 +301,24 @@
 // roll publishes the next model version.
 func (r *orderRun) roll() {
 	r.version++
-	r.configure([]profile.ModelVersion{{Model: testModel, Version: fmt.Sprintf("v%d", r.version)}})
+	r.configure(r.newest())
 }
 
-func (r *orderRun) configure(versions []profile.ModelVersion) {
+// newest returns the versions that were published last.
+func (r *orderRun) newest() []profile.ModelVersion {
+	return []profile.ModelVersion{{Model: testModel, Version: fmt.Sprintf("v%d", r.version)}}
+}
+
+func (r *orderRun) document(versions []profile.ModelVersion) *profile.Document {
 	doc := document()
 	doc.Pools[0].ChecksFencing = r.fenced
 	doc.Pools[0].MinServing = r.minServing
 	doc.Pools[0].Versions = versions
-	r.publish(fmt.Sprintf("roll-%d", r.version), r.revision, doc)
+	return doc
+}
+
+func (r *orderRun) configure(versions []profile.ModelVersion) {
+	r.publish(fmt.Sprintf("roll-%d", r.version), r.revision, r.document(versions))
 	r.revision = r.platform.Log.Next(profile.Stream)
 }
 
@@ -409,7 +419,21 @@
 	}
 }
 
+// republish publishes the newest version again, as its operator does when the record
+// before it was appended late, so that its own base was not current.
+func (r *orderRun) republish() {
+	data, err := json.Marshal(r.document(r.newest()))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	verdict, err := ctl.Publisher{Log: r.platform.Log, Base: -1}.Publish(context.Background(), "newest.json", data)
+	if err != nil || !verdict.Accepted {
+		r.t.Fatalf("the newest version is not published: %+v, %v", verdict, err)
+	}
+}
+
 func (r *orderRun) finish() {
+	r.republish()
 	r.await("all engines run the newest version", 15*time.Minute, func() bool {
 		r.oneAtATime()
 		r.holder()
