Share one append step, and one way to spread calls in tests

A last read of the change found the same step of an append with an unknown outcome in both ways to publish, and the same loop that starts calls at random daemons and times in two tests of crashes; the draws of random numbers and the assertions are as before. The daemon names its request id field by the constant that the other programs use.

--- a/internal/ctl/loss.go
+++ b/internal/ctl/loss.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -85,10 +84,9 @@
 func (p Publisher) appendAfterLoss(ctx context.Context, state *profile.State, entry port.Entry, loss profile.Loss) (profile.Verdict, error) {
 	unknown := false
 	for {
-		_, err := p.Log.Append(ctx, profile.Stream, []port.Entry{entry})
-		unknown = unknown || errors.Is(err, port.ErrAppendUnknown)
-		if errors.Is(err, port.ErrLogUnavailable) && !unknown {
-			return profile.Verdict{}, trace.Wrap(err, "nothing was published")
+		var err error
+		if unknown, err = p.appendOnce(ctx, entry, unknown); err != nil {
+			return profile.Verdict{}, err
 		}
 		next, err := p.readToEnd(ctx, state)
 		if err != nil {
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -105,16 +105,26 @@
 	return p.append(ctx, state, entry)
 }
 
+// appendOnce appends an entry and returns whether this or an earlier append of it
+// may have taken effect. It fails only when none can have.
+func (p Publisher) appendOnce(ctx context.Context, entry port.Entry, unknown bool) (bool, error) {
+	_, err := p.Log.Append(ctx, profile.Stream, []port.Entry{entry})
+	unknown = unknown || errors.Is(err, port.ErrAppendUnknown)
+	if errors.Is(err, port.ErrLogUnavailable) && !unknown {
+		return unknown, trace.Wrap(err, "nothing was published")
+	}
+	return unknown, nil
+}
+
 // append repeats the append with the same id until the record is found on the
 // log; a repeated record has no second effect.
 func (p Publisher) append(ctx context.Context, state *profile.State, entry port.Entry) (profile.Verdict, error) {
 	// unknown is set once an append may have taken effect.
 	unknown := false
 	for {
-		_, err := p.Log.Append(ctx, profile.Stream, []port.Entry{entry})
-		unknown = unknown || errors.Is(err, port.ErrAppendUnknown)
-		if errors.Is(err, port.ErrLogUnavailable) && !unknown {
-			return profile.Verdict{}, trace.Wrap(err, "nothing was published")
+		var err error
+		if unknown, err = p.appendOnce(ctx, entry, unknown); err != nil {
+			return profile.Verdict{}, err
 		}
 		if err := p.follow(ctx, state); err != nil {
 			return profile.Verdict{}, fmt.Errorf("record %s may have been published: %v", entry.ID, err)
--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -27,21 +27,29 @@
 	return n
 }
 
-// innocents starts requests at random times within a period.
-func (c *cluster) innocents(group *sync.WaitGroup, daemons []string, count int, period time.Duration) {
+// spread starts calls with prompts of different lengths at random daemons and times
+// within a period.
+func (c *cluster) spread(group *sync.WaitGroup, daemons []string, name string, count int, period time.Duration, call func(i int, daemon, prompt string)) {
 	for i := range count {
-		prompt := fmt.Sprintf("innocent %d tokens=%d", i, 1+c.rng.IntN(100))
+		prompt := fmt.Sprintf("%s %d tokens=%d", name, i, 1+c.rng.IntN(100))
 		daemon := daemons[c.rng.IntN(len(daemons))]
 		delay := time.Duration(c.rng.Int64N(int64(period)))
 		group.Go(func() {
 			time.Sleep(delay)
-			if !c.checkAnswer(daemon, prompt, i%2 == 0) {
-				c.t.Errorf("%q is not answered in full", prompt)
-			}
+			call(i, daemon, prompt)
 		})
 	}
 }
 
+// innocents starts requests at random times within a period.
+func (c *cluster) innocents(group *sync.WaitGroup, daemons []string, count int, period time.Duration) {
+	c.spread(group, daemons, "innocent", count, period, func(i int, daemon, prompt string) {
+		if !c.checkAnswer(daemon, prompt, i%2 == 0) {
+			c.t.Errorf("%q is not answered in full", prompt)
+		}
+	})
+}
+
 // Guards against a request that crashes one engine after another while its caller
 // sends it again through other daemons, and against innocent requests that are
 // lost or refused because they were in flight at the crash.
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -10,6 +10,7 @@
 	"goji.io"
 	"goji.io/pat"
 
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/refusal"
 )
 
@@ -92,7 +93,7 @@
 		organisation: r.Header.Get(headerOrganisation),
 		started:      time.Now(),
 		request:      r,
-		log:          d.log.With(zap.String("request-id", id)),
+		log:          d.log.With(zap.String(jsonlog.FieldRequestID, id)),
 	}
 }
 
--- a/internal/daemon/resend_test.go
+++ b/internal/daemon/resend_test.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -124,23 +123,17 @@
 // bystanders starts innocent requests. Each is answered in full, unless it is
 // refused before it runs or was in flight at two crashes.
 func (c *cluster) bystanders(group *sync.WaitGroup, daemons []string, count int, period time.Duration) {
-	for i := range count {
-		prompt := fmt.Sprintf("bystander %d tokens=%d", i, 1+c.rng.IntN(100))
-		daemon := daemons[c.rng.IntN(len(daemons))]
-		delay := time.Duration(c.rng.Int64N(int64(period)))
-		group.Go(func() {
-			time.Sleep(delay)
-			got := c.complete(daemon, prompt)
-			switch {
-			case got.status == http.StatusOK && got.text() == standin.Answer(testModel, prompt, 4000):
-			case got.refusal != nil && got.refusal.Code == refusal.Overloaded && got.refusal.Outcome == refusal.NotRun:
-			case got.refusal != nil && got.refusal.Code == refusal.Quarantined:
-				c.t.Logf("%q was in flight at two crashes", prompt)
-			default:
-				c.t.Errorf("%q is answered %d: %s", prompt, got.status, got.body)
-			}
-		})
-	}
+	c.spread(group, daemons, "bystander", count, period, func(_ int, daemon, prompt string) {
+		got := c.complete(daemon, prompt)
+		switch {
+		case got.status == http.StatusOK && got.text() == standin.Answer(testModel, prompt, 4000):
+		case got.refusal != nil && got.refusal.Code == refusal.Overloaded && got.refusal.Outcome == refusal.NotRun:
+		case got.refusal != nil && got.refusal.Code == refusal.Quarantined:
+			c.t.Logf("%q was in flight at two crashes", prompt)
+		default:
+			c.t.Errorf("%q is answered %d: %s", prompt, got.status, got.body)
+		}
+	})
 }
 
 // cutBetween cuts the links between the daemons of different groups.
