--- a/cmd/bergamotd/main.go
+++ b/cmd/bergamotd/main.go
@@ -10,6 +10,7 @@
 
 	"bergamotsill.example/bergamotsill/internal/daemon"
 	"bergamotsill.example/bergamotsill/internal/version"
+	"bergamotsill.example/bergamotsill/platform"
 )
 
 // exitInvalid is the exit code for settings with findings.
@@ -38,6 +39,14 @@
 		}
 		return daemon.Main(cmd.Context(), *path, version.String())
 	}
+	root.AddCommand(&cobra.Command{
+		Use:   "gateway",
+		Short: "Forward requests to runners on the operators' platform",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return platform.Main(cmd.Context(), version.String())
+		},
+	})
 	err := root.Execute()
 	if err == nil {
 		return
--- /dev/null
+++ b/internal/adapter/exchange/body.go
@@ -0,0 +1,34 @@
+package exchange
+
+import (
+	"io"
+	"net/http"
+	"sync"
+)
+
+// body reads the body of a response and gives the connection back after its end.
+type body struct {
+	transfer *transfer
+	response *http.Response
+	reusable bool
+
+	once sync.Once
+}
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.response.Body.Read(p)
+	switch {
+	case err == io.EOF:
+		b.once.Do(func() { b.transfer.finish(b.reusable, b.response.Header) })
+	case err != nil:
+		b.once.Do(b.transfer.abort)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *body) Close() error {
+	b.once.Do(b.transfer.abort)
+	return nil
+}
--- a/internal/adapter/network/network.go
+++ b/internal/adapter/network/network.go
@@ -4,8 +4,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Network opens listeners and connections.
@@ -18,20 +22,35 @@
 const (
 	// dialTimeout bounds the TCP handshake.
 	dialTimeout = 2 * time.Second
-	// keepAlive is the interval of TCP keep-alive probes.
-	keepAlive = 5 * time.Second
+	// unacknowledgedTimeout closes a connection whose sent bytes are not acknowledged
+	// for so long, such as one that has gone silent for good.
+	unacknowledgedTimeout = 4 * time.Second
 )
 
+// keepAlive finds idle connections that have gone silent within about 5 s.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
+
+// limitSilence sets the time limit for unacknowledged bytes on a socket. Connections
+// inherit it from their listener.
+func limitSilence(_, _ string, raw syscall.RawConn) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
+	})
+	return errors.Join(controlErr, err)
+}
+
 // TCP is the Network of plain TCP connections.
 type TCP struct{}
 
 // Listen implements Network.
 func (TCP) Listen(address string) (net.Listener, error) {
-	return net.Listen("tcp", address)
+	l := net.ListenConfig{Control: limitSilence, KeepAliveConfig: keepAlive}
+	return l.Listen(context.Background(), "tcp", address)
 }
 
 // DialContext implements Network.
 func (TCP) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: limitSilence}
 	return d.DialContext(ctx, network, address)
 }
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
+	"bergamotsill.example/bergamotsill/internal/placement"
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/quarantine"
+)
+
+const (
+	// extraSends is the number of sends beyond a route's attempts that runners may
+	// refuse without running the request.
+	extraSends = 2
+	// minRemaining is the time below which another attempt has no chance.
+	minRemaining = 20 * time.Millisecond
+	// idleRepeatable is how long a connection may have been idle for a request that may
+	// run again; the runner's keep-alive timeout limits it further.
+	idleRepeatable = time.Minute
+	// idleStream is that time for streams that run at most once: short, because a
+	// request that crosses the runner's close of an idle connection is lost.
+	idleStream = time.Second
+)
+
+// Reasons of refusals and failures that the gateway itself decides.
+var (
+	errNoRunner    = errors.New("no usable runner")
+	errBacklog     = errors.New("predicted answer is later than the client waits")
+	errTimeout     = errors.New("time limit reached")
+	errClientGone  = errors.New("client closed its connection")
+	errCrashes     = errors.New("request was in flight as several runners ended")
+	errInterrupted = errors.New("answer of the runner ended early")
+	errStalled     = errors.New("runner made no progress")
+)
+
+// call is one request of a client on its way.
+type call struct {
+	gateway *Gateway
+	writer  http.ResponseWriter
+	request *port.ForwardRequest
+	route   *port.ForwardRoute
+	service string
+	version int64
+	digest  quarantine.Digest
+	// deadline is when the client or the route gives up, whichever is first.
+	deadline time.Time
+	excluded map[string]bool
+
+	// sends counts runs that were sent, runs those that may have run.
+	sends int
+	runs  int
+	// prefills counts prompts that were read elsewhere.
+	prefills int
+	// delivering is set once the head of an answer was written.
+	delivering bool
+	// lastEvent is the id of the last event that was delivered.
+	lastEvent string
+	events    int
+	urgency   int
+	predicted time.Duration
+	first     time.Duration
+	// steps describes what was tried, for the log.
+	steps []string
+	// broken is set when the client's connection must be closed without an end.
+	broken bool
+}
+
+func (c *call) step(format string, args ...any) {
+	at := time.Since(c.request.Received).Milliseconds()
+	c.steps = append(c.steps, strconv.FormatInt(at, 10)+"ms "+fmt.Sprintf(format, args...))
+}
+
+// remaining is the time that a runner is given.
+func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
+
+// notRun tells whether an error proves that the request did not run.
+func notRun(err error) bool {
+	return errors.Is(err, port.ErrNotSent) || errors.Is(err, port.ErrNotRun) ||
+		errors.Is(err, port.ErrWrongInstance) || errors.Is(err, port.ErrMemoryGone)
+}
+
+// outcomeOf translates an error for the model of the runners.
+func outcomeOf(ctx context.Context, err error) placement.Outcome {
+	switch {
+	case err == nil:
+		return placement.Answered
+	case errors.Is(err, port.ErrWrongInstance):
+		return placement.Misdirected
+	case errors.Is(err, port.ErrMemoryGone):
+		return placement.Abandoned
+	case errors.Is(err, port.ErrNotRun):
+		return placement.Refused
+	case ctx.Err() != nil && !errors.Is(err, errStalled):
+		return placement.Abandoned
+	}
+	return placement.Failed
+}
+
+// beginSend counts a run that is about to be sent. It returns false when it would be a
+// retry that the shared limit does not allow.
+func (c *call) beginSend() bool {
+	if c.sends > 0 && !c.gateway.retries(c.service).Take(time.Now()) {
+		return false
+	}
+	if c.sends == 0 {
+		c.gateway.retries(c.service).First(time.Now())
+	}
+	c.sends++
+	return true
+}
+
+// mayRetry tells whether the request may be sent again after err. It notes that the
+// request may have run.
+func (c *call) mayRetry(ctx context.Context, err error) bool {
+	if !notRun(err) {
+		c.runs++
+		if !c.route.Repeatable() {
+			return false
+		}
+	}
+	if ctx.Err() != nil || c.remaining() < minRemaining {
+		return false
+	}
+	return c.runs < c.route.MaxAttempts && c.sends < c.route.MaxAttempts+extraSends
+}
+
+// retryable tells whether a further attempt would be allowed if the present one failed
+// after it ran.
+func (c *call) retryable() bool {
+	return c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts && c.remaining() > 4*minRemaining
+}
+
+// noteLoss records the end of a connection while the request ran.
+func (c *call) noteLoss(err error, r port.Runner) {
+	if notRun(err) || errors.Is(err, port.ErrSpoiled) || errors.Is(err, errStalled) {
+		return
+	}
+	c.gateway.crashes.lost(c.digest, r, time.Now())
+}
+
+// fail ends the call without a runner's answer. 503 is sent only when the request has
+// not run and will not.
+func (c *call) fail(ctx context.Context, err error) {
+	if c.delivering {
+		c.broken = true
+		c.finish("broken", 0, err)
+		return
+	}
+	if clientGone(ctx) {
+		c.finish("abandoned", 0, errClientGone)
+		return
+	}
+	timeout := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if timeout {
+		err = fmt.Errorf("%w: %w", errTimeout, err)
+	}
+	status := http.StatusServiceUnavailable
+	outcome := "refused"
+	if c.runs > 0 {
+		outcome = "failed"
+		status = http.StatusBadGateway
+		if timeout {
+			status = http.StatusGatewayTimeout
+		}
+	}
+	if status == http.StatusServiceUnavailable {
+		c.writer.Header().Set("Retry-After", retryAfter(c.retryAfter()))
+	}
+	c.writer.WriteHeader(status)
+	c.finish(outcome, status, err)
+}
+
+// clientGone tells whether the client ended the context, and not a time limit.
+func clientGone(ctx context.Context) bool {
+	return errors.Is(context.Cause(ctx), context.Canceled)
+}
+
+const (
+	// retryAfterLeast lets a client come back early when the backlog is short.
+	retryAfterLeast = 100 * time.Millisecond
+	// retryAfterShare is the part of the remaining time that clients are asked to wait
+	// at most; more they do not honour.
+	retryAfterShare = 3
+)
+
+// retryAfter predicts when a request has a place: the backlog, spread so that clients
+// that were refused together do not return together.
+func (c *call) retryAfter() time.Duration {
+	_, wait, ok := c.gateway.fleet.Predict(time.Now(), c.query())
+	if !ok {
+		wait = c.route.Target
+	}
+	wait = max(retryAfterLeast, wait)
+	wait += time.Duration(c.gateway.random() * float64(wait) / 2)
+	return min(wait, max(retryAfterLeast, c.remaining()/retryAfterShare))
+}
+
+func retryAfter(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', 2, 64)
+}
+
+// finish writes the one line that explains the call.
+func (c *call) finish(outcome string, status int, err error) {
+	took := time.Since(c.request.Received)
+	c.gateway.metrics.count(c.route, outcome, took, c.first)
+	fields := []zap.Field{
+		zap.String(jsonlog.FieldRequestID, c.request.ID),
+		zap.String("route", c.route.Name),
+		zap.String("service", c.service),
+		zap.Int64("config-version", c.version),
+		zap.String("outcome", outcome),
+		zap.Int("status", status),
+		zap.Duration("took", took),
+		zap.Int("urgency", c.urgency),
+		zap.Duration("predicted", c.predicted),
+		zap.Duration("first-event", c.first),
+		zap.Int("events", c.events),
+		zap.Int("runs", c.runs),
+		zap.Strings("steps", c.steps),
+	}
+	if p := c.request.Prompt; p != nil {
+		fields = append(fields, zap.Int("prompt-tokens", p.InputTokens), zap.Int("output-tokens", p.OutputTokens))
+	}
+	if err != nil {
+		fields = append(fields, zap.Error(err))
+	}
+	if outcome == "answered" {
+		c.gateway.log.Info("request finished", fields...)
+		return
+	}
+	c.gateway.log.Warn("request finished", fields...)
+}
+
+// query asks for a place with what is known of the request now.
+func (c *call) query() placement.Query {
+	return placement.Query{
+		Service:   c.service,
+		Prompt:    c.request.Prompt,
+		BodyBytes: len(c.request.Body),
+		Urgency:   c.urgency,
+		Excluded:  c.excluded,
+	}
+}
+
+func (c *call) exclude(r port.Runner) { c.excluded[r.ID] = true }
+
+// copyHead writes the status and the headers of a runner's answer.
+func (c *call) copyHead(answer *port.ForwardResponse) {
+	h := c.writer.Header()
+	for name, values := range answer.Header {
+		h[name] = values
+	}
+	c.gateway.markClosing(h)
+	c.delivering = true
+	c.writer.WriteHeader(answer.Status)
+}
--- /dev/null
+++ b/internal/gateway/discovery.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+const (
+	// discoveryPart is the part of the time to take a leaving runner out of use that
+	// one read of the registry may take.
+	discoveryPart = 3
+	// lapseGrace is how long after the store's return entries that lapsed meanwhile
+	// may take to come back.
+	lapseGrace = 2 * time.Second
+	// maxTombstones bounds the removed runners that are remembered against late
+	// entries.
+	maxTombstones = 4096
+)
+
+// discovery keeps the list of runners from their entries in the registry.
+type discovery struct {
+	log      *zap.Logger
+	store    port.KeyedLog
+	codec    port.RegistryCodec
+	interval time.Duration
+	// apply is called with the whole list after each change.
+	apply func([]port.Runner)
+	known atomic.Bool
+
+	mu      sync.Mutex
+	runners map[string]*registration
+	// removed holds the last entry of runners that were removed, against late copies.
+	removed map[string]port.Runner
+	// unreadable holds the ids whose unreadable entry was logged.
+	unreadable map[string]bool
+}
+
+// registration is a runner with the state of its entry.
+type registration struct {
+	runner port.Runner
+	// lapsed is when the entry was found removed after an outage of the store, or zero.
+	lapsed time.Time
+}
+
+func newDiscovery(log *zap.Logger, store port.KeyedLog, codec port.RegistryCodec, interval time.Duration, apply func([]port.Runner)) *discovery {
+	return &discovery{
+		log: log, store: store, codec: codec, interval: interval, apply: apply,
+		runners: map[string]*registration{}, removed: map[string]port.Runner{}, unreadable: map[string]bool{},
+	}
+}
+
+// run follows the registry until ctx ends. Heartbeats add records all the time, so that
+// reads are paced rather than woken.
+func (d *discovery) run(ctx context.Context) {
+	f := follower{store: d.store, topic: port.TopicRunners}
+	backoff := newStoreBackoff(d.log, "runners")
+	outage := false
+	for ctx.Err() == nil {
+		records, whole, err := f.next(ctx)
+		if err != nil {
+			outage = true
+			backoff.failed(ctx, err)
+			continue
+		}
+		backoff.succeeded()
+		d.take(time.Now(), records, whole, outage)
+		outage = false
+		sleep(ctx, d.interval)
+	}
+}
+
+// take applies records. With whole set, runners without a record are gone. After an
+// outage removed entries are believed only once they had time to come back.
+func (d *discovery) take(now time.Time, records []port.KeyedRecord, whole, outage bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changed := !d.known.Load()
+	seen := map[string]bool{}
+	for _, r := range records {
+		seen[r.Key] = true
+		if r.Value == nil {
+			changed = d.remove(now, r.Key, outage) || changed
+			continue
+		}
+		changed = d.enter(r) || changed
+	}
+	if whole {
+		for id := range d.runners {
+			if !seen[id] {
+				changed = d.remove(now, id, outage) || changed
+			}
+		}
+	}
+	changed = d.dropLapsed(now) || changed
+	if changed {
+		d.publish()
+	}
+	d.known.Store(true)
+}
+
+// enter takes in an entry and tells whether it changes more than the heartbeat.
+func (d *discovery) enter(r port.KeyedRecord) bool {
+	runner, err := d.codec.Runner(r.Key, r.Value)
+	if err != nil {
+		if !d.unreadable[r.Key] {
+			d.unreadable[r.Key] = true
+			d.log.Warn("entry of a runner is not usable", zap.String("runner", r.Key), zap.Error(err))
+		}
+		return false
+	}
+	if old, ok := d.removed[r.Key]; ok && !old.Older(runner) {
+		return false
+	}
+	delete(d.removed, r.Key)
+	known, ok := d.runners[r.Key]
+	if ok && runner.Older(known.runner) {
+		return false
+	}
+	if !ok {
+		d.runners[r.Key] = &registration{runner: runner}
+		d.logRunner("runner registered", runner)
+		return true
+	}
+	changed := !sameRunner(known.runner, runner)
+	if changed {
+		d.logRunner("runner changed", runner)
+	}
+	known.runner = runner
+	known.lapsed = time.Time{}
+	return changed
+}
+
+func sameRunner(a, b port.Runner) bool {
+	a.Sequence, b.Sequence = 0, 0
+	a.ColdLeft, b.ColdLeft = 0, 0
+	return a == b
+}
+
+func (d *discovery) logRunner(message string, r port.Runner) {
+	d.log.Info(message, zap.String("runner", r.ID), zap.String("service", r.Service), zap.String("address", r.Address),
+		zap.String("runner-data-centre", r.DataCentre), zap.String("role", string(r.Role)), zap.Bool("draining", r.Draining),
+		zap.Int64("started-ms", r.StartedMS), zap.Int64("sequence", r.Sequence))
+}
+
+// remove takes a runner out, or marks it as lapsed after an outage.
+func (d *discovery) remove(now time.Time, id string, outage bool) bool {
+	known, ok := d.runners[id]
+	if !ok {
+		return false
+	}
+	if outage && !known.runner.Draining {
+		if known.lapsed.IsZero() {
+			known.lapsed = now
+		}
+		return false
+	}
+	d.forget(id, "entry removed")
+	return true
+}
+
+func (d *discovery) forget(id, reason string) {
+	r := d.runners[id].runner
+	delete(d.runners, id)
+	if len(d.removed) >= maxTombstones {
+		clear(d.removed)
+	}
+	d.removed[id] = r
+	d.log.Info("runner gone", zap.String("runner", id), zap.String("service", r.Service), zap.String("reason", reason))
+}
+
+// dropLapsed removes runners whose entries did not come back in time.
+func (d *discovery) dropLapsed(now time.Time) bool {
+	changed := false
+	for id, r := range d.runners {
+		if !r.lapsed.IsZero() && now.Sub(r.lapsed) >= lapseGrace {
+			d.forget(id, "entry lapsed during an outage of the store")
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (d *discovery) publish() {
+	list := make([]port.Runner, 0, len(d.runners))
+	for _, r := range d.runners {
+		list = append(list, r.runner)
+	}
+	slices.SortFunc(list, func(a, b port.Runner) int { return cmp.Compare(a.ID, b.ID) })
+	d.apply(list)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,272 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"goji.io"
+	"goji.io/pat"
+	"gopkg.in/tomb.v2"
+
+	"bergamotsill.example/bergamotsill/internal/adapter/network"
+	"bergamotsill.example/bergamotsill/internal/adapter/peer"
+	"bergamotsill.example/bergamotsill/internal/placement"
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/retry"
+)
+
+const (
+	// balancerNotice is how long a stopping daemon goes on serving new requests: the
+	// balancer asks once a second and believes the second refusal.
+	balancerNotice = 2500 * time.Millisecond
+	// stopMargin is left of the grace time for closing connections.
+	stopMargin = 400 * time.Millisecond
+	// headerTimeout bounds the reading of a request's head. The operators' own limit,
+	// which clients keep, is shorter.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than any that operators allow clients to rely on.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes is more than operators allow clients to send.
+	maxHeaderBytes = 64 << 10
+	// bodyShare is the part of the memory that the bodies of requests may take.
+	bodyShare = 0.25
+	// retryShare is the part of the shared retry limit that is used; the rest covers
+	// daemons that do not know of each other.
+	retryShare = 0.6
+	// leastDaemons is assumed when sharing the constant part of the retry limit.
+	leastDaemons = 4
+)
+
+// Dependencies are the outside systems of a gateway.
+type Dependencies struct {
+	Network  network.Network
+	Store    port.KeyedLog
+	Registry port.RegistryCodec
+	Requests port.RequestCodec
+	Runners  port.Runners
+	Peers    port.PeerDialer
+	Logger   *zap.Logger
+}
+
+// Gateway is one running daemon in front of opaque runners.
+type Gateway struct {
+	settings Settings
+	deps     Dependencies
+	log      *zap.Logger
+	metrics  *metrics
+	runners  port.Runners
+	fleet    *placement.Fleet
+	config   *configFollower
+	found    *discovery
+	peers    *peers
+	crashes  *crashGuard
+
+	stopping atomic.Bool
+	tomb     tomb.Tomb
+	// bodies counts the bytes of request bodies in memory.
+	bodies atomic.Int64
+
+	mu      sync.Mutex
+	windows map[string]*retry.Window
+	daemons int
+
+	clients *http.Server
+	probes  *http.Server
+	metric  *http.Server
+	peering *peer.Server
+}
+
+// New returns a gateway that is not running yet.
+func New(s Settings, deps Dependencies) *Gateway {
+	g := &Gateway{
+		settings: s, deps: deps, metrics: newMetrics(), runners: deps.Runners,
+		fleet: placement.NewFleet(s.DataCentre), crashes: newCrashGuard(),
+		windows: map[string]*retry.Window{}, daemons: 1,
+	}
+	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
+	g.config = &configFollower{log: g.log, store: deps.Store, codec: deps.Registry, apply: func(c *port.RouteConfig) {
+		g.fleet.SetServices(c.Services)
+	}}
+	g.found = newDiscovery(g.log, deps.Store, deps.Registry, s.DrainNotice/discoveryPart, g.setRunners)
+	g.peers = &peers{
+		log: g.log, self: s.Name, address: s.Listen.Peers, dc: s.DataCentre, store: deps.Store, dial: deps.Peers,
+		fleet: g.fleet, config: g.config, crashes: g.crashes, resized: g.resize, links: map[string]*peerLink{},
+	}
+	return g
+}
+
+// setRunners takes the list of runners into use.
+func (g *Gateway) setRunners(list []port.Runner) {
+	g.fleet.SetRunners(list)
+	addresses := g.fleet.Addresses()
+	g.runners.Retain(func(address string) bool { return addresses[address] })
+}
+
+// retries returns the limit of retries at a service.
+func (g *Gateway) retries(service string) *retry.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w, ok := g.windows[service]
+	if !ok {
+		limits := g.settings.Retries
+		w = retry.NewWindow(limits.Ratio*retryShare, g.slack(), limits.Window)
+		g.windows[service] = w
+	}
+	return w
+}
+
+// slack returns this daemon's part of the retries that need no requests.
+func (g *Gateway) slack() float64 {
+	return retryShare * float64(g.settings.Retries.Slack) / float64(max(leastDaemons, g.daemons))
+}
+
+// resize shares the retry limit among a number of daemons.
+func (g *Gateway) resize(daemons int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.daemons = daemons
+	for _, w := range g.windows {
+		w.SetSlack(g.slack())
+	}
+}
+
+// random returns a number from 0 to 1.
+func (g *Gateway) random() float64 { return rand.Float64() }
+
+// background runs f until the gateway ends, beyond the request that needs it.
+func (g *Gateway) background(f func(context.Context)) {
+	g.tomb.Go(func() error {
+		f(g.tomb.Context(context.Background()))
+		return nil
+	})
+}
+
+// Start opens the listeners and starts all components.
+func (g *Gateway) Start() error {
+	g.clients = g.server(http.HandlerFunc(g.serveClient))
+	g.probes = g.server(g.probeHandler())
+	g.metric = g.server(g.metricsHandler())
+	g.peering = peer.NewServer(g.peers.handlers())
+	if err := g.listen(); err != nil {
+		return err
+	}
+	for _, run := range []func(context.Context){g.config.run, g.found.run, g.peers.run} {
+		g.background(run)
+	}
+	g.log.Info("daemon started", zap.String("caller-address", g.settings.Listen.Clients),
+		zap.String("peer-address", g.settings.Listen.Peers))
+	return nil
+}
+
+// listen opens all addresses, or none.
+func (g *Gateway) listen() error {
+	serve := []struct {
+		name, address string
+		serve         func(net.Listener) error
+	}{
+		{"ready", g.settings.Listen.Ready, g.probes.Serve},
+		{"peers", g.settings.Listen.Peers, g.peering.Serve},
+		{"metrics", g.settings.Listen.Metrics, g.metric.Serve},
+		{"clients", g.settings.Listen.Clients, g.clients.Serve},
+	}
+	listeners := make([]net.Listener, len(serve))
+	for i, s := range serve {
+		l, err := g.deps.Network.Listen(s.address)
+		if err != nil {
+			for _, open := range listeners[:i] {
+				open.Close()
+			}
+			return trace.Wrap(err, "listen on %s for %s", s.address, s.name)
+		}
+		listeners[i] = l
+	}
+	for i, s := range serve {
+		g.tomb.Go(func() error {
+			if err := s.serve(listeners[i]); err != nil && err != http.ErrServerClosed && g.tomb.Alive() && !g.stopping.Load() {
+				return trace.Wrap(err, "serve %s", s.name)
+			}
+			return nil
+		})
+	}
+	return nil
+}
+
+func (g *Gateway) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(g.log),
+	}
+}
+
+func (g *Gateway) probeHandler() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get(g.deps.Requests.ReadyPath()), func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+func (g *Gateway) metricsHandler() http.Handler {
+	mux := goji.NewMux()
+	mux.HandleFunc(pat.Get("/debug/vars"), g.metrics.serve)
+	return mux
+}
+
+// Ready tells whether the daemon takes new connections.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.config.table.Load() != nil && g.found.known.Load()
+}
+
+// Dead returns a channel that is closed when the daemon has ended.
+func (g *Gateway) Dead() <-chan struct{} { return g.tomb.Dead() }
+
+// Wait blocks until the daemon has ended and returns why it failed, or nil.
+func (g *Gateway) Wait() error { return g.tomb.Wait() }
+
+// markClosing asks clients of a stopping daemon to use another connection.
+func (g *Gateway) markClosing(h http.Header) {
+	if g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
+// Stop ends the daemon without interrupting a request: it reports that it is not ready,
+// serves until the balancer has noticed, and lets requests finish within the grace time.
+func (g *Gateway) Stop() error {
+	began := time.Now()
+	g.stopping.Store(true)
+	g.log.Info("daemon stopping", zap.Int64("active-requests", g.metrics.inFlight.Value()))
+	time.Sleep(balancerNotice)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.StopGrace-stopMargin))
+	defer cancel()
+	if err := g.clients.Shutdown(ctx); err != nil {
+		g.log.Warn("requests were still running at the end of the grace time",
+			zap.Int64("active-requests", g.metrics.inFlight.Value()), zap.Error(err))
+	}
+	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancelLeave()
+	g.peers.leave(leaveCtx)
+	g.log.Info("daemon stopped", zap.Duration("took", time.Since(began)))
+	return g.Kill()
+}
+
+// Kill ends the daemon at once and interrupts running requests, as a crash would.
+func (g *Gateway) Kill() error {
+	g.stopping.Store(true)
+	g.tomb.Kill(nil)
+	// Close errors do not matter for connections that are given up.
+	_ = g.clients.Close()
+	_ = g.probes.Close()
+	_ = g.metric.Close()
+	g.peering.Close()
+	return g.tomb.Wait()
+}
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,384 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/placement"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// Methods of the peer interface.
+const (
+	methodLoad   = "gateway.load"
+	methodConfig = "gateway.config"
+)
+
+const (
+	// shareInterval is how long changes of load are gathered before they are told.
+	shareInterval = 30 * time.Millisecond
+	// heartbeatInterval is how often a daemon tells all its loads without a change. It
+	// is well below the age at which peers stop believing them.
+	heartbeatInterval = 600 * time.Millisecond
+	// peerTimeout bounds a call to a peer.
+	peerTimeout = time.Second
+	// peerPauseMost bounds the pause between calls to a peer that does not answer.
+	peerPauseMost = 5 * time.Second
+	// peerForgotten is how long a peer that does not answer is kept.
+	peerForgotten = time.Minute
+	// membersInterval is how often the registry of daemons is read; a new daemon tells
+	// the others by its first message, so that this is for lost messages only.
+	membersInterval = 30 * time.Second
+)
+
+// announcement is the record of a daemon in the registry.
+type announcement struct {
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+}
+
+// loadMessage tells peers what a daemon has in flight. Times are in microseconds.
+type loadMessage struct {
+	From    string         `json:"from"`
+	Address string         `json:"address"`
+	Config  int64          `json:"config"`
+	Runners []runnerShare  `json:"runners,omitempty"`
+	Crashes []crashMessage `json:"crashes,omitempty"`
+	Leaving bool           `json:"leaving,omitempty"`
+}
+
+type runnerShare struct {
+	ID      string                     `json:"id"`
+	Reading [placement.Urgencies]int64 `json:"reading"`
+	Running int                        `json:"running"`
+	KV      int                        `json:"kv"`
+	Parts   map[string]int             `json:"parts,omitempty"`
+}
+
+// peerLink is what a daemon knows of one other.
+type peerLink struct {
+	name    string
+	address string
+	client  port.Peer
+	// pending is what the peer has not been told, the newest load of each runner.
+	pending map[string]runnerShare
+	crashes []crashMessage
+	busy    bool
+	pause   time.Duration
+	next    time.Time
+	// answered is when the peer last answered or called.
+	answered time.Time
+}
+
+// peers tells other daemons what this one has in flight and hears what they have.
+type peers struct {
+	log     *zap.Logger
+	self    string
+	address string
+	dc      string
+	store   port.KeyedLog
+	dial    port.PeerDialer
+	fleet   *placement.Fleet
+	config  *configFollower
+	crashes *crashGuard
+	// resized is called with the number of daemons when it changes.
+	resized func(daemons int)
+
+	mu    sync.Mutex
+	links map[string]*peerLink
+	// lastFull is when all loads were told last.
+	lastFull time.Time
+	fetching bool
+}
+
+// run announces the daemon, finds the others and shares loads until ctx ends.
+func (p *peers) run(ctx context.Context) {
+	go p.runMembers(ctx)
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			p.share(ctx, now)
+		}
+	}
+}
+
+// runMembers announces this daemon once and reads the registry of daemons.
+func (p *peers) runMembers(ctx context.Context) {
+	backoff := newStoreBackoff(p.log, "daemons")
+	announced := false
+	for ctx.Err() == nil {
+		if !announced {
+			// A string pair can always be encoded.
+			value, _ := json.Marshal(announcement{Address: p.address, DataCentre: p.dc})
+			err := p.store.Put(ctx, port.TopicDaemons, []port.KeyedRecord{{Key: p.self, Value: value}})
+			if err != nil {
+				backoff.failed(ctx, err)
+				continue
+			}
+			announced = true
+		}
+		records, _, err := p.store.Newest(ctx, port.TopicDaemons)
+		if err != nil {
+			backoff.failed(ctx, err)
+			continue
+		}
+		backoff.succeeded()
+		p.found(records)
+		sleep(ctx, membersInterval)
+	}
+}
+
+// found takes in the registry of daemons.
+func (p *peers) found(records []port.KeyedRecord) {
+	for _, r := range records {
+		var a announcement
+		if r.Key == p.self || r.Value == nil {
+			continue
+		}
+		if err := json.Unmarshal(r.Value, &a); err != nil {
+			p.log.Warn("entry of a daemon is not usable", zap.String("peer", r.Key), zap.Error(err))
+			continue
+		}
+		p.meet(r.Key, a.Address, false)
+	}
+}
+
+// meet adds a peer or notes its new address.
+func (p *peers) meet(name, address string, heard bool) {
+	p.mu.Lock()
+	l, ok := p.links[name]
+	if !ok || l.address != address {
+		l = &peerLink{name: name, address: address, client: p.dial(address), pending: map[string]runnerShare{}, answered: time.Now()}
+		p.links[name] = l
+		p.lastFull = time.Time{}
+	}
+	if heard {
+		l.answered = time.Now()
+		l.pause = 0
+	}
+	daemons := len(p.links) + 1
+	p.mu.Unlock()
+	if !ok {
+		p.log.Info("daemon found", zap.String("peer", name), zap.String("peer-address", address), zap.Int("daemons", daemons))
+		p.resized(daemons)
+	}
+}
+
+// share queues changes for all peers and sends to those that are not busy.
+func (p *peers) share(ctx context.Context, now time.Time) {
+	p.mu.Lock()
+	full := now.Sub(p.lastFull) >= heartbeatInterval
+	if full {
+		p.lastFull = now
+	}
+	p.mu.Unlock()
+	changes := encodeLoads(p.fleet.Changes(now, full))
+	crashes := p.crashes.unreported()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, l := range p.links {
+		if now.Sub(l.answered) > peerForgotten {
+			delete(p.links, name)
+			continue
+		}
+		l.queue(changes, crashes)
+		due := !now.Before(l.next) && (full || len(l.pending) > 0 || len(l.crashes) > 0)
+		if due && !l.busy {
+			p.send(ctx, l)
+		}
+	}
+}
+
+// maxPendingCrashes bounds the crash reports that wait for a peer.
+const maxPendingCrashes = 64
+
+// queue adds changes; the newest load of a runner replaces an older one.
+func (l *peerLink) queue(changes []runnerShare, crashes []crashMessage) {
+	for _, c := range changes {
+		if old, ok := l.pending[c.ID]; ok {
+			c.Parts = mergeParts(old.Parts, c.Parts)
+		}
+		l.pending[c.ID] = c
+	}
+	l.crashes = append(l.crashes, crashes...)
+	if extra := len(l.crashes) - maxPendingCrashes; extra > 0 {
+		l.crashes = l.crashes[extra:]
+	}
+}
+
+func mergeParts(a, b map[string]int) map[string]int {
+	if len(a) == 0 {
+		return b
+	}
+	out := make(map[string]int, len(a)+len(b))
+	for id, tokens := range a {
+		out[id] = tokens
+	}
+	for id, tokens := range b {
+		out[id] = tokens
+	}
+	return out
+}
+
+// send tells a peer what is pending; the lock is held.
+func (p *peers) send(ctx context.Context, l *peerLink) {
+	m := loadMessage{From: p.self, Address: p.address, Config: p.config.version(), Crashes: l.crashes}
+	for _, share := range l.pending {
+		m.Runners = append(m.Runners, share)
+	}
+	l.pending = map[string]runnerShare{}
+	l.crashes = nil
+	l.busy = true
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		err := l.client.Call(ctx, methodLoad, m, nil)
+		p.sent(l, m.Crashes, err)
+	}()
+}
+
+// sent notes the result of a message. Loads are told anew after a failure, because the
+// next full message follows soon; crash reports are kept.
+func (p *peers) sent(l *peerLink, crashes []crashMessage, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.busy = false
+	if err == nil {
+		if l.pause > 0 {
+			p.log.Info("daemon answers again", zap.String("peer", l.name))
+		}
+		l.pause = 0
+		l.answered = time.Now()
+		return
+	}
+	if l.pause == 0 {
+		p.log.Warn("daemon does not answer", zap.String("peer", l.name), zap.String("peer-address", l.address), zap.Error(err))
+	}
+	l.crashes = append(crashes, l.crashes...)
+	l.pause = min(peerPauseMost, max(shareInterval, 2*l.pause))
+	l.next = time.Now().Add(l.pause)
+}
+
+// handlers returns the methods that peers call.
+func (p *peers) handlers() map[string]port.PeerHandler {
+	return map[string]port.PeerHandler{methodLoad: p.handleLoad, methodConfig: p.handleConfig}
+}
+
+func (p *peers) handleLoad(ctx context.Context, params json.RawMessage) (any, error) {
+	var m loadMessage
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, err
+	}
+	if m.Leaving {
+		p.left(m.From)
+		return nil, nil
+	}
+	p.meet(m.From, m.Address, true)
+	p.fleet.Heard(time.Now(), m.From, decodeLoads(m.Runners))
+	p.crashes.heard(time.Now(), m.Crashes)
+	if m.Config > p.config.version() {
+		p.fetchConfig(m.Address)
+	}
+	return nil, nil
+}
+
+func (p *peers) left(name string) {
+	p.mu.Lock()
+	delete(p.links, name)
+	daemons := len(p.links) + 1
+	p.mu.Unlock()
+	p.log.Info("daemon left", zap.String("peer", name), zap.Int("daemons", daemons))
+	p.resized(daemons)
+}
+
+// fetchConfig takes a newer configuration from a peer, one at a time.
+func (p *peers) fetchConfig(address string) {
+	p.mu.Lock()
+	busy := p.fetching
+	p.fetching = true
+	p.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		defer cancel()
+		var value []byte
+		err := p.dial(address).Call(ctx, methodConfig, struct{}{}, &value)
+		if err != nil {
+			p.log.Warn("daemon did not give its configuration", zap.String("peer-address", address), zap.Error(err))
+		} else if len(value) > 0 {
+			p.config.install(value, "peer")
+		}
+		p.mu.Lock()
+		p.fetching = false
+		p.mu.Unlock()
+	}()
+}
+
+func (p *peers) handleConfig(context.Context, json.RawMessage) (any, error) {
+	return p.config.newest(), nil
+}
+
+// leave tells the peers that this daemon stops, and takes its record out.
+func (p *peers) leave(ctx context.Context) {
+	p.mu.Lock()
+	links := make([]*peerLink, 0, len(p.links))
+	for _, l := range p.links {
+		links = append(links, l)
+	}
+	p.mu.Unlock()
+	var group sync.WaitGroup
+	for _, l := range links {
+		group.Go(func() {
+			// A peer that does not hear it notices the silence.
+			_ = l.client.Call(ctx, methodLoad, loadMessage{From: p.self, Leaving: true}, nil)
+		})
+	}
+	if err := p.store.Put(ctx, port.TopicDaemons, []port.KeyedRecord{{Key: p.self}}); err != nil {
+		p.log.Warn("own entry was not removed from the registry", zap.Error(err))
+	}
+	group.Wait()
+}
+
+func encodeLoads(loads []placement.RunnerLoad) []runnerShare {
+	out := make([]runnerShare, 0, len(loads))
+	for _, l := range loads {
+		s := runnerShare{ID: l.ID, Running: l.Load.Running, KV: l.Load.KVTokens}
+		for i, d := range l.Load.Reading {
+			s.Reading[i] = d.Microseconds()
+		}
+		if len(l.Parts) > 0 {
+			s.Parts = make(map[string]int, len(l.Parts))
+		}
+		for _, part := range l.Parts {
+			s.Parts[part.ID] = part.Tokens
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func decodeLoads(shares []runnerShare) []placement.RunnerLoad {
+	out := make([]placement.RunnerLoad, 0, len(shares))
+	for _, s := range shares {
+		l := placement.RunnerLoad{ID: s.ID}
+		l.Load.Running, l.Load.KVTokens = s.Running, s.KV
+		for i, us := range s.Reading {
+			l.Load.Reading[i] = time.Duration(us) * time.Microsecond
+		}
+		for id, tokens := range s.Parts {
+			l.Parts = append(l.Parts, port.PromptPart{ID: id, Tokens: tokens})
+		}
+		out = append(out, l)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/routes.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// routeTable is one version of the configuration, ready for lookups. It is immutable.
+type routeTable struct {
+	config *port.RouteConfig
+	// hosts holds the routes of a host, the longest prefix first.
+	hosts map[string][]*port.ForwardRoute
+}
+
+func newRouteTable(c *port.RouteConfig) *routeTable {
+	t := &routeTable{config: c, hosts: map[string][]*port.ForwardRoute{}}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *port.ForwardRoute) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	return t
+}
+
+// find returns the route with the longest prefix of the path, or nil.
+func (t *routeTable) find(host, target string) *port.ForwardRoute {
+	path, _, _ := strings.Cut(target, "?")
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// destination picks the service of a request by the weights of its route.
+func destination(r *port.ForwardRoute) string {
+	total := 0
+	for _, d := range r.Destinations {
+		total += max(0, d.Weight)
+	}
+	if total == 0 {
+		return r.Destinations[0].Service
+	}
+	n := rand.IntN(total)
+	for _, d := range r.Destinations {
+		if n -= max(0, d.Weight); n < 0 {
+			return d.Service
+		}
+	}
+	return r.Destinations[len(r.Destinations)-1].Service
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+const (
+	// unknownConfigRetry is when a client may come back to a daemon that knows no
+	// configuration yet.
+	unknownConfigRetry = 300 * time.Millisecond
+	// writeMargin is how long after a request's deadline a client may take to read.
+	writeMargin = time.Second
+	// defaultTimeout limits requests whose route states no limit.
+	defaultTimeout = time.Minute
+)
+
+// serveClient handles one request of a client.
+func (g *Gateway) serveClient(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
+	g.metrics.inFlight.Add(1)
+	defer g.metrics.inFlight.Add(-1)
+	g.markClosing(w.Header())
+	table := g.config.table.Load()
+	if table == nil {
+		w.Header().Set("Retry-After", retryAfter(unknownConfigRetry))
+		g.reject(w, r, http.StatusServiceUnavailable, "no configuration is known yet")
+		return
+	}
+	request, err := g.deps.Requests.Decode(r)
+	if err != nil {
+		g.reject(w, r, http.StatusBadRequest, err.Error())
+		return
+	}
+	request.Received = received
+	route := table.find(request.Host, request.Target)
+	if route == nil {
+		g.reject(w, r, http.StatusNotFound, "no route")
+		return
+	}
+	release, status := g.readBody(w, r, request, table.config.Limits)
+	defer release()
+	if status != 0 {
+		g.reject(w, r, status, "body was not accepted")
+		return
+	}
+	c := g.newCall(w, request, route, table)
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.serve(ctx)
+	if c.broken {
+		// Closes the connection without the end of the answer.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *Gateway) newCall(w http.ResponseWriter, r *port.ForwardRequest, route *port.ForwardRoute, t *routeTable) *call {
+	limit := route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if r.Remaining > 0 {
+		limit = min(limit, r.Remaining)
+	}
+	c := &call{
+		gateway: g, writer: w, request: r, route: route, version: t.config.Version,
+		service: destination(route), digest: digestOf(r), deadline: r.Received.Add(limit),
+		excluded: map[string]bool{}, lastEvent: r.ResumeAfter,
+	}
+	// Writers without deadlines are those of tests.
+	_ = http.NewResponseController(w).SetWriteDeadline(c.deadline.Add(writeMargin))
+	return c
+}
+
+func (c *call) serve(ctx context.Context) {
+	if c.gateway.crashes.blocked(c.digest, time.Now()) {
+		c.fail(ctx, errCrashes)
+		return
+	}
+	if c.route.Repeat == port.RepeatStream {
+		c.serveStream(ctx)
+		return
+	}
+	c.servePlain(ctx)
+}
+
+// reject answers a request that is not passed on.
+func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
+	g.log.Warn("request rejected", zap.String("host", r.Host), zap.String("target", r.RequestURI), zap.Int("status", status),
+		zap.String("reason", reason), zap.Int64("config-version", g.config.version()))
+	g.metrics.requests.Add("rejected", 1)
+	w.WriteHeader(status)
+}
+
+// readBody reads the whole body of a request. The returned function gives its memory
+// back; a status other than 0 rejects the request.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, request *port.ForwardRequest, limits port.ClientLimits) (func(), int) {
+	body := io.Reader(r.Body)
+	if limits.MaxBodyBytes > 0 {
+		body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
+	}
+	data, err := io.ReadAll(body)
+	size := int64(len(data))
+	used := g.bodies.Add(size)
+	g.metrics.bodies.Set(used)
+	release := func() { g.metrics.bodies.Set(g.bodies.Add(-size)) }
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return release, http.StatusRequestEntityTooLarge
+	case err != nil:
+		g.log.Warn("client ended its request early", zap.String(jsonlog.FieldRequestID, request.ID), zap.Error(err))
+		return release, http.StatusBadRequest
+	case g.settings.MemoryBytes > 0 && float64(used) > bodyShare*float64(g.settings.MemoryBytes):
+		return release, http.StatusServiceUnavailable
+	}
+	request.Body = data
+	return release, 0
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
+	"bergamotsill.example/bergamotsill/internal/placement"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+const (
+	// stallFactor and stallLeast limit how long a runner may take to the first event
+	// before another one is tried: a multiple of the prediction, and at least this.
+	stallFactor = 3
+	stallLeast  = 700 * time.Millisecond
+	// gapFactor limits a pause between events, as a multiple of the objective.
+	gapFactor = 3
+	// freeTimeout bounds the call that gives up a KV cache.
+	freeTimeout = 500 * time.Millisecond
+)
+
+// serveStream runs a request at an engine and passes its events on.
+func (c *call) serveStream(ctx context.Context) {
+	if !c.classify() {
+		c.fail(ctx, errBacklog)
+		return
+	}
+	for {
+		work, memory, err := c.placeStream(ctx)
+		if err != nil {
+			c.fail(ctx, err)
+			return
+		}
+		if !c.beginSend() {
+			work.End(time.Now(), placement.Abandoned)
+			c.free(work.Runner(), memory)
+			c.fail(ctx, errRetryLimit)
+			return
+		}
+		if err = c.runStream(ctx, work, memory); err == nil {
+			c.finish("answered", http.StatusOK, nil)
+			return
+		}
+		c.step("%v", err)
+		c.noteLoss(err, work.Runner())
+		c.exclude(work.Runner())
+		if !c.mayRetry(ctx, err) {
+			c.fail(ctx, err)
+			return
+		}
+	}
+}
+
+// classify predicts the first event and sets the urgency: requests that will miss their
+// objective must not delay the others. It returns false when the first event is
+// predicted only after the client has left.
+func (c *call) classify() bool {
+	c.urgency = min(c.route.Priority, placement.UrgencyLate-1)
+	now := time.Now()
+	first, _, ok := c.gateway.fleet.Predict(now, c.query())
+	c.predicted = first
+	if ok && first > c.route.Target-now.Sub(c.request.Received) {
+		c.urgency = placement.UrgencyLate
+		first, _, ok = c.gateway.fleet.Predict(now, c.query())
+		c.predicted = first
+	}
+	return !ok || first < c.remaining()
+}
+
+// placeStream finds the engine that runs the request, and has the prompt read elsewhere
+// first where that is faster.
+func (c *call) placeStream(ctx context.Context) (*placement.Work, port.MemoryHandle, error) {
+	q := c.query()
+	for {
+		// A resumed stream has few events left and its prompt in no known cache.
+		q.NoPrefill = q.NoPrefill || c.delivering
+		plan, ok := c.gateway.fleet.Place(time.Now(), q)
+		if !ok {
+			return nil, port.MemoryHandle{}, errNoRunner
+		}
+		c.predicted = plan.FirstEvent
+		if plan.Prefill == nil {
+			return plan.Run, port.MemoryHandle{}, nil
+		}
+		work, memory, err := c.prefill(ctx, plan)
+		if err == nil {
+			return work, memory, nil
+		}
+		c.step("%v", err)
+		if ctx.Err() != nil || !c.mayPrefillAgain(err) {
+			return nil, port.MemoryHandle{}, err
+		}
+		// The decode engine reads the prompt itself: one failed detour is enough.
+		q.NoPrefill = true
+	}
+}
+
+// mayPrefillAgain counts a prefill that failed against the limit of retries. A prefill
+// does not run the request, so that it may always be replaced.
+func (c *call) mayPrefillAgain(err error) bool {
+	if errors.Is(err, port.ErrNotSent) {
+		return true
+	}
+	return c.gateway.retries(c.service).Take(time.Now())
+}
+
+// prefill has the prompt read and chooses the engine that goes on from it.
+func (c *call) prefill(ctx context.Context, plan placement.Plan) (*placement.Work, port.MemoryHandle, error) {
+	if c.prefills > 0 && !c.gateway.retries(c.service).Take(time.Now()) {
+		plan.Prefill.End(time.Now(), placement.Abandoned)
+		return nil, port.MemoryHandle{}, errRetryLimit
+	}
+	c.prefills++
+	source := plan.Prefill.Runner()
+	c.step("prefill at %s, %d unread tokens, %s ahead", source.ID, plan.Prefill.Unread(), plan.Wait.Round(time.Millisecond))
+	attempt, cancel := context.WithTimeoutCause(ctx, max(stallLeast, stallFactor*plan.FirstEvent), errStalled)
+	defer cancel()
+	memory, err := c.gateway.runners.Prefill(attempt, source, c.request, port.RunOptions{
+		Remaining: c.remaining(), Urgency: engineUrgency(c.urgency), MaxIdle: idleRepeatable,
+	})
+	now := time.Now()
+	if err != nil {
+		if ctx.Err() == nil && attempt.Err() != nil {
+			err = errors.Join(errStalled, err)
+		}
+		plan.Prefill.End(now, outcomeOf(ctx, err))
+		return nil, port.MemoryHandle{}, err
+	}
+	plan.Prefill.Read(now)
+	plan.Prefill.End(now, placement.Answered)
+	work, ok := c.gateway.fleet.PlaceRun(now, c.query(), source)
+	if !ok {
+		c.free(source, memory)
+		return nil, port.MemoryHandle{}, errNoRunner
+	}
+	return work, memory, nil
+}
+
+// engineUrgency maps an urgency to the priorities of engines, of which 5 is the usual.
+func engineUrgency(urgency int) int { return 1 + 2*urgency }
+
+// free gives up a KV cache that nobody will use, so that it does not hold memory.
+func (c *call) free(at port.Runner, memory port.MemoryHandle) {
+	if memory.Empty() {
+		return
+	}
+	source, ok := c.gateway.fleet.ByAddress(memory.Address)
+	if !ok {
+		source = at
+		source.Address = memory.Address
+	}
+	c.gateway.background(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, freeTimeout)
+		defer cancel()
+		if err := c.gateway.runners.Free(ctx, source, memory); err != nil {
+			c.gateway.log.Warn("KV cache was not freed; it expires by itself", zap.String("runner", source.ID),
+				zap.String(jsonlog.FieldRequestID, c.request.ID), zap.Error(err))
+		}
+	})
+}
+
+// runStream runs the request at one engine and delivers its events. It returns nil when
+// the client has the whole answer.
+func (c *call) runStream(ctx context.Context, work *placement.Work, memory port.MemoryHandle) error {
+	runner := work.Runner()
+	c.step("run at %s, %d unread tokens", runner.ID, work.Unread())
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := c.watchStall(cancel)
+	defer watch.stop()
+	answer, err := c.gateway.runners.Run(attempt, runner, c.request, port.RunOptions{
+		Remaining:   c.remaining(),
+		Urgency:     engineUrgency(c.urgency),
+		Memory:      memory,
+		ResumeAfter: c.lastEvent,
+		MaxIdle:     c.maxIdle(),
+	})
+	if err == nil {
+		err = c.passOn(work, answer, watch)
+	}
+	if err != nil && errors.Is(context.Cause(attempt), errStalled) {
+		err = errors.Join(errStalled, err)
+	}
+	work.End(time.Now(), outcomeOf(ctx, err))
+	if err != nil && notRun(err) {
+		c.free(runner, memory)
+	}
+	return err
+}
+
+// passOn delivers an answer: the events of a stream, or the whole body of another one.
+func (c *call) passOn(work *placement.Work, answer *port.ForwardResponse, watch *stallWatch) error {
+	if answer.Status == http.StatusOK {
+		return c.relay(work, answer, watch)
+	}
+	body, err := readAnswer(answer)
+	if err != nil {
+		return err
+	}
+	c.step("status %d", answer.Status)
+	if c.delivering || answer.Status >= http.StatusInternalServerError && c.retryable() {
+		return errRunnerFailed
+	}
+	c.deliverFailure(answer, body)
+	return nil
+}
+
+// deliverFailure passes on a runner's own answer that is not a stream.
+func (c *call) deliverFailure(answer *port.ForwardResponse, body []byte) {
+	c.runs++
+	c.copyHead(answer)
+	// A failed write means that the client is gone.
+	_, _ = c.writer.Write(body)
+}
+
+// stallWatch ends an attempt that makes no progress, where another may follow.
+type stallWatch struct {
+	timer *time.Timer
+	gap   time.Duration
+}
+
+func (c *call) watchStall(cancel context.CancelCauseFunc) *stallWatch {
+	if !c.retryable() {
+		return &stallWatch{}
+	}
+	limit := max(stallLeast, stallFactor*c.predicted)
+	return &stallWatch{
+		timer: time.AfterFunc(limit, func() { cancel(errStalled) }),
+		gap:   max(stallLeast, gapFactor*c.route.GapTarget),
+	}
+}
+
+// progress allows the next pause.
+func (w *stallWatch) progress() {
+	if w.timer != nil {
+		w.timer.Reset(w.gap)
+	}
+}
+
+func (w *stallWatch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,193 @@
+package placement
+
+import (
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// Query asks for a place for a request.
+type Query struct {
+	Service string
+	// Prompt is nil for plain services.
+	Prompt *port.Prompt
+	// BodyBytes is the size of the request.
+	BodyBytes int
+	// Urgency is the class of the request.
+	Urgency int
+	// Excluded holds ids of runners that failed the request.
+	Excluded map[string]bool
+	// NoPrefill asks for an engine that reads the prompt itself.
+	NoPrefill bool
+}
+
+// Plan is a place for a request. Its works are counted until they end.
+type Plan struct {
+	// Prefill is nil when the decode engine reads the prompt itself, or when the
+	// request has none.
+	Prefill *Work
+	// Run is nil in a plan with a Prefill: the decode engine is chosen when the prompt
+	// has been read.
+	Run *Work
+	// FirstEvent is the predicted time to the first event.
+	FirstEvent time.Duration
+	// Wait is the part of it that the request waits for others.
+	Wait time.Duration
+}
+
+// option is one way to run a request.
+type option struct {
+	member *member
+	unread int
+	first  time.Duration
+	wait   time.Duration
+	cost   time.Duration
+}
+
+func (o *option) better(than *option) bool {
+	return than.member == nil || o.cost < than.cost
+}
+
+// Place chooses where a request runs and counts it there. It returns false when no
+// runner of the service is usable.
+func (f *Fleet) Place(now time.Time, q Query) (Plan, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best := f.best(now, q)
+	if best.member == nil {
+		return Plan{}, false
+	}
+	w := f.begin(best.member, now, q.Prompt, q.Urgency, best.unread)
+	plan := Plan{FirstEvent: best.first, Wait: best.wait}
+	if q.Prompt != nil && best.member.runner.Role == port.RolePrefill {
+		plan.Prefill = w
+	} else {
+		plan.Run = w
+	}
+	return plan, true
+}
+
+// Predict returns the shortest predicted time to the first event, and the part of it
+// that is waiting, without counting the request.
+func (f *Fleet) Predict(now time.Time, q Query) (first, wait time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	best := f.best(now, q)
+	return best.first, best.wait, best.member != nil
+}
+
+// best compares all usable runners. When all are suspect, the one that was avoided
+// longest is tried.
+func (f *Fleet) best(now time.Time, q Query) option {
+	var best option
+	var fallback *member
+	for _, m := range f.services[q.Service] {
+		if q.Excluded[m.runner.ID] || q.NoPrefill && m.runner.Role == port.RolePrefill {
+			continue
+		}
+		if !m.usable(now) {
+			if !m.runner.Draining && !m.leaving && (fallback == nil || m.suspectUntil.Before(fallback.suspectUntil)) {
+				fallback = m
+			}
+			continue
+		}
+		if o := f.evaluate(now, m, q); o.better(&best) {
+			best = o
+		}
+	}
+	if best.member == nil && fallback != nil && (q.Prompt == nil || fallback.runner.Role != port.RolePrefill) {
+		return f.evaluate(now, fallback, q)
+	}
+	return best
+}
+
+// evaluate predicts a request's way through a member.
+func (f *Fleet) evaluate(now time.Time, m *member, q Query) option {
+	if q.Prompt == nil {
+		return f.evaluateService(now, m, q)
+	}
+	l := m.load(now)
+	unread := m.cache.unread(q.Prompt)
+	reading := readingTime(m.rate, unread, q.Prompt.InputTokens)
+	wait := l.wait(q.Urgency)
+	o := option{member: m, unread: unread, wait: wait, first: wait + reading + firstEvent}
+	o.cost = time.Duration(shareOfOthers * float64(reading))
+	if m.runner.Role == port.RolePrefill {
+		move, penalty := moveTime(m.limits, q.Prompt.InputTokens, false)
+		o.first += prefillTrip + move
+		o.cost += penalty
+	} else {
+		o.cost += time.Duration(l.Running) * streamPenalty
+	}
+	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
+		o.cost += fullPenalty
+	}
+	f.addDistance(&o, q)
+	o.cost += o.first
+	return o
+}
+
+func (f *Fleet) addDistance(o *option, q Query) {
+	if o.member.runner.DataCentre != f.dataCentre {
+		o.first += remoteTrip
+		o.cost += time.Duration(q.BodyBytes) * remotePenalty / 1000
+	}
+}
+
+// serviceTime is the assumed time of a call to a plain service; only its relation to a
+// round trip matters.
+const serviceTime = 40 * time.Millisecond
+
+// evaluateService spreads calls by the share of taken slots.
+func (f *Fleet) evaluateService(now time.Time, m *member, q Query) option {
+	l := m.load(now)
+	waiting := max(0, l.Running+1-m.runner.Slots)
+	busy := time.Duration(float64(l.Running) / float64(m.runner.Slots) * float64(serviceTime) / 2)
+	wait := time.Duration(waiting) * serviceTime / time.Duration(m.runner.Slots)
+	o := option{member: m, wait: wait, first: wait + serviceTime}
+	f.addDistance(&o, q)
+	o.cost += o.first + busy
+	if waiting > m.runner.Slots {
+		o.cost += fullPenalty
+	}
+	return o
+}
+
+// PlaceRun chooses the decode engine that goes on from a KV cache, and counts the
+// request there.
+func (f *Fleet) PlaceRun(now time.Time, q Query, source port.Runner) (*Work, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best option
+	for _, m := range f.services[q.Service] {
+		if m.runner.Role == port.RolePrefill || q.Excluded[m.runner.ID] || !m.usable(now) {
+			continue
+		}
+		if o := f.evaluateMove(now, m, q, source); o.better(&best) {
+			best = o
+		}
+	}
+	if best.member == nil {
+		return nil, false
+	}
+	w := f.begin(best.member, now, q.Prompt, q.Urgency, 0)
+	// The engine keeps what it fetched like parts that it read.
+	best.member.cache.add(w.parts, now)
+	return w, true
+}
+
+func (f *Fleet) evaluateMove(now time.Time, m *member, q Query, source port.Runner) option {
+	l := m.load(now)
+	unread := m.cache.unread(q.Prompt)
+	move, penalty := moveTime(m.limits, min(unread, q.Prompt.InputTokens), m.runner.DataCentre != source.DataCentre)
+	o := option{member: m, first: move + firstEvent}
+	// A request with a KV cache is admitted first but shares steps with the reading of
+	// other prompts.
+	o.cost = penalty + l.wait(Urgencies-1)/8 + time.Duration(l.Running)*streamPenalty
+	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
+		o.cost += fullPenalty
+	}
+	f.addDistance(&o, q)
+	o.cost += o.first
+	return o
+}
--- /dev/null
+++ b/internal/placement/fleet.go
@@ -0,0 +1,211 @@
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// Fleet is the model of all runners. It is safe for concurrent use.
+type Fleet struct {
+	dataCentre string
+
+	mu      sync.Mutex
+	members map[string]*member
+	// services maps a service to its runners.
+	services map[string][]*member
+	limits   map[string]*port.EngineLimits
+}
+
+// NewFleet returns an empty fleet, seen from a data centre.
+func NewFleet(dataCentre string) *Fleet {
+	return &Fleet{dataCentre: dataCentre, members: map[string]*member{}, services: map[string][]*member{}}
+}
+
+// SetServices takes in the limits of engines by service.
+func (f *Fleet) SetServices(services map[string]port.ForwardService) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.limits = map[string]*port.EngineLimits{}
+	for name, s := range services {
+		f.limits[name] = s.Engine
+	}
+	for _, m := range f.members {
+		m.limits = f.limits[m.runner.Service]
+		if m.limits != nil {
+			m.cache.capacity = int(float64(m.limits.KVTokens) * cacheShare)
+		}
+	}
+}
+
+// SetRunners replaces the list of runners. What is known of those that stay is kept.
+func (f *Fleet) SetRunners(runners []port.Runner) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	members := make(map[string]*member, len(runners))
+	services := map[string][]*member{}
+	for _, r := range runners {
+		m, ok := f.members[r.ID]
+		if ok && m.runner.Address == r.Address && m.runner.Service == r.Service {
+			m.update(r)
+		} else {
+			m = newMember(r, f.limits[r.Service])
+		}
+		members[r.ID] = m
+		services[r.Service] = append(services[r.Service], m)
+	}
+	f.members, f.services = members, services
+}
+
+// Work is one request in flight at a runner.
+type Work struct {
+	fleet    *Fleet
+	member   *member
+	urgency  int
+	unread   int
+	context  int
+	parts    []port.PromptPart
+	reading  time.Duration
+	kvTokens int
+	began    time.Time
+	// alone is set when nothing waited at the runner as the work began.
+	alone bool
+	read  bool
+	ended bool
+}
+
+// begin counts a request at a member; the lock is held.
+func (f *Fleet) begin(m *member, now time.Time, p *port.Prompt, urgency, unread int) *Work {
+	w := &Work{fleet: f, member: m, urgency: urgency, began: now, read: true}
+	if p != nil {
+		w.unread, w.context, w.parts = unread, p.InputTokens, p.Parts
+		w.reading = readingTime(m.rate, unread, p.InputTokens)
+		w.kvTokens = p.InputTokens + p.OutputTokens
+		w.read = unread == 0
+	}
+	l := m.load(now)
+	w.alone = l.wait(Urgencies-1) == 0
+	if l.Reading == ([Urgencies]time.Duration{}) {
+		m.progressed = now
+	}
+	m.work[w] = struct{}{}
+	m.dirty = true
+	return w
+}
+
+// Runner returns the runner that the work is at.
+func (w *Work) Runner() port.Runner { return w.member.runner }
+
+// Unread returns the prompt tokens that the runner is expected to read.
+func (w *Work) Unread() int { return w.unread }
+
+// Reading returns the predicted time to read them.
+func (w *Work) Reading() time.Duration { return w.reading }
+
+// Read notes that the runner has read the prompt.
+func (w *Work) Read(now time.Time) {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.markRead(now)
+}
+
+func (w *Work) markRead(now time.Time) {
+	if w.read {
+		return
+	}
+	w.read = true
+	m := w.member
+	m.progressed = now
+	m.dirty = true
+	m.cache.add(w.parts, now)
+	m.readParts = append(m.readParts, w.parts...)
+	w.measure(now)
+}
+
+// measure corrects the rate of the runner by a reading that nothing delayed.
+func (w *Work) measure(now time.Time) {
+	if !w.alone || w.unread < minSample {
+		return
+	}
+	took := now.Sub(w.began) - firstEvent
+	attention := readingTime(maxRate, w.unread, w.context) - time.Duration(float64(w.unread)/maxRate*float64(time.Millisecond))
+	if linear := took - attention; linear > 0 {
+		rate := min(maxRate, max(minRate, float64(w.unread)/(float64(linear)/float64(time.Millisecond))))
+		w.member.rate += rateWeight * (rate - w.member.rate)
+	}
+}
+
+// Outcome tells how a request ended at a runner.
+type Outcome int
+
+// Outcomes of a request.
+const (
+	// Answered requests got the runner's whole answer.
+	Answered Outcome = iota
+	// Abandoned requests ended for a reason that says nothing about the runner.
+	Abandoned
+	// Failed requests got no valid answer.
+	Failed
+	// Refused requests were not run.
+	Refused
+	// Misdirected requests reached another runner.
+	Misdirected
+)
+
+// End takes the request off its runner. Calls after the first have no effect.
+func (w *Work) End(now time.Time, outcome Outcome) {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.ended {
+		return
+	}
+	w.ended = true
+	m := w.member
+	delete(m.work, w)
+	m.dirty = true
+	if !w.read {
+		m.progressed = now
+	}
+	switch outcome {
+	case Answered:
+		m.succeeded()
+	case Failed, Refused:
+		m.failed(now)
+	case Misdirected:
+		m.leaving = true
+	}
+}
+
+// Has tells whether a runner is known.
+func (f *Fleet) Has(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.members[id]
+	return ok
+}
+
+// Addresses returns the addresses of all runners.
+func (f *Fleet) Addresses() map[string]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]bool, len(f.members))
+	for _, m := range f.members {
+		out[m.runner.Address] = true
+	}
+	return out
+}
+
+// ByAddress returns the runner at host:port address.
+func (f *Fleet) ByAddress(address string) (port.Runner, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.runner.Address == address {
+			return m.runner, true
+		}
+	}
+	return port.Runner{}, false
+}
--- /dev/null
+++ b/internal/placement/share.go
@@ -0,0 +1,46 @@
+package placement
+
+import (
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// RunnerLoad is what a daemon tells its peers of one runner.
+type RunnerLoad struct {
+	ID   string
+	Load Load
+	// Parts are parts of prompts that the runner has read since the last message.
+	Parts []port.PromptPart
+}
+
+// Changes returns the loads that peers have not been told of; with all set, also every
+// other one that is not zero.
+func (f *Fleet) Changes(now time.Time, all bool) []RunnerLoad {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []RunnerLoad
+	for id, m := range f.members {
+		if !m.dirty && !(all && len(m.work) > 0) {
+			continue
+		}
+		out = append(out, RunnerLoad{ID: id, Load: m.own(now), Parts: m.readParts})
+		m.dirty = false
+		m.readParts = nil
+	}
+	return out
+}
+
+// Heard takes in what a peer told.
+func (f *Fleet) Heard(now time.Time, peer string, loads []RunnerLoad) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, l := range loads {
+		m, ok := f.members[l.ID]
+		if !ok {
+			continue
+		}
+		m.peers[peer] = peerLoad{load: l.Load, at: now}
+		m.cache.add(l.Parts, now)
+	}
+}
