--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -59,14 +59,6 @@
 	return ok && now.Before(e.expires) && len(e.runners) >= maxCrashes
 }
 
-// suspect tells whether a request was in flight at the end of a runner.
-func (g *crashGuard) suspect(d quarantine.Digest, now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	e, ok := g.entries[d]
-	return ok && now.Before(e.expires) && len(e.runners) > 0
-}
-
 // lost notes that a runner's connection ended while it ran a request.
 func (g *crashGuard) lost(d quarantine.Digest, r port.Runner, now time.Time) {
 	m := crashMessage{Digest: d, Runner: r.ID, Start: r.Address}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -36,9 +36,11 @@
 		}
 		answer, body, err := c.tryPlain(ctx, plan.Run)
 		if err == nil {
+			c.gateway.crashes.answered(c.digest)
 			c.deliver(answer, body)
 			return
 		}
+		c.noteLoss(err, plan.Run.Runner())
 		c.exclude(plan.Run.Runner())
 		if !c.mayRetry(ctx, err) {
 			c.fail(ctx, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,6 +43,7 @@
 			return
 		}
 		if err = c.runStream(ctx, work, memory); err == nil {
+			c.gateway.crashes.answered(c.digest)
 			c.finish("answered", http.StatusOK, nil)
 			return
 		}
