Count the prompt that an engine is reading for requests of every urgency

Cause: engines finish the prompt that they have begun, also one of 60,000 tokens of a late request. Besides, a prefill that was given up ended the request with 503 when no retry was allowed, although the run that follows is the first send.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -53,6 +53,7 @@
 
 type runnerShare struct {
 	ID      string                     `json:"id"`
+	Begun   int64                      `json:"begun"`
 	Reading [placement.Urgencies]int64 `json:"reading"`
 	Running int                        `json:"running"`
 	KV      int                        `json:"kv"`
@@ -352,7 +353,7 @@
 func encodeLoads(loads []placement.RunnerLoad) []runnerShare {
 	out := make([]runnerShare, 0, len(loads))
 	for _, l := range loads {
-		s := runnerShare{ID: l.ID, Running: l.Load.Running, KV: l.Load.KVTokens}
+		s := runnerShare{ID: l.ID, Running: l.Load.Running, KV: l.Load.KVTokens, Begun: l.Load.Begun.Microseconds()}
 		for i, d := range l.Load.Reading {
 			s.Reading[i] = d.Microseconds()
 		}
@@ -372,6 +373,7 @@
 	for _, s := range shares {
 		l := placement.RunnerLoad{ID: s.ID}
 		l.Load.Running, l.Load.KVTokens = s.Running, s.KV
+		l.Load.Begun = time.Duration(s.Begun) * time.Microsecond
 		for i, us := range s.Reading {
 			l.Load.Reading[i] = time.Duration(us) * time.Microsecond
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -93,21 +93,21 @@
 			return work, memory, nil
 		}
 		c.step("%v", err)
-		if ctx.Err() != nil || !c.mayPrefillAgain(err) {
+		if ctx.Err() != nil {
 			return nil, port.MemoryHandle{}, err
 		}
+		c.countPrefillFailure(err)
 		// The decode engine reads the prompt itself: one failed detour is enough.
 		q.NoPrefill = true
 	}
 }
 
-// mayPrefillAgain counts a prefill that failed against the limit of retries. A prefill
-// does not run the request, so that it may always be replaced.
-func (c *call) mayPrefillAgain(err error) bool {
-	if errors.Is(err, port.ErrNotSent) {
-		return true
+// countPrefillFailure counts a refused prefill against the limit of retries. A prefill
+// that was accepted and given up is not counted: the run that follows is the first send.
+func (c *call) countPrefillFailure(err error) {
+	if errors.Is(err, port.ErrNotRun) || errors.Is(err, port.ErrWrongInstance) {
+		c.gateway.retries(c.service).Force(time.Now())
 	}
-	return c.gateway.retries(c.service).Take(time.Now())
 }
 
 // prefill has the prompt read and chooses the engine that goes on from it.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -28,6 +28,9 @@
 
 // Load is the work in flight at a runner.
 type Load struct {
+	// Begun is the rest of the prompt that is being read. Engines finish it before more
+	// urgent ones.
+	Begun time.Duration
 	// Reading is the predicted time to read the waiting prompts, by urgency.
 	Reading [Urgencies]time.Duration
 	// Running is the number of requests, KVTokens the memory that they take.
@@ -36,6 +39,7 @@
 }
 
 func (l *Load) add(o Load) {
+	l.Begun += o.Begun
 	for i := range l.Reading {
 		l.Reading[i] += o.Reading[i]
 	}
@@ -51,8 +55,8 @@
 	cache  partCache
 
 	work map[*Work]struct{}
-	// progressed is when the runner last finished reading a prompt of this daemon, or
-	// began to.
+	// current is the work whose prompt the runner is taken to read, since progressed.
+	current    *Work
 	progressed time.Time
 	peers      map[string]peerLoad
 
@@ -110,15 +114,37 @@
 	for w := range m.work {
 		l.Running++
 		l.KVTokens += w.kvTokens
-		if !w.read {
+		switch {
+		case w.read:
+		case w == m.current:
+			l.Begun += w.reading
+		default:
 			l.Reading[w.urgency] += w.reading
 		}
 	}
 	return l.readFor(now.Sub(m.progressed))
 }
 
+// readNext notes the work whose prompt the runner reads next: the most urgent one, and
+// the one that was sent first among several.
+func (m *member) readNext(now time.Time) {
+	m.progressed = now
+	m.current = nil
+	for w := range m.work {
+		if w.read {
+			continue
+		}
+		if c := m.current; c == nil || w.urgency < c.urgency || w.urgency == c.urgency && w.order < c.order {
+			m.current = w
+		}
+	}
+}
+
 // readFor takes off what an engine reads within a time, the most urgent first.
 func (l Load) readFor(d time.Duration) Load {
+	begun := min(max(0, d), l.Begun)
+	l.Begun -= begun
+	d -= begun
 	for i := range l.Reading {
 		read := min(max(0, d), l.Reading[i])
 		l.Reading[i] -= read
@@ -143,7 +169,7 @@
 
 // wait returns how long a new request of an urgency waits for its reading to begin.
 func (l *Load) wait(urgency int) time.Duration {
-	var total time.Duration
+	total := l.Begun
 	for i := 0; i <= urgency; i++ {
 		total += l.Reading[i]
 	}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -16,6 +16,7 @@
 	// services maps a service to its runners.
 	services map[string][]*member
 	limits   map[string]*port.EngineLimits
+	begun    int64
 }
 
 // NewFleet returns an empty fleet, seen from a data centre.
@@ -69,6 +70,8 @@
 	reading  time.Duration
 	kvTokens int
 	began    time.Time
+	// order numbers the works of the fleet.
+	order int64
 	// alone is set when nothing waited at the runner as the work began.
 	alone bool
 	read  bool
@@ -77,7 +80,8 @@
 
 // begin counts a request at a member; the lock is held.
 func (f *Fleet) begin(m *member, now time.Time, p *port.Prompt, urgency, unread int) *Work {
-	w := &Work{fleet: f, member: m, urgency: urgency, began: now, read: true}
+	f.begun++
+	w := &Work{fleet: f, member: m, urgency: urgency, began: now, order: f.begun, read: true}
 	if p != nil {
 		w.unread, w.context, w.parts = unread, p.InputTokens, p.Parts
 		w.reading = readingTime(m.rate, unread, p.InputTokens)
@@ -86,10 +90,10 @@
 	}
 	l := m.load(now)
 	w.alone = l.wait(Urgencies-1) == 0
-	if l.Reading == ([Urgencies]time.Duration{}) {
-		m.progressed = now
-	}
 	m.work[w] = struct{}{}
+	if m.current == nil {
+		m.readNext(now)
+	}
 	m.dirty = true
 	return w
 }
@@ -117,7 +121,9 @@
 	}
 	w.read = true
 	m := w.member
-	m.progressed = now
+	if m.current == w {
+		m.readNext(now)
+	}
 	m.dirty = true
 	m.cache.add(w.parts, now)
 	m.readParts = append(m.readParts, w.parts...)
@@ -166,8 +172,8 @@
 	m := w.member
 	delete(m.work, w)
 	m.dirty = true
-	if !w.read {
-		m.progressed = now
+	if m.current == w {
+		m.readNext(now)
 	}
 	switch outcome {
 	case Answered:
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,95 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/placement"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+const service = "writers"
+
+var limits = port.EngineLimits{Slots: 64, KVTokens: 400_000, KVTokenBytes: 18432, LinkMbps: 700_000}
+
+// start is the time at which tests begin.
+var start = time.Unix(1_000_000, 0)
+
+// newFleet returns a fleet of engines with the given roles in one data centre.
+func newFleet(roles ...port.Role) *placement.Fleet {
+	f := placement.NewFleet("north")
+	f.SetServices(map[string]port.ForwardService{service: {Name: service, Engine: &limits}})
+	var runners []port.Runner
+	for i, role := range roles {
+		runners = append(runners, port.Runner{
+			ID: fmt.Sprintf("engine-%d", i), Service: service, Address: fmt.Sprintf("10.0.0.%d:80", i),
+			DataCentre: "north", Role: role, Slots: 64,
+		})
+	}
+	f.SetRunners(runners)
+	return f
+}
+
+func prompt(tokens int, parts ...port.PromptPart) *port.Prompt {
+	return &port.Prompt{Model: "m", InputTokens: tokens, OutputTokens: 30, Parts: parts}
+}
+
+func place(t *testing.T, f *placement.Fleet, now time.Time, q placement.Query) (placement.Plan, *placement.Work) {
+	t.Helper()
+	q.Service = service
+	plan, ok := f.Place(now, q)
+	if !ok {
+		t.Fatal("no engine was chosen")
+	}
+	if plan.Prefill != nil {
+		return plan, plan.Prefill
+	}
+	return plan, plan.Run
+}
+
+// Guards against urgent requests that are sent behind a long prompt of a less urgent
+// one: an engine finishes the prompt that it has begun to read.
+func TestPromptBeingReadDelaysMoreUrgentOnes(t *testing.T) {
+	f := newFleet(port.RolePrefill, port.RolePrefill)
+	_, long := place(t, f, start, placement.Query{Prompt: prompt(60_000), Urgency: placement.UrgencyLate})
+	for i := range 3 {
+		plan, w := place(t, f, start, placement.Query{Prompt: prompt(2_000), Urgency: 0})
+		if w.Runner().ID == long.Runner().ID {
+			t.Errorf("request %d was sent behind a prompt of 60,000 tokens, predicted first event after %s", i, plan.FirstEvent)
+		}
+		w.Read(start)
+		w.End(start, placement.Answered)
+	}
+}
+
+// Guards against waiting requests of lower urgency that count against more urgent ones.
+func TestWaitingPromptsOfLowerUrgencyDoNotDelay(t *testing.T) {
+	f := newFleet(port.RolePrefill)
+	place(t, f, start, placement.Query{Prompt: prompt(1_000), Urgency: 0})
+	place(t, f, start, placement.Query{Prompt: prompt(50_000), Urgency: placement.UrgencyLate})
+	plan, _ := place(t, f, start, placement.Query{Prompt: prompt(1_000), Urgency: 0})
+	if plan.Wait > 50*time.Millisecond {
+		t.Errorf("predicted wait is %s, want only the first prompt of 1,000 tokens", plan.Wait)
+	}
+	plan, _ = place(t, f, start, placement.Query{Prompt: prompt(1_000), Urgency: placement.UrgencyLate})
+	if plan.Wait < time.Second {
+		t.Errorf("predicted wait of a late request is %s, want the prompt of 50,000 tokens before it", plan.Wait)
+	}
+}
+
+// Guards against a predicted load that stays although the engine has worked it off.
+func TestLoadShrinksAsPromptsAreRead(t *testing.T) {
+	f := newFleet(port.RolePrefill)
+	_, w := place(t, f, start, placement.Query{Prompt: prompt(20_000)})
+	first, wait, _ := f.Predict(start, placement.Query{Service: service, Prompt: prompt(1_000)})
+	later := start.Add(wait / 2)
+	half, halfWait, _ := f.Predict(later, placement.Query{Service: service, Prompt: prompt(1_000)})
+	if halfWait >= wait || half >= first {
+		t.Errorf("predicted wait went from %s to %s in half of the time", wait, halfWait)
+	}
+	w.Read(later)
+	if _, wait, _ := f.Predict(later, placement.Query{Service: service, Prompt: prompt(1_000)}); wait != 0 {
+		t.Errorf("predicted wait is %s after the prompt was read, want 0", wait)
+	}
+}
