--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -118,11 +118,13 @@
 	}
 	c.prefills++
 	source := plan.Prefill.Runner()
-	c.step("prefill at %s, %d unread tokens, %s ahead", source.ID, plan.Prefill.Unread(), plan.Wait.Round(time.Millisecond))
+	c.step("prefill at %s, %d unread tokens, %s ahead, parts from %q", source.ID, plan.Prefill.Unread(),
+		plan.Wait.Round(time.Millisecond), plan.Prefill.FetchFrom())
 	attempt, cancel := context.WithTimeoutCause(ctx, max(stallLeast, stallFactor*plan.FirstEvent), errStalled)
 	defer cancel()
 	memory, err := c.gateway.runners.Prefill(attempt, source, c.request, port.RunOptions{
 		Remaining: c.remaining(), Urgency: engineUrgency(c.urgency), MaxIdle: idleRepeatable,
+		FetchFrom: plan.Prefill.FetchFrom(),
 	})
 	now := time.Now()
 	if err != nil {
@@ -178,6 +180,7 @@
 		Remaining:   c.remaining(),
 		Urgency:     engineUrgency(c.urgency),
 		Memory:      memory,
+		FetchFrom:   work.FetchFrom(),
 		ResumeAfter: c.lastEvent,
 		MaxIdle:     c.maxIdle(),
 	})
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -24,17 +24,17 @@
 	used   time.Time
 }
 
-// unread returns the tokens of a prompt that are not cached. A part counts as cached
-// only if all parts before it are.
-func (c *partCache) unread(p *port.Prompt) int {
-	left := p.InputTokens
+// cached returns the tokens at the start of a prompt that are cached. A part counts only
+// if all parts before it are cached too.
+func (c *partCache) cached(p *port.Prompt) int {
+	tokens := 0
 	for _, part := range p.Parts {
 		if _, ok := c.parts[part.ID]; !ok {
 			break
 		}
-		left -= part.Tokens
+		tokens += part.Tokens
 	}
-	return max(0, left)
+	return min(tokens, p.InputTokens)
 }
 
 // add notes that the engine has read the parts.
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -39,6 +39,8 @@
 type option struct {
 	member *member
 	unread int
+	// source is where the engine fetches cached parts from before it reads, or nil.
+	source *member
 	first  time.Duration
 	wait   time.Duration
 	cost   time.Duration
@@ -58,6 +60,9 @@
 		return Plan{}, false
 	}
 	w := f.begin(best.member, now, q.Prompt, q.Urgency, best.unread)
+	if best.source != nil {
+		w.fetchFrom = best.source.runner.Address
+	}
 	plan := Plan{FirstEvent: best.first, Wait: best.wait}
 	if q.Prompt != nil && best.member.runner.Role == port.RolePrefill {
 		plan.Prefill = w
@@ -81,6 +86,7 @@
 func (f *Fleet) best(now time.Time, q Query) option {
 	var best option
 	var fallback *member
+	h := f.holders(q)
 	for _, m := range f.services[q.Service] {
 		if q.Excluded[m.runner.ID] || q.NoPrefill && m.runner.Role == port.RolePrefill {
 			continue
@@ -91,27 +97,35 @@
 			}
 			continue
 		}
-		if o := f.evaluate(now, m, q); o.better(&best) {
+		if o := f.evaluate(now, m, q, h); o.better(&best) {
 			best = o
 		}
 	}
 	if best.member == nil && fallback != nil && (q.Prompt == nil || fallback.runner.Role != port.RolePrefill) {
-		return f.evaluate(now, fallback, q)
+		return f.evaluate(now, fallback, q, h)
 	}
 	return best
 }
 
 // evaluate predicts a request's way through a member.
-func (f *Fleet) evaluate(now time.Time, m *member, q Query) option {
+func (f *Fleet) evaluate(now time.Time, m *member, q Query, h holders) option {
 	if q.Prompt == nil {
 		return f.evaluateService(now, m, q)
 	}
 	l := m.load(now)
-	unread := m.cache.unread(q.Prompt)
-	reading := readingTime(m.rate, unread, q.Prompt.InputTokens)
-	wait := l.wait(q.Urgency)
-	o := option{member: m, unread: unread, wait: wait, first: wait + reading + firstEvent}
-	o.cost = time.Duration(shareOfOthers * float64(reading))
+	cached := m.cache.cached(q.Prompt)
+	o := option{member: m, wait: l.wait(q.Urgency)}
+	if source, more := h.beyond(m, cached); more > 0 {
+		move, penalty := moveTime(m.limits, more, source.runner.DataCentre != m.runner.DataCentre)
+		o.source = source
+		o.first += move
+		o.cost += penalty
+		cached += more
+	}
+	o.unread = q.Prompt.InputTokens - cached
+	reading := readingTime(m.rate, o.unread, q.Prompt.InputTokens)
+	o.first += o.wait + reading + firstEvent
+	o.cost += time.Duration(shareOfOthers * float64(reading))
 	if m.runner.Role == port.RolePrefill {
 		move, penalty := moveTime(m.limits, q.Prompt.InputTokens, false)
 		o.first += prefillTrip + move
@@ -178,8 +192,8 @@
 
 func (f *Fleet) evaluateMove(now time.Time, m *member, q Query, source port.Runner) option {
 	l := m.load(now)
-	unread := m.cache.unread(q.Prompt)
-	move, penalty := moveTime(m.limits, min(unread, q.Prompt.InputTokens), m.runner.DataCentre != source.DataCentre)
+	moved := q.Prompt.InputTokens - m.cache.cached(q.Prompt)
+	move, penalty := moveTime(m.limits, moved, m.runner.DataCentre != source.DataCentre)
 	o := option{member: m, first: move + firstEvent}
 	// A request with a KV cache is admitted first but shares steps with the reading of
 	// other prompts.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -61,15 +61,17 @@
 
 // Work is one request in flight at a runner.
 type Work struct {
-	fleet    *Fleet
-	member   *member
-	urgency  int
-	unread   int
-	context  int
-	parts    []port.PromptPart
-	reading  time.Duration
-	kvTokens int
-	began    time.Time
+	fleet   *Fleet
+	member  *member
+	urgency int
+	unread  int
+	context int
+	parts   []port.PromptPart
+	// fetchFrom is the address of the engine to fetch cached parts from, or empty.
+	fetchFrom string
+	reading   time.Duration
+	kvTokens  int
+	began     time.Time
 	// order numbers the works of the fleet.
 	order int64
 	// alone is set when nothing waited at the runner as the work began.
@@ -104,6 +106,10 @@
 // Unread returns the prompt tokens that the runner is expected to read.
 func (w *Work) Unread() int { return w.unread }
 
+// FetchFrom returns the address of the engine from which cached parts are fetched before
+// the prompt is read, or an empty string.
+func (w *Work) FetchFrom() string { return w.fetchFrom }
+
 // Reading returns the predicted time to read them.
 func (w *Work) Reading() time.Duration { return w.reading }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -93,3 +93,28 @@
 		t.Errorf("predicted wait is %s after the prompt was read, want 0", wait)
 	}
 }
+
+// Guards against reading shared parts of prompts on each engine anew, where another
+// engine keeps them.
+func TestSharedPartsAreFetchedFromAnEngineThatHasThem(t *testing.T) {
+	f := newFleet(port.RoleDecode, port.RoleDecode)
+	shared := port.PromptPart{ID: "history", Tokens: 5_000}
+	_, first := place(t, f, start, placement.Query{Prompt: prompt(6_000, shared, port.PromptPart{ID: "a", Tokens: 1_000})})
+	first.Read(start)
+	q := placement.Query{
+		Prompt:   prompt(6_000, shared, port.PromptPart{ID: "b", Tokens: 1_000}),
+		Excluded: map[string]bool{first.Runner().ID: true},
+	}
+	_, second := place(t, f, start, q)
+	if second.FetchFrom() != first.Runner().Address {
+		t.Errorf("parts are fetched from %q, want %q", second.FetchFrom(), first.Runner().Address)
+	}
+	if second.Unread() != 1_000 {
+		t.Errorf("%d tokens are predicted to be read, want 1,000", second.Unread())
+	}
+	first.End(start, placement.Failed)
+	_, third := place(t, f, start, placement.Query{Prompt: prompt(6_000, shared), Excluded: map[string]bool{second.Runner().ID: true}})
+	if third.FetchFrom() == first.Runner().Address {
+		t.Error("parts are fetched from an engine that has just failed")
+	}
+}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -178,6 +178,9 @@
 	Urgency int
 	// Memory names the KV cache that the request goes on from, or is empty.
 	Memory MemoryHandle
+	// FetchFrom is host:port of the engine from which cached parts of the prompt are
+	// fetched first, or empty.
+	FetchFrom string
 	// ResumeAfter is the id of the last event that was delivered, or empty.
 	ResumeAfter string
 	// MaxIdle limits how long a reused connection may have been idle; 0 asks for a new
