Keep the limit of retries for prefills that are given up; handle SIGHUP

Probable cause: a daemon that had been cut off from the store gave removed runners two more seconds, meant for entries that lapse when the store is down. They get this time now only if most are missing at once.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -57,6 +58,8 @@
 	// sends counts runs that were sent, runs those that may have run.
 	sends int
 	runs  int
+	// reserved is set while a retry is taken from the limit but not yet sent.
+	reserved atomic.Bool
 	// prefills counts prompts that were read elsewhere.
 	prefills int
 	// delivering is set once the head of an answer was written.
@@ -107,7 +110,7 @@
 // beginSend counts a run that is about to be sent. It returns false when it would be a
 // retry that the shared limit does not allow.
 func (c *call) beginSend() bool {
-	if c.sends > 0 && !c.gateway.retries(c.service).Take(time.Now()) {
+	if c.sends > 0 && !c.takeReserved() && !c.gateway.retries(c.service).Take(time.Now()) {
 		return false
 	}
 	if c.sends == 0 {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -20,7 +20,7 @@
 	// storePause is the first pause after a failed call to the store; it doubles up to
 	// storePauseMost.
 	storePause     = 100 * time.Millisecond
-	storePauseMost = time.Second
+	storePauseMost = 400 * time.Millisecond
 )
 
 // configFollower keeps the newest version of the configuration. Versions never go back.
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -18,8 +18,12 @@
 	// one read of the registry may take.
 	discoveryPart = 3
 	// lapseGrace is how long after the store's return entries that lapsed meanwhile
-	// may take to come back.
-	lapseGrace = 2 * time.Second
+	// may take to come back: two seconds, less the time in which its return is noticed.
+	lapseGrace = 1500 * time.Millisecond
+	// lapseShare is the part of all runners that must be missing at once after an outage
+	// to be taken as lapsed. When the store was away from this daemon only, the few
+	// that are missing have left.
+	lapseShare = 0.5
 	// maxTombstones bounds the removed runners that are remembered against late
 	// entries.
 	maxTombstones = 4096
@@ -77,27 +81,29 @@
 	}
 }
 
-// take applies records. With whole set, runners without a record are gone. After an
-// outage removed entries are believed only once they had time to come back.
+// take applies records. With whole set, runners without a record are gone. When most
+// are missing after an outage, their entries lapsed and get time to come back.
 func (d *discovery) take(now time.Time, records []port.KeyedRecord, whole, outage bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := !d.known.Load()
-	seen := map[string]bool{}
+	missing := map[string]bool{}
+	if whole {
+		for id := range d.runners {
+			missing[id] = true
+		}
+	}
 	for _, r := range records {
-		seen[r.Key] = true
 		if r.Value == nil {
-			changed = d.remove(now, r.Key, outage) || changed
+			missing[r.Key] = true
 			continue
 		}
+		delete(missing, r.Key)
 		changed = d.enter(r) || changed
 	}
-	if whole {
-		for id := range d.runners {
-			if !seen[id] {
-				changed = d.remove(now, id, outage) || changed
-			}
-		}
+	lapsed := outage && len(missing) > 1 && float64(len(missing)) >= lapseShare*float64(len(d.runners))
+	for id := range missing {
+		changed = d.remove(now, id, lapsed) || changed
 	}
 	changed = d.dropLapsed(now) || changed
 	if changed {
@@ -150,13 +156,13 @@
 		zap.Int64("started-ms", r.StartedMS), zap.Int64("sequence", r.Sequence))
 }
 
-// remove takes a runner out, or marks it as lapsed after an outage.
-func (d *discovery) remove(now time.Time, id string, outage bool) bool {
+// remove takes a runner out, or marks it as lapsed.
+func (d *discovery) remove(now time.Time, id string, lapsed bool) bool {
 	known, ok := d.runners[id]
 	if !ok {
 		return false
 	}
-	if outage && !known.runner.Draining {
+	if lapsed && !known.runner.Draining {
 		if known.lapsed.IsZero() {
 			known.lapsed = now
 		}
--- /dev/null
+++ b/internal/gateway/discovery_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// jsonRegistry decodes records that are the product's own types in JSON.
+type jsonRegistry struct{}
+
+func (jsonRegistry) RouteConfig(value []byte) (*port.RouteConfig, error) {
+	c := &port.RouteConfig{}
+	return c, json.Unmarshal(value, c)
+}
+
+func (jsonRegistry) Runner(id string, value []byte) (port.Runner, error) {
+	r := port.Runner{}
+	err := json.Unmarshal(value, &r)
+	r.ID = id
+	return r, err
+}
+
+func entry(t *testing.T, r port.Runner) port.KeyedRecord {
+	t.Helper()
+	value, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return port.KeyedRecord{Key: r.ID, Value: value}
+}
+
+// listed collects the ids that a discovery publishes.
+type listed map[string]port.Runner
+
+func newTestDiscovery() (*discovery, *listed) {
+	current := &listed{}
+	d := newDiscovery(zap.NewNop(), nil, jsonRegistry{}, time.Second, func(list []port.Runner) {
+		*current = listed{}
+		for _, r := range list {
+			(*current)[r.ID] = r
+		}
+	})
+	return d, current
+}
+
+var epoch = time.Unix(1_000_000, 0)
+
+func enterRunners(t *testing.T, d *discovery, count int) {
+	t.Helper()
+	var records []port.KeyedRecord
+	for i := range count {
+		records = append(records, entry(t, port.Runner{ID: fmt.Sprintf("r%d", i), StartedMS: 1, Sequence: 5}))
+	}
+	d.take(epoch, records, true, false)
+}
+
+func TestDiscovery(t *testing.T) {
+	drop := func(ids ...string) []port.KeyedRecord {
+		var out []port.KeyedRecord
+		for _, id := range ids {
+			out = append(out, port.KeyedRecord{Key: id})
+		}
+		return out
+	}
+	cases := []struct {
+		name    string
+		records func(t *testing.T) []port.KeyedRecord
+		whole   bool
+		outage  bool
+		// want is the number of runners in use at once, later after the time for
+		// lapsed entries.
+		want, later int
+	}{
+		// Guards against requests to runners that left while this daemon alone had no
+		// path to the store.
+		{"few missing after an outage", func(*testing.T) []port.KeyedRecord { return drop("r0") }, false, true, 3, 3},
+		// Guards against an empty fleet after the store was down for all runners.
+		{"all lapsed in an outage", func(*testing.T) []port.KeyedRecord { return drop("r0", "r1", "r2", "r3") }, false, true, 4, 0},
+		{"removed without an outage", func(*testing.T) []port.KeyedRecord { return drop("r0", "r1", "r2") }, false, false, 1, 1},
+		// Guards against runners that stay because the record of their end was compacted.
+		{"missing in a whole read", func(t *testing.T) []port.KeyedRecord {
+			return []port.KeyedRecord{entry(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 6})}
+		}, true, false, 1, 1},
+		// Guards against late copies of entries that bring back what has changed since.
+		{"late copy of an entry", func(t *testing.T) []port.KeyedRecord {
+			return append(drop("r0"), entry(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 4}))
+		}, false, false, 4, 4},
+		// Guards against entries of foreign writers that take a runner out of use.
+		{"unreadable entry", func(*testing.T) []port.KeyedRecord {
+			return []port.KeyedRecord{{Key: "r0", Value: []byte("{")}}
+		}, false, false, 4, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d, current := newTestDiscovery()
+			enterRunners(t, d, 4)
+			d.take(epoch, c.records(t), c.whole, c.outage)
+			if len(*current) != c.want {
+				t.Errorf("%d runners are in use, want %d", len(*current), c.want)
+			}
+			d.take(epoch.Add(lapseGrace), nil, false, false)
+			if len(*current) != c.later {
+				t.Errorf("%d runners are in use after the time for lapsed entries, want %d", len(*current), c.later)
+			}
+		})
+	}
+}
+
+// Guards against a runner that is used again because a late copy of an entry from
+// before its restart or its draining arrives.
+func TestNewerEntryOfARunnerStays(t *testing.T) {
+	d, current := newTestDiscovery()
+	d.take(epoch, []port.KeyedRecord{entry(t, port.Runner{ID: "r", StartedMS: 2, Sequence: 1, Draining: true})}, true, false)
+	d.take(epoch, []port.KeyedRecord{entry(t, port.Runner{ID: "r", StartedMS: 1, Sequence: 9})}, false, false)
+	if !(*current)["r"].Draining {
+		t.Error("an entry from before the restart replaced the newer one")
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,7 +57,7 @@
 
 // Gateway is one running daemon in front of opaque runners.
 type Gateway struct {
-	settings Settings
+	settings atomic.Pointer[Settings]
 	deps     Dependencies
 	log      *zap.Logger
 	metrics  *metrics
@@ -86,10 +86,11 @@
 // New returns a gateway that is not running yet.
 func New(s Settings, deps Dependencies) *Gateway {
 	g := &Gateway{
-		settings: s, deps: deps, metrics: newMetrics(), runners: deps.Runners,
+		deps: deps, metrics: newMetrics(), runners: deps.Runners,
 		fleet: placement.NewFleet(s.DataCentre), crashes: newCrashGuard(),
 		windows: map[string]*retry.Window{}, daemons: 1,
 	}
+	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
 	g.config = &configFollower{log: g.log, store: deps.Store, codec: deps.Registry, apply: func(c *port.RouteConfig) {
 		g.fleet.SetServices(c.Services)
@@ -102,6 +103,18 @@
 	return g
 }
 
+// Reload takes changed settings into use. Addresses and names stay those of the start.
+func (g *Gateway) Reload(s Settings) {
+	g.settings.Store(&s)
+	g.mu.Lock()
+	for _, w := range g.windows {
+		w.SetLimits(s.Retries.Ratio*retryShare, g.slack())
+	}
+	g.mu.Unlock()
+	g.log.Info("settings reloaded", zap.Float64("retry-ratio", s.Retries.Ratio), zap.Int("retry-slack", s.Retries.Slack),
+		zap.Duration("stop-grace", s.StopGrace), zap.Int64("memory-bytes", s.MemoryBytes))
+}
+
 // setRunners takes the list of runners into use.
 func (g *Gateway) setRunners(list []port.Runner) {
 	g.fleet.SetRunners(list)
@@ -115,7 +128,7 @@
 	defer g.mu.Unlock()
 	w, ok := g.windows[service]
 	if !ok {
-		limits := g.settings.Retries
+		limits := g.settings.Load().Retries
 		w = retry.NewWindow(limits.Ratio*retryShare, g.slack(), limits.Window)
 		g.windows[service] = w
 	}
@@ -124,7 +137,7 @@
 
 // slack returns this daemon's part of the retries that need no requests.
 func (g *Gateway) slack() float64 {
-	return retryShare * float64(g.settings.Retries.Slack) / float64(max(leastDaemons, g.daemons))
+	return retryShare * float64(g.settings.Load().Retries.Slack) / float64(max(leastDaemons, g.daemons))
 }
 
 // resize shares the retry limit among a number of daemons.
@@ -132,8 +145,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.daemons = daemons
+	ratio := g.settings.Load().Retries.Ratio * retryShare
 	for _, w := range g.windows {
-		w.SetSlack(g.slack())
+		w.SetLimits(ratio, g.slack())
 	}
 }
 
@@ -160,21 +174,22 @@
 	for _, run := range []func(context.Context){g.config.run, g.found.run, g.peers.run} {
 		g.background(run)
 	}
-	g.log.Info("daemon started", zap.String("caller-address", g.settings.Listen.Clients),
-		zap.String("peer-address", g.settings.Listen.Peers))
+	l := g.settings.Load().Listen
+	g.log.Info("daemon started", zap.String("caller-address", l.Clients), zap.String("peer-address", l.Peers))
 	return nil
 }
 
 // listen opens all addresses, or none.
 func (g *Gateway) listen() error {
+	addresses := g.settings.Load().Listen
 	serve := []struct {
 		name, address string
 		serve         func(net.Listener) error
 	}{
-		{"ready", g.settings.Listen.Ready, g.probes.Serve},
-		{"peers", g.settings.Listen.Peers, g.peering.Serve},
-		{"metrics", g.settings.Listen.Metrics, g.metric.Serve},
-		{"clients", g.settings.Listen.Clients, g.clients.Serve},
+		{"ready", addresses.Ready, g.probes.Serve},
+		{"peers", addresses.Peers, g.peering.Serve},
+		{"metrics", addresses.Metrics, g.metric.Serve},
+		{"clients", addresses.Clients, g.clients.Serve},
 	}
 	listeners := make([]net.Listener, len(serve))
 	for i, s := range serve {
@@ -246,7 +261,7 @@
 	g.stopping.Store(true)
 	g.log.Info("daemon stopping", zap.Int64("active-requests", g.metrics.inFlight.Value()))
 	time.Sleep(balancerNotice)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.StopGrace-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.Load().StopGrace-stopMargin))
 	defer cancel()
 	if err := g.clients.Shutdown(ctx); err != nil {
 		g.log.Warn("requests were still running at the end of the grace time",
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -59,8 +59,13 @@
 // another attempt may follow.
 func (c *call) tryPlain(ctx context.Context, work *placement.Work) (*port.ForwardResponse, []byte, error) {
 	runner := work.Runner()
-	attempt, cancel := c.attemptContext(ctx)
-	defer cancel()
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := &stallWatch{}
+	if c.sends == 1 && c.retryable() {
+		watch = c.watchStall(cancel, time.Duration(firstTryShare*float64(c.route.Target)))
+	}
+	defer watch.stop()
 	c.step("run at %s", runner.ID)
 	answer, err := c.gateway.runners.Run(attempt, runner, c.request, port.RunOptions{
 		Remaining: c.remaining(),
@@ -70,7 +75,7 @@
 	if err == nil {
 		body, err = readAnswer(answer)
 	}
-	if err != nil && attempt.Err() != nil && ctx.Err() == nil {
+	if err != nil && errors.Is(context.Cause(attempt), errStalled) {
 		err = errors.Join(errStalled, err)
 	}
 	failed := err == nil && answer.Status >= http.StatusInternalServerError
@@ -89,14 +94,6 @@
 	return answer, body, err
 }
 
-// attemptContext limits an attempt that may be followed by another.
-func (c *call) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if c.sends > 1 || !c.retryable() {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeout(ctx, time.Duration(firstTryShare*float64(c.route.Target)))
-}
-
 // maxIdle returns how long a connection may have been idle for this request.
 func (c *call) maxIdle() time.Duration {
 	switch {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -110,6 +110,7 @@
 	data, err := io.ReadAll(body)
 	size := int64(len(data))
 	used := g.bodies.Add(size)
+	memory := g.settings.Load().MemoryBytes
 	g.metrics.bodies.Set(used)
 	release := func() { g.metrics.bodies.Set(g.bodies.Add(-size)) }
 	var tooLarge *http.MaxBytesError
@@ -119,7 +120,7 @@
 	case err != nil:
 		g.log.Warn("client ended its request early", zap.String(jsonlog.FieldRequestID, request.ID), zap.Error(err))
 		return release, http.StatusBadRequest
-	case g.settings.MemoryBytes > 0 && float64(used) > bodyShare*float64(g.settings.MemoryBytes):
+	case memory > 0 && float64(used) > bodyShare*float64(memory):
 		return release, http.StatusServiceUnavailable
 	}
 	request.Body = data
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,12 +102,14 @@
 	}
 }
 
-// countPrefillFailure counts a refused prefill against the limit of retries. A prefill
-// that was accepted and given up is not counted: the run that follows is the first send.
+// countPrefillFailure counts a prefill that reached an engine without success against
+// the limit of retries: only an accepted one is free. One that was given up has taken
+// its place under the limit before.
 func (c *call) countPrefillFailure(err error) {
-	if errors.Is(err, port.ErrNotRun) || errors.Is(err, port.ErrWrongInstance) {
-		c.gateway.retries(c.service).Force(time.Now())
+	if c.takeReserved() || errors.Is(err, port.ErrNotSent) {
+		return
 	}
+	c.gateway.retries(c.service).Force(time.Now())
 }
 
 // prefill has the prompt read and chooses the engine that goes on from it.
@@ -120,15 +122,17 @@
 	source := plan.Prefill.Runner()
 	c.step("prefill at %s, %d unread tokens, %s ahead, parts from %q", source.ID, plan.Prefill.Unread(),
 		plan.Wait.Round(time.Millisecond), plan.Prefill.FetchFrom())
-	attempt, cancel := context.WithTimeoutCause(ctx, max(stallLeast, stallFactor*plan.FirstEvent), errStalled)
-	defer cancel()
+	attempt, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := c.watchStall(cancel, max(stallLeast, stallFactor*plan.FirstEvent))
+	defer watch.stop()
 	memory, err := c.gateway.runners.Prefill(attempt, source, c.request, port.RunOptions{
 		Remaining: c.remaining(), Urgency: engineUrgency(c.urgency), MaxIdle: idleRepeatable,
 		FetchFrom: plan.Prefill.FetchFrom(),
 	})
 	now := time.Now()
 	if err != nil {
-		if ctx.Err() == nil && attempt.Err() != nil {
+		if errors.Is(context.Cause(attempt), errStalled) {
 			err = errors.Join(errStalled, err)
 		}
 		plan.Prefill.End(now, outcomeOf(ctx, err))
@@ -174,7 +178,10 @@
 	c.step("run at %s, %d unread tokens", runner.ID, work.Unread())
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := c.watchStall(cancel)
+	watch := &stallWatch{}
+	if c.retryable() {
+		watch = c.watchStall(cancel, max(stallLeast, stallFactor*c.predicted))
+	}
 	defer watch.stop()
 	answer, err := c.gateway.runners.Run(attempt, runner, c.request, port.RunOptions{
 		Remaining:   c.remaining(),
@@ -221,33 +228,3 @@
 	// A failed write means that the client is gone.
 	_, _ = c.writer.Write(body)
 }
-
-// stallWatch ends an attempt that makes no progress, where another may follow.
-type stallWatch struct {
-	timer *time.Timer
-	gap   time.Duration
-}
-
-func (c *call) watchStall(cancel context.CancelCauseFunc) *stallWatch {
-	if !c.retryable() {
-		return &stallWatch{}
-	}
-	limit := max(stallLeast, stallFactor*c.predicted)
-	return &stallWatch{
-		timer: time.AfterFunc(limit, func() { cancel(errStalled) }),
-		gap:   max(stallLeast, gapFactor*c.route.GapTarget),
-	}
-}
-
-// progress allows the next pause.
-func (w *stallWatch) progress() {
-	if w.timer != nil {
-		w.timer.Reset(w.gap)
-	}
-}
-
-func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -30,11 +30,11 @@
 	return &Window{ratio: ratio, slack: slack, slot: max(time.Millisecond, length/windowSlots)}
 }
 
-// SetSlack changes the constant part of the limit.
-func (w *Window) SetSlack(slack float64) {
+// SetLimits changes the limit. What was counted stays.
+func (w *Window) SetLimits(ratio, slack float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.slack = slack
+	w.ratio, w.slack = ratio, slack
 }
 
 // at returns the slot of a time and empties those that have left the window. One slot
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,67 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/retry"
+	"bergamotsill.example/bergamotsill/internal/seedtest"
+)
+
+// Guards against retries that exceed the limit in some span of the window's length,
+// also one that begins inside an interval.
+func TestWindowHoldsForEverySpan(t *testing.T) {
+	const length = 10 * time.Second
+	const ratio, slack = 0.2, 5.0
+	seedtest.Run(t, func(t *testing.T, seed uint64) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		w := retry.NewWindow(ratio, slack, length)
+		now := time.Unix(1_000_000, 0)
+		var firsts, retries []time.Time
+		for range 2000 {
+			now = now.Add(time.Duration(rng.Int64N(int64(50 * time.Millisecond))))
+			if rng.IntN(3) == 0 {
+				w.First(now)
+				firsts = append(firsts, now)
+			}
+			if w.Take(now) {
+				retries = append(retries, now)
+			}
+		}
+		within := func(times []time.Time, end time.Time, span time.Duration) int {
+			n := 0
+			for _, at := range times {
+				if !at.After(end) && end.Sub(at) < span {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range retries {
+			// First sends are counted over one interval more than the window.
+			limit := ratio*float64(within(firsts, end, length+length/10)) + slack
+			if n := within(retries, end, length); float64(n) > limit {
+				t.Fatalf("%d retries in a window, want at most %.1f", n, limit)
+			}
+		}
+	})
+}
+
+// Guards against a limit that is used up once and for all.
+func TestWindowAllowsRetriesAgain(t *testing.T) {
+	w := retry.NewWindow(0, 2, 10*time.Second)
+	now := time.Unix(1_000_000, 0)
+	for i, want := range []bool{true, true, false} {
+		if got := w.Take(now); got != want {
+			t.Errorf("retry %d: allowed is %t, want %t", i, got, want)
+		}
+	}
+	if !w.Take(now.Add(11 * time.Second)) {
+		t.Error("no retry is allowed after the window has passed")
+	}
+	w.SetLimits(0, 0)
+	if w.Take(now.Add(30 * time.Second)) {
+		t.Error("a retry is allowed under a limit of 0")
+	}
+}
