--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -69,14 +69,17 @@
 // use.
 type Client struct {
 	network network.Network
+	// connectTimeout bounds the opening of a connection; 0 leaves it to the network.
+	connectTimeout time.Duration
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 }
 
-// NewClient returns a client whose connections are opened by nw.
-func NewClient(nw network.Network) *Client {
-	return &Client{network: nw, idle: map[string][]*conn{}}
+// NewClient returns a client whose connections are opened by nw, each within a time
+// limit if that is above 0.
+func NewClient(nw network.Network, connectTimeout time.Duration) *Client {
+	return &Client{network: nw, connectTimeout: connectTimeout, idle: map[string][]*conn{}}
 }
 
 type conn struct {
@@ -122,6 +125,11 @@
 		}
 		cn.Close()
 	}
+	if c.connectTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.connectTimeout)
+		defer cancel()
+	}
 	raw, err := c.network.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -23,11 +23,14 @@
 	shareInterval = 30 * time.Millisecond
 	// heartbeatInterval is how often a daemon tells all its loads without a change. It
 	// is well below the age at which peers stop believing them.
-	heartbeatInterval = 600 * time.Millisecond
+	heartbeatInterval = 300 * time.Millisecond
+	// silence is the age of the last sign of life of all daemons of a data centre after
+	// which the way to it is doubted: two heartbeats and a slow answer.
+	silence = 800 * time.Millisecond
 	// peerTimeout bounds a call to a peer.
-	peerTimeout = time.Second
+	peerTimeout = 700 * time.Millisecond
 	// peerPauseMost bounds the pause between calls to a peer that does not answer.
-	peerPauseMost = 5 * time.Second
+	peerPauseMost = time.Second
 	// peerForgotten is how long a peer that does not answer is kept.
 	peerForgotten = time.Minute
 	// membersInterval is how often the registry of daemons is read; a new daemon tells
@@ -44,6 +47,7 @@
 // loadMessage tells peers what a daemon has in flight. Times are in microseconds.
 type loadMessage struct {
 	From    string         `json:"from"`
+	DC      string         `json:"data_centre"`
 	Address string         `json:"address"`
 	Config  int64          `json:"config"`
 	Runners []runnerShare  `json:"runners,omitempty"`
@@ -64,7 +68,9 @@
 type peerLink struct {
 	name    string
 	address string
-	client  port.Peer
+	// dataCentre is empty until the registry or a message names it.
+	dataCentre string
+	client     port.Peer
 	// pending is what the peer has not been told, the newest load of each runner.
 	pending map[string]runnerShare
 	crashes []crashMessage
@@ -148,16 +154,19 @@
 			p.log.Warn("entry of a daemon is not usable", zap.String("peer", r.Key), zap.Error(err))
 			continue
 		}
-		p.meet(r.Key, a.Address, false)
+		p.meet(r.Key, a, false)
 	}
 }
 
 // meet adds a peer or notes its new address.
-func (p *peers) meet(name, address string, heard bool) {
+func (p *peers) meet(name string, a announcement, heard bool) {
 	p.mu.Lock()
 	l, ok := p.links[name]
-	if !ok || l.address != address {
-		l = &peerLink{name: name, address: address, client: p.dial(address), pending: map[string]runnerShare{}, answered: time.Now()}
+	if !ok || l.address != a.Address {
+		l = &peerLink{
+			name: name, address: a.Address, dataCentre: a.DataCentre, client: p.dial(a.Address),
+			pending: map[string]runnerShare{}, answered: time.Now(),
+		}
 		p.links[name] = l
 		p.lastFull = time.Time{}
 	}
@@ -168,7 +177,7 @@
 	daemons := len(p.links) + 1
 	p.mu.Unlock()
 	if !ok {
-		p.log.Info("daemon found", zap.String("peer", name), zap.String("peer-address", address), zap.Int("daemons", daemons))
+		p.log.Info("daemon found", zap.String("peer", name), zap.String("peer-address", a.Address), zap.Int("daemons", daemons))
 		p.resized(daemons)
 	}
 }
@@ -185,6 +194,9 @@
 	crashes := p.crashes.unreported()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if full {
+		p.checkSilence(now)
+	}
 	for name, l := range p.links {
 		if now.Sub(l.answered) > peerForgotten {
 			delete(p.links, name)
@@ -198,6 +210,17 @@
 	}
 }
 
+// checkSilence finds the data centres of which no daemon answers; the lock is held.
+func (p *peers) checkSilence(now time.Time) {
+	alive := map[string]bool{}
+	for _, l := range p.links {
+		alive[l.dataCentre] = alive[l.dataCentre] || now.Sub(l.answered) < silence
+	}
+	for dc, ok := range alive {
+		p.fleet.SetSilent(dc, !ok)
+	}
+}
+
 // maxPendingCrashes bounds the crash reports that wait for a peer.
 const maxPendingCrashes = 64
 
@@ -231,7 +254,7 @@
 
 // send tells a peer what is pending; the lock is held.
 func (p *peers) send(ctx context.Context, l *peerLink) {
-	m := loadMessage{From: p.self, Address: p.address, Config: p.config.version(), Crashes: l.crashes}
+	m := loadMessage{From: p.self, DC: p.dc, Address: p.address, Config: p.config.version(), Crashes: l.crashes}
 	for _, share := range l.pending {
 		m.Runners = append(m.Runners, share)
 	}
@@ -282,7 +305,7 @@
 		p.left(m.From)
 		return nil, nil
 	}
-	p.meet(m.From, m.Address, true)
+	p.meet(m.From, announcement{Address: m.Address, DataCentre: m.DC}, true)
 	p.fleet.Heard(time.Now(), m.From, decodeLoads(m.Runners))
 	p.crashes.heard(time.Now(), m.Crashes)
 	if m.Config > p.config.version() {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -86,12 +86,12 @@
 func (f *Fleet) best(now time.Time, q Query) option {
 	var best option
 	var fallback *member
-	h := f.holders(q)
+	h := f.holders(now, q)
 	for _, m := range f.services[q.Service] {
 		if q.Excluded[m.runner.ID] || q.NoPrefill && m.runner.Role == port.RolePrefill {
 			continue
 		}
-		if !m.usable(now) {
+		if !m.usable(now) || f.cut(m.runner.DataCentre, now) {
 			if !m.runner.Draining && !m.leaving && (fallback == nil || m.suspectUntil.Before(fallback.suspectUntil)) {
 				fallback = m
 			}
@@ -174,7 +174,7 @@
 	defer f.mu.Unlock()
 	var best option
 	for _, m := range f.services[q.Service] {
-		if m.runner.Role == port.RolePrefill || q.Excluded[m.runner.ID] || !m.usable(now) {
+		if m.runner.Role == port.RolePrefill || q.Excluded[m.runner.ID] || !m.usable(now) || f.cut(m.runner.DataCentre, now) {
 			continue
 		}
 		if o := f.evaluateMove(now, m, q, source); o.better(&best) {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -17,11 +17,13 @@
 	services map[string][]*member
 	limits   map[string]*port.EngineLimits
 	begun    int64
+	// paths holds what is known of the ways to data centres.
+	paths map[string]*path
 }
 
 // NewFleet returns an empty fleet, seen from a data centre.
 func NewFleet(dataCentre string) *Fleet {
-	return &Fleet{dataCentre: dataCentre, members: map[string]*member{}, services: map[string][]*member{}}
+	return &Fleet{dataCentre: dataCentre, members: map[string]*member{}, services: map[string][]*member{}, paths: map[string]*path{}}
 }
 
 // SetServices takes in the limits of engines by service.
@@ -184,7 +186,10 @@
 	switch outcome {
 	case Answered:
 		m.succeeded()
-	case Failed, Refused:
+	case Failed:
+		m.failed(now)
+		f.pathFailed(m.runner.DataCentre, now)
+	case Refused:
 		m.failed(now)
 	case Misdirected:
 		m.leaving = true
--- a/internal/placement/holders.go
+++ b/internal/placement/holders.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 // minFetch is the number of tokens below which reading again is as fast as a transfer.
 const minFetch = 128
 
@@ -18,14 +20,14 @@
 
 // holders finds the engines that keep most of a prompt. Engines that leave or are
 // suspect are no source.
-func (f *Fleet) holders(q Query) holders {
+func (f *Fleet) holders(now time.Time, q Query) holders {
 	h := holders{}
 	if q.Prompt == nil || len(q.Prompt.Parts) == 0 {
 		return h
 	}
 	h.local = map[string]holder{}
 	for _, m := range f.services[q.Service] {
-		if m.failures > 0 || m.leaving {
+		if m.failures > 0 || m.leaving || f.cut(m.runner.DataCentre, now) {
 			continue
 		}
 		tokens := m.cache.cached(q.Prompt)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -118,3 +118,42 @@
 		t.Error("parts are fetched from an engine that has just failed")
 	}
 }
+
+// Guards against requests that are sent one after another to each runner of a data
+// centre that is cut off, and against a data centre that is given up for one dead runner.
+func TestSilentDataCentreIsAvoidedAfterOneFailure(t *testing.T) {
+	cases := []struct {
+		name           string
+		silent, failed bool
+		remote         bool
+	}{
+		{"reachable", false, false, true},
+		{"one runner failed", false, true, true},
+		{"daemons are silent", true, false, true},
+		{"daemons are silent and a runner failed", true, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := placement.NewFleet("north")
+			f.SetServices(map[string]port.ForwardService{service: {Name: service}})
+			var runners []port.Runner
+			for i, dc := range []string{"north", "south", "south"} {
+				runners = append(runners, port.Runner{ID: fmt.Sprintf("r%d", i), Service: service, Address: fmt.Sprintf("10.0.0.%d:80", i), DataCentre: dc, Slots: 4})
+			}
+			f.SetRunners(runners)
+			if c.failed {
+				_, w := place(t, f, start, placement.Query{Excluded: map[string]bool{"r0": true}})
+				w.End(start, placement.Failed)
+			}
+			f.SetSilent("south", c.silent)
+			remote := false
+			for range 12 {
+				_, w := place(t, f, start, placement.Query{})
+				remote = remote || w.Runner().DataCentre == "south"
+			}
+			if remote != c.remote {
+				t.Errorf("runners of the other data centre used: %t, want %t", remote, c.remote)
+			}
+		})
+	}
+}
