Refuse streams that clients would leave before the first event

Clients leave a stream after a pause, also before its first event; prompts whose first event is predicted later are refused at once. A prefill without progress is replaced after 250 ms. Tried and not kept: gathering late requests on few engines.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -249,10 +249,30 @@
 		Prompt:    c.request.Prompt,
 		BodyBytes: len(c.request.Body),
 		Urgency:   c.urgency,
+		Target:    max(time.Millisecond, c.route.Target-time.Since(c.request.Received)),
+		Patience:  c.patience(),
 		Excluded:  c.excluded,
 	}
 }
 
+const (
+	// Clients leave a stream after a pause of streamPatience, of patienceTargets times the
+	// objective or of patienceGaps times the allowed pause, whichever is longest, also
+	// before the first event.
+	streamPatience  = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+)
+
+// patience is the time left until the client leaves without an answer.
+func (c *call) patience() time.Duration {
+	if c.route.Repeat != port.RepeatStream {
+		return c.remaining()
+	}
+	limit := max(streamPatience, patienceTargets*c.route.Target, patienceGaps*c.route.GapTarget)
+	return min(c.remaining(), limit-time.Since(c.request.Received))
+}
+
 func (c *call) exclude(r port.Runner) { c.excluded[r.ID] = true }
 
 // copyHead writes the status and the headers of a runner's answer.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -18,6 +18,10 @@
 	// before another one is tried: a multiple of the prediction, and at least this.
 	stallFactor = 3
 	stallLeast  = 700 * time.Millisecond
+	// prefillStallLeast is that time for a prefill, which any engine can replace. It is
+	// short, so that a prompt that waits behind a long one unexpectedly can still meet
+	// its objective elsewhere.
+	prefillStallLeast = 250 * time.Millisecond
 	// gapFactor limits a pause between events, as a multiple of the objective.
 	gapFactor = 3
 	// freeTimeout bounds the call that gives up a KV cache.
@@ -70,7 +74,7 @@
 		first, _, ok = c.gateway.fleet.Predict(now, c.query())
 		c.predicted = first
 	}
-	return !ok || first < c.remaining()
+	return !ok || first < c.patience()
 }
 
 // placeStream finds the engine that runs the request, and has the prompt read elsewhere
@@ -124,7 +128,7 @@
 		plan.Wait.Round(time.Millisecond), plan.Prefill.FetchFrom())
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := c.watchStall(cancel, max(stallLeast, stallFactor*plan.FirstEvent))
+	watch := c.watchStall(cancel, max(prefillStallLeast, stallFactor*plan.FirstEvent))
 	defer watch.stop()
 	memory, err := c.gateway.runners.Prefill(attempt, source, c.request, port.RunOptions{
 		Remaining: c.remaining(), Urgency: engineUrgency(c.urgency), MaxIdle: idleRepeatable,
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -15,6 +15,10 @@
 	BodyBytes int
 	// Urgency is the class of the request.
 	Urgency int
+	// Target is what is left until the objective for the first event, Patience until the
+	// client leaves without one. 0 means that there is no limit.
+	Target   time.Duration
+	Patience time.Duration
 	// Excluded holds ids of runners that failed the request.
 	Excluded map[string]bool
 	// NoPrefill asks for an engine that reads the prompt itself.
@@ -137,10 +141,21 @@
 		o.cost += fullPenalty
 	}
 	f.addDistance(&o, q)
-	o.cost += o.first
+	o.cost += o.first + limitPenalty(o.first, q)
 	return o
 }
 
+// limitPenalty keeps requests from places where they would miss a limit.
+func limitPenalty(first time.Duration, q Query) time.Duration {
+	switch {
+	case q.Patience > 0 && first > q.Patience:
+		return abandonedPenalty
+	case q.Urgency != UrgencyLate && q.Target > 0 && first > q.Target:
+		return latePenalty
+	}
+	return 0
+}
+
 func (f *Fleet) addDistance(o *option, q Query) {
 	if o.member.runner.DataCentre != f.dataCentre {
 		o.first += remoteTrip
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -51,6 +51,10 @@
 	shareOfOthers = 0.5
 	// streamPenalty per running stream: each one lengthens the steps of all.
 	streamPenalty = 500 * time.Microsecond
+	// latePenalty is for places where an objective is missed, abandonedPenalty for those
+	// where the client leaves before the first event.
+	latePenalty      = 500 * time.Millisecond
+	abandonedPenalty = 5 * time.Second
 	// memoryLimit is the share of an engine's memory that running requests may take
 	// before others are preferred.
 	memoryLimit = 0.85
