Do not spend the limit of retries on sends that did not take place

Sends without a connection are refunded, an attempt is ended only when another runner is predicted to answer in time, and a lost connection counts as a crash only when its runner is seen to have ended.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,6 +22,8 @@
 	// extraSends is the number of sends beyond a route's attempts that runners may
 	// refuse without running the request.
 	extraSends = 2
+	// maxUnsent is the number of runners that may be tried without a connection.
+	maxUnsent = 8
 	// minRemaining is the time below which another attempt has no chance.
 	minRemaining = 20 * time.Millisecond
 	// idleRepeatable is how long a connection may have been idle for a request that may
@@ -55,9 +58,11 @@
 	deadline time.Time
 	excluded map[string]bool
 
-	// sends counts runs that were sent, runs those that may have run.
-	sends int
-	runs  int
+	// sends counts runs that were sent, runs those that may have run, and unsent those
+	// whose connection could not be opened.
+	sends  int
+	runs   int
+	unsent int
 	// reserved is set while a retry is taken from the limit but not yet sent.
 	reserved atomic.Bool
 	// prefills counts prompts that were read elsewhere.
@@ -113,16 +118,29 @@
 	if c.sends > 0 && !c.takeReserved() && !c.gateway.retries(c.service).Take(time.Now()) {
 		return false
 	}
-	if c.sends == 0 {
+	if c.sends == 0 && c.unsent == 0 {
 		c.gateway.retries(c.service).First(time.Now())
 	}
 	c.sends++
 	return true
 }
 
+// undoSend takes back a send that did not take place. Connections that fail are bounded
+// by their own number, because they cost the runners nothing.
+func (c *call) undoSend() {
+	c.sends--
+	c.unsent++
+	if c.sends > 0 {
+		c.gateway.retries(c.service).Refund(time.Now())
+	}
+}
+
 // mayRetry tells whether the request may be sent again after err. It notes that the
 // request may have run.
 func (c *call) mayRetry(ctx context.Context, err error) bool {
+	if errors.Is(err, port.ErrNotSent) {
+		c.undoSend()
+	}
 	if !notRun(err) {
 		c.runs++
 		if !c.route.Repeatable() {
@@ -132,7 +150,7 @@
 	if ctx.Err() != nil || c.remaining() < minRemaining {
 		return false
 	}
-	return c.runs < c.route.MaxAttempts && c.sends < c.route.MaxAttempts+extraSends
+	return c.runs < c.route.MaxAttempts && c.sends < c.route.MaxAttempts+extraSends && c.unsent < maxUnsent
 }
 
 // retryable tells whether a further attempt would be allowed if the present one failed
@@ -141,12 +159,16 @@
 	return c.route.Repeatable() && c.runs+1 < c.route.MaxAttempts && c.remaining() > 4*minRemaining
 }
 
-// noteLoss records the end of a connection while the request ran.
+// noteLoss records the end of a connection while the request ran, or that a runner
+// refuses connections.
 func (c *call) noteLoss(err error, r port.Runner) {
-	if notRun(err) || errors.Is(err, port.ErrSpoiled) || errors.Is(err, errStalled) {
-		return
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		c.gateway.crashes.ended(r.ID, time.Now())
+	case notRun(err) || errors.Is(err, port.ErrSpoiled) || errors.Is(err, errStalled):
+	default:
+		c.gateway.crashes.lost(c.digest, r, time.Now())
 	}
-	c.gateway.crashes.lost(c.digest, r, time.Now())
 }
 
 // fail ends the call without a runner's answer. 503 is sent only when the request has
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,6 +118,7 @@
 // setRunners takes the list of runners into use.
 func (g *Gateway) setRunners(list []port.Runner) {
 	g.fleet.SetRunners(list)
+	g.crashes.observe(list, time.Now())
 	addresses := g.fleet.Addresses()
 	g.runners.Retain(func(address string) bool { return addresses[address] })
 }
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -63,7 +63,7 @@
 	defer cancel(nil)
 	watch := &stallWatch{}
 	if c.sends == 1 && c.retryable() {
-		watch = c.watchStall(cancel, time.Duration(firstTryShare*float64(c.route.Target)))
+		watch = c.watchStall(cancel, runner.ID, time.Duration(firstTryShare*float64(c.route.Target)))
 	}
 	defer watch.stop()
 	c.step("run at %s", runner.ID)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 )
@@ -14,6 +15,8 @@
 // another. The zero value never ends one.
 type stallWatch struct {
 	gap time.Duration
+	// runner is the id of the runner of the attempt.
+	runner string
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -22,8 +25,8 @@
 
 // watchStall gives an attempt a time to its first progress. Ending an attempt reserves
 // the retry that replaces it.
-func (c *call) watchStall(cancel context.CancelCauseFunc, first time.Duration) *stallWatch {
-	w := &stallWatch{gap: max(stallLeast, gapFactor*c.route.GapTarget)}
+func (c *call) watchStall(cancel context.CancelCauseFunc, runner string, first time.Duration) *stallWatch {
+	w := &stallWatch{gap: max(stallLeast, gapFactor*c.route.GapTarget), runner: runner}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(first, func() { w.expire(c, cancel) })
@@ -36,7 +39,7 @@
 	if w.ended {
 		return
 	}
-	if !c.reserve() {
+	if !c.hasAlternative(w.runner) || !c.reserve() {
 		w.timer.Reset(stallRecheck)
 		return
 	}
@@ -62,6 +65,17 @@
 	}
 }
 
+// hasAlternative tells whether another runner is predicted to answer before the client
+// leaves.
+func (c *call) hasAlternative(runner string) bool {
+	q := c.query()
+	q.NoPrefill = true
+	q.Excluded = maps.Clone(q.Excluded)
+	q.Excluded[runner] = true
+	first, _, ok := c.gateway.fleet.Predict(time.Now(), q)
+	return ok && first < q.Patience
+}
+
 // reserve takes a retry from the shared limit in advance.
 func (c *call) reserve() bool {
 	if !c.gateway.retries(c.service).Take(time.Now()) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -128,7 +128,7 @@
 		plan.Wait.Round(time.Millisecond), plan.Prefill.FetchFrom())
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := c.watchStall(cancel, max(prefillStallLeast, stallFactor*plan.FirstEvent))
+	watch := c.watchStall(cancel, source.ID, max(prefillStallLeast, stallFactor*plan.FirstEvent))
 	defer watch.stop()
 	memory, err := c.gateway.runners.Prefill(attempt, source, c.request, port.RunOptions{
 		Remaining: c.remaining(), Urgency: engineUrgency(c.urgency), MaxIdle: idleRepeatable,
@@ -184,7 +184,7 @@
 	defer cancel(nil)
 	watch := &stallWatch{}
 	if c.retryable() {
-		watch = c.watchStall(cancel, max(stallLeast, stallFactor*c.predicted))
+		watch = c.watchStall(cancel, runner.ID, max(stallLeast, stallFactor*c.predicted))
 	}
 	defer watch.stop()
 	answer, err := c.gateway.runners.Run(attempt, runner, c.request, port.RunOptions{
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -68,6 +68,15 @@
 	return true
 }
 
+// Refund takes back a retry that was not sent after all.
+func (w *Window) Refund(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slot := w.at(now); slot.retries > 0 {
+		slot.retries--
+	}
+}
+
 // Force counts a retry that has already been sent.
 func (w *Window) Force(now time.Time) {
 	w.mu.Lock()
