--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -135,7 +135,7 @@
 		o.first += prefillTrip + move
 		o.cost += penalty
 	} else {
-		o.cost += time.Duration(l.Running) * streamPenalty
+		o.cost += time.Duration(l.Running)*streamPenalty + decodeShare(reading, l.Running)
 	}
 	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
 		o.cost += fullPenalty
@@ -212,7 +212,7 @@
 	o := option{member: m, first: move + firstEvent}
 	// A request with a KV cache is admitted first but shares steps with the reading of
 	// other prompts.
-	o.cost = penalty + l.wait(Urgencies-1)/8 + time.Duration(l.Running)*streamPenalty
+	o.cost = penalty + l.wait(Urgencies-1)/4 + time.Duration(l.Running)*streamPenalty
 	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
 		o.cost += fullPenalty
 	}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -50,7 +50,10 @@
 	// requests that it delays.
 	shareOfOthers = 0.5
 	// streamPenalty per running stream: each one lengthens the steps of all.
-	streamPenalty = 500 * time.Microsecond
+	streamPenalty = time.Millisecond
+	// busyStreams is the number of running streams at which a decode engine has about
+	// half of its steps left. Reading a prompt there takes steps from all of them.
+	busyStreams = 16
 	// latePenalty is for places where an objective is missed, abandonedPenalty for those
 	// where the client leaves before the first event.
 	latePenalty      = 500 * time.Millisecond
@@ -67,6 +70,13 @@
 	return linear + time.Duration(pairs*float64(attentionPerMillion))
 }
 
+// decodeShare is the cost of reading at a decode engine with running streams: little on
+// an idle one, several times the reading time on one that is short of steps.
+func decodeShare(reading time.Duration, running int) time.Duration {
+	busy := float64(running) / busyStreams
+	return time.Duration(float64(reading) * busy * busy)
+}
+
 // moveTime predicts the transfer of a prompt's KV cache.
 func moveTime(limits *port.EngineLimits, tokens int, remote bool) (took, penalty time.Duration) {
 	if limits == nil || limits.LinkMbps <= 0 {
