--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -30,7 +30,12 @@
 	codec port.RegistryCodec
 	// apply is called with each version that comes into force.
 	apply func(*port.RouteConfig)
-	table atomic.Pointer[routeTable]
+	// relayed tells whether another daemon passes new versions on; nil means that none
+	// does.
+	relayed func() bool
+	// installed is called after a version came into force; it may be nil.
+	installed func()
+	table     atomic.Pointer[routeTable]
 
 	mu sync.Mutex
 	// raw is the record of the version in force, for peers.
@@ -59,10 +64,17 @@
 			zap.Int64("config-version", c.version()), zap.String("source", source), zap.Error(err))
 		return
 	}
+	if c.replace(value, config, source) && c.installed != nil {
+		c.installed()
+	}
+}
+
+// replace takes a version into force if it is newer and tells whether it was.
+func (c *configFollower) replace(value []byte, config *port.RouteConfig, source string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if config.Version <= c.version() {
-		return
+		return false
 	}
 	previous := c.version()
 	c.raw = value
@@ -70,6 +82,7 @@
 	c.table.Store(newRouteTable(config))
 	c.log.Info("configuration in force", zap.Int64("config-version", config.Version),
 		zap.Int64("previous-version", previous), zap.String("source", source), zap.Int("routes", len(config.Routes)))
+	return true
 }
 
 // installRecords takes in what a read returned.
@@ -86,6 +99,10 @@
 	f := follower{store: c.store, topic: port.TopicOperators, wait: configWait}
 	backoff := newStoreBackoff(c.log, "configuration")
 	for ctx.Err() == nil {
+		if c.table.Load() != nil && c.relayed != nil && c.relayed() {
+			sleep(ctx, relayCheck)
+			continue
+		}
 		records, _, err := f.next(ctx)
 		if err != nil {
 			backoff.failed(ctx, err)
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -24,6 +26,8 @@
 	// to be taken as lapsed. When the store was away from this daemon only, the few
 	// that are missing have left.
 	lapseShare = 0.5
+	// relayCheck is how often a daemon asks whether the registry is still passed on.
+	relayCheck = 50 * time.Millisecond
 	// maxTombstones bounds the removed runners that are remembered against late
 	// entries.
 	maxTombstones = 4096
@@ -37,6 +41,12 @@
 	interval time.Duration
 	// apply is called with the whole list after each change.
 	apply func([]port.Runner)
+	// relayed tells whether another daemon passes the registry on; nil means that none
+	// does.
+	relayed func() bool
+	// relay is called after each read of the store with the records that changed more
+	// than a heartbeat; nil passes nothing on.
+	relay func([]port.KeyedRecord)
 	known atomic.Bool
 
 	mu      sync.Mutex
@@ -68,6 +78,10 @@
 	backoff := newStoreBackoff(d.log, "runners")
 	outage := false
 	for ctx.Err() == nil {
+		if d.known.Load() && d.relayed != nil && d.relayed() {
+			sleep(ctx, relayCheck)
+			continue
+		}
 		records, whole, err := f.next(ctx)
 		if err != nil {
 			outage = true
@@ -75,15 +89,31 @@
 			continue
 		}
 		backoff.succeeded()
-		d.take(time.Now(), records, whole, outage)
+		changed := d.take(time.Now(), records, whole, outage)
 		outage = false
+		if d.relay != nil {
+			d.relay(changed)
+		}
 		sleep(ctx, d.interval)
 	}
 }
 
+// digest identifies the list of runners, so that daemons can compare theirs.
+func (d *discovery) digest() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var sum uint64
+	for id, r := range d.runners {
+		sum += xxhash.Sum64String(id + " " + strconv.FormatInt(r.runner.StartedMS, 10) + string(r.runner.Role) + strconv.FormatBool(r.runner.Draining))
+	}
+	return sum
+}
+
 // take applies records. With whole set, runners without a record are gone. When most
 // are missing after an outage, their entries lapsed and get time to come back.
-func (d *discovery) take(now time.Time, records []port.KeyedRecord, whole, outage bool) {
+// It returns the records that changed more than a heartbeat.
+func (d *discovery) take(now time.Time, records []port.KeyedRecord, whole, outage bool) []port.KeyedRecord {
+	var news []port.KeyedRecord
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := !d.known.Load()
@@ -99,17 +129,27 @@
 			continue
 		}
 		delete(missing, r.Key)
-		changed = d.enter(r) || changed
+		if d.enter(r) {
+			changed = true
+			news = append(news, r)
+		}
 	}
 	lapsed := outage && len(missing) > 1 && float64(len(missing)) >= lapseShare*float64(len(d.runners))
 	for id := range missing {
-		changed = d.remove(now, id, lapsed) || changed
+		if d.remove(now, id, lapsed) {
+			changed = true
+			news = append(news, port.KeyedRecord{Key: id})
+		}
+	}
+	for _, id := range d.dropLapsed(now) {
+		changed = true
+		news = append(news, port.KeyedRecord{Key: id})
 	}
-	changed = d.dropLapsed(now) || changed
 	if changed {
 		d.publish()
 	}
 	d.known.Store(true)
+	return news
 }
 
 // enter takes in an entry and tells whether it changes more than the heartbeat.
@@ -182,16 +222,17 @@
 	d.log.Info("runner gone", zap.String("runner", id), zap.String("service", r.Service), zap.String("reason", reason))
 }
 
-// dropLapsed removes runners whose entries did not come back in time.
-func (d *discovery) dropLapsed(now time.Time) bool {
-	changed := false
+// dropLapsed removes runners whose entries did not come back in time and returns their
+// ids.
+func (d *discovery) dropLapsed(now time.Time) []string {
+	var dropped []string
 	for id, r := range d.runners {
 		if !r.lapsed.IsZero() && now.Sub(r.lapsed) >= lapseGrace {
 			d.forget(id, "entry lapsed during an outage of the store")
-			changed = true
+			dropped = append(dropped, id)
 		}
 	}
-	return changed
+	return dropped
 }
 
 func (d *discovery) publish() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,7 +87,7 @@
 func New(s Settings, deps Dependencies) *Gateway {
 	g := &Gateway{
 		deps: deps, metrics: newMetrics(), runners: deps.Runners,
-		fleet: placement.NewFleet(s.DataCentre), crashes: newCrashGuard(),
+		fleet: placement.NewFleet(s.DataCentre, s.Name), crashes: newCrashGuard(),
 		windows: map[string]*retry.Window{}, daemons: 1,
 	}
 	g.settings.Store(&s)
@@ -100,6 +100,12 @@
 		log: g.log, self: s.Name, address: s.Listen.Peers, dc: s.DataCentre, store: deps.Store, dial: deps.Peers,
 		fleet: g.fleet, config: g.config, crashes: g.crashes, resized: g.resize, links: map[string]*peerLink{},
 	}
+	r := &registryRelay{
+		log: g.log, peers: g.peers, found: g.found, config: g.config, busy: map[string]bool{}, missed: map[string][]relayRecord{},
+	}
+	g.peers.relay = r
+	g.found.relayed, g.found.relay = r.fresh, r.pass
+	g.config.relayed, g.config.installed = r.fresh, func() { r.pass(nil) }
 	return g
 }
 
@@ -141,11 +147,12 @@
 	return retryShare * float64(g.settings.Load().Retries.Slack) / float64(max(leastDaemons, g.daemons))
 }
 
-// resize shares the retry limit among a number of daemons.
-func (g *Gateway) resize(daemons int) {
+// resize shares the engines and the retry limit among the daemons.
+func (g *Gateway) resize(daemons []placement.Daemon) {
+	g.fleet.SetDaemons(daemons)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.daemons = daemons
+	g.daemons = len(daemons)
 	ratio := g.settings.Load().Retries.Ratio * retryShare
 	for _, w := range g.windows {
 		w.SetLimits(ratio, g.slack())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,7 @@
 
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/rendezvous"
 )
 
 // Methods of the peer interface.
@@ -31,8 +32,6 @@
 	peerTimeout = 700 * time.Millisecond
 	// peerPauseMost bounds the pause between calls to a peer that does not answer.
 	peerPauseMost = time.Second
-	// peerForgotten is how long a peer that does not answer is kept.
-	peerForgotten = time.Minute
 	// membersInterval is how often the registry of daemons is read; a new daemon tells
 	// the others by its first message, so that this is for lost messages only.
 	membersInterval = 30 * time.Second
@@ -79,6 +78,10 @@
 	next    time.Time
 	// answered is when the peer last answered or called.
 	answered time.Time
+	// partner is set for daemons that share the loads of the same engines, probe for the
+	// few of other data centres by which the way there is watched.
+	partner bool
+	probe   bool
 }
 
 // peers tells other daemons what this one has in flight and hears what they have.
@@ -92,8 +95,9 @@
 	fleet   *placement.Fleet
 	config  *configFollower
 	crashes *crashGuard
-	// resized is called with the number of daemons when it changes.
-	resized func(daemons int)
+	relay   *registryRelay
+	// resized is called with all daemons when their number changes.
+	resized func(daemons []placement.Daemon)
 
 	mu    sync.Mutex
 	links map[string]*peerLink
@@ -174,14 +178,45 @@
 		l.answered = time.Now()
 		l.pause = 0
 	}
-	daemons := len(p.links) + 1
+	var daemons []placement.Daemon
+	if !ok {
+		daemons = p.arrange()
+	}
 	p.mu.Unlock()
 	if !ok {
-		p.log.Info("daemon found", zap.String("peer", name), zap.String("peer-address", a.Address), zap.Int("daemons", daemons))
+		p.log.Info("daemon found", zap.String("peer", name), zap.String("peer-address", a.Address), zap.Int("daemons", len(daemons)))
 		p.resized(daemons)
 	}
 }
 
+// probesPerCentre is the number of daemons of each other data centre that are watched.
+const probesPerCentre = 2
+
+// arrange chooses the partners and the probes anew and returns all daemons; the lock is
+// held.
+func (p *peers) arrange() []placement.Daemon {
+	self := placement.Daemon{Name: p.self, DataCentre: p.dc}
+	daemons := []placement.Daemon{self}
+	byCentre := map[string][]string{}
+	for _, l := range p.links {
+		daemons = append(daemons, placement.Daemon{Name: l.name, DataCentre: l.dataCentre})
+		byCentre[l.dataCentre] = append(byCentre[l.dataCentre], l.name)
+		l.partner, l.probe = false, false
+	}
+	for _, name := range placement.Partners(self, daemons) {
+		p.links[name].partner = true
+	}
+	for dc, names := range byCentre {
+		if dc == p.dc {
+			continue
+		}
+		for _, name := range rendezvous.Top(p.self, names, probesPerCentre) {
+			p.links[name].probe = true
+		}
+	}
+	return daemons
+}
+
 // share queues changes for all peers and sends to those that are not busy.
 func (p *peers) share(ctx context.Context, now time.Time) {
 	p.mu.Lock()
@@ -197,13 +232,13 @@
 	if full {
 		p.checkSilence(now)
 	}
-	for name, l := range p.links {
-		if now.Sub(l.answered) > peerForgotten {
-			delete(p.links, name)
-			continue
+	for _, l := range p.links {
+		if l.partner {
+			l.queueLoads(changes)
 		}
-		l.queue(changes, crashes)
-		due := !now.Before(l.next) && (full || len(l.pending) > 0 || len(l.crashes) > 0)
+		l.queueCrashes(crashes)
+		watched := full && (l.partner || l.probe)
+		due := !now.Before(l.next) && (watched || len(l.pending) > 0 || len(l.crashes) > 0)
 		if due && !l.busy {
 			p.send(ctx, l)
 		}
@@ -214,6 +249,9 @@
 func (p *peers) checkSilence(now time.Time) {
 	alive := map[string]bool{}
 	for _, l := range p.links {
+		if l.dataCentre == p.dc || !l.partner && !l.probe {
+			continue
+		}
 		alive[l.dataCentre] = alive[l.dataCentre] || now.Sub(l.answered) < silence
 	}
 	for dc, ok := range alive {
@@ -224,14 +262,17 @@
 // maxPendingCrashes bounds the crash reports that wait for a peer.
 const maxPendingCrashes = 64
 
-// queue adds changes; the newest load of a runner replaces an older one.
-func (l *peerLink) queue(changes []runnerShare, crashes []crashMessage) {
+// queueLoads adds changes; the newest load of a runner replaces an older one.
+func (l *peerLink) queueLoads(changes []runnerShare) {
 	for _, c := range changes {
 		if old, ok := l.pending[c.ID]; ok {
 			c.Parts = mergeParts(old.Parts, c.Parts)
 		}
 		l.pending[c.ID] = c
 	}
+}
+
+func (l *peerLink) queueCrashes(crashes []crashMessage) {
 	l.crashes = append(l.crashes, crashes...)
 	if extra := len(l.crashes) - maxPendingCrashes; extra > 0 {
 		l.crashes = l.crashes[extra:]
@@ -272,9 +313,19 @@
 // sent notes the result of a message. Loads are told anew after a failure, because the
 // next full message follows soon; crash reports are kept.
 func (p *peers) sent(l *peerLink, crashes []crashMessage, err error) {
+	p.noteAnswer(l, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.busy = false
+	if err != nil {
+		l.crashes = append(crashes, l.crashes...)
+	}
+}
+
+// noteAnswer notes whether a daemon answered a call.
+func (p *peers) noteAnswer(l *peerLink, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err == nil {
 		if l.pause > 0 {
 			p.log.Info("daemon answers again", zap.String("peer", l.name))
@@ -286,14 +337,13 @@
 	if l.pause == 0 {
 		p.log.Warn("daemon does not answer", zap.String("peer", l.name), zap.String("peer-address", l.address), zap.Error(err))
 	}
-	l.crashes = append(crashes, l.crashes...)
 	l.pause = min(peerPauseMost, max(shareInterval, 2*l.pause))
 	l.next = time.Now().Add(l.pause)
 }
 
 // handlers returns the methods that peers call.
 func (p *peers) handlers() map[string]port.PeerHandler {
-	return map[string]port.PeerHandler{methodLoad: p.handleLoad, methodConfig: p.handleConfig}
+	return map[string]port.PeerHandler{methodLoad: p.handleLoad, methodConfig: p.handleConfig, methodRegistry: p.relay.handle}
 }
 
 func (p *peers) handleLoad(ctx context.Context, params json.RawMessage) (any, error) {
@@ -317,9 +367,9 @@
 func (p *peers) left(name string) {
 	p.mu.Lock()
 	delete(p.links, name)
-	daemons := len(p.links) + 1
+	daemons := p.arrange()
 	p.mu.Unlock()
-	p.log.Info("daemon left", zap.String("peer", name), zap.Int("daemons", daemons))
+	p.log.Info("daemon left", zap.String("peer", name), zap.Int("daemons", len(daemons)))
 	p.resized(daemons)
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -157,6 +157,9 @@
 }
 
 func (f *Fleet) addDistance(o *option, q Query) {
+	if o.member.outside && q.Prompt != nil {
+		o.cost += outsidePenalty
+	}
 	if o.member.runner.DataCentre != f.dataCentre {
 		o.first += remoteTrip
 		o.cost += time.Duration(q.BodyBytes) * remotePenalty / 1000
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -53,6 +53,9 @@
 	limits *port.EngineLimits
 	rate   float64
 	cache  partCache
+	hash   uint64
+	// outside is set while the runner belongs to another cell.
+	outside bool
 
 	work map[*Work]struct{}
 	// current is the work whose prompt the runner is taken to read, since progressed.
@@ -77,7 +80,7 @@
 }
 
 func newMember(r port.Runner, limits *port.EngineLimits) *member {
-	m := &member{runner: r, limits: limits, work: map[*Work]struct{}{}, peers: map[string]peerLoad{}}
+	m := &member{runner: r, limits: limits, hash: hashOf(r.ID), work: map[*Work]struct{}{}, peers: map[string]peerLoad{}}
 	m.resetRate()
 	if limits != nil {
 		m.cache.capacity = int(float64(limits.KVTokens) * cacheShare)
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -10,8 +10,10 @@
 // Fleet is the model of all runners. It is safe for concurrent use.
 type Fleet struct {
 	dataCentre string
+	daemon     string
 
 	mu      sync.Mutex
+	cells   cells
 	members map[string]*member
 	// services maps a service to its runners.
 	services map[string][]*member
@@ -21,9 +23,9 @@
 	paths map[string]*path
 }
 
-// NewFleet returns an empty fleet, seen from a data centre.
-func NewFleet(dataCentre string) *Fleet {
-	return &Fleet{dataCentre: dataCentre, members: map[string]*member{}, services: map[string][]*member{}, paths: map[string]*path{}}
+// NewFleet returns an empty fleet, seen from a daemon in a data centre.
+func NewFleet(dataCentre, daemon string) *Fleet {
+	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, paths: map[string]*path{}}
 }
 
 // SetServices takes in the limits of engines by service.
@@ -59,6 +61,7 @@
 		services[r.Service] = append(services[r.Service], m)
 	}
 	f.members, f.services = members, services
+	f.assignCells()
 }
 
 // Work is one request in flight at a runner.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -18,7 +18,7 @@
 
 // newFleet returns a fleet of engines with the given roles in one data centre.
 func newFleet(roles ...port.Role) *placement.Fleet {
-	f := placement.NewFleet("north")
+	f := placement.NewFleet("north", "daemon")
 	f.SetServices(map[string]port.ForwardService{service: {Name: service, Engine: &limits}})
 	var runners []port.Runner
 	for i, role := range roles {
@@ -134,7 +134,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			f := placement.NewFleet("north")
+			f := placement.NewFleet("north", "daemon")
 			f.SetServices(map[string]port.ForwardService{service: {Name: service}})
 			var runners []port.Runner
 			for i, dc := range []string{"north", "south", "south"} {
