--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -61,6 +61,8 @@
 	Running int                        `json:"running"`
 	KV      int                        `json:"kv"`
 	Parts   map[string]int             `json:"parts,omitempty"`
+	// PartsOnly is set for daemons that do not share the load of the runner.
+	PartsOnly bool `json:"parts_only,omitempty"`
 }
 
 // peerLink is what a daemon knows of one other.
@@ -233,8 +235,11 @@
 		p.checkSilence(now)
 	}
 	for _, l := range p.links {
-		if l.partner {
+		switch {
+		case l.partner:
 			l.queueLoads(changes)
+		case l.dataCentre == p.dc:
+			l.queueLoads(partsOf(changes))
 		}
 		l.queueCrashes(crashes)
 		watched := full && (l.partner || l.probe)
@@ -262,6 +267,17 @@
 // maxPendingCrashes bounds the crash reports that wait for a peer.
 const maxPendingCrashes = 64
 
+// partsOf leaves only the parts of prompts that runners have read.
+func partsOf(changes []runnerShare) []runnerShare {
+	var out []runnerShare
+	for _, c := range changes {
+		if len(c.Parts) > 0 {
+			out = append(out, runnerShare{ID: c.ID, Parts: c.Parts, PartsOnly: true})
+		}
+	}
+	return out
+}
+
 // queueLoads adds changes; the newest load of a runner replaces an older one.
 func (l *peerLink) queueLoads(changes []runnerShare) {
 	for _, c := range changes {
@@ -444,7 +460,7 @@
 func decodeLoads(shares []runnerShare) []placement.RunnerLoad {
 	out := make([]placement.RunnerLoad, 0, len(shares))
 	for _, s := range shares {
-		l := placement.RunnerLoad{ID: s.ID}
+		l := placement.RunnerLoad{ID: s.ID, PartsOnly: s.PartsOnly}
 		l.Load.Running, l.Load.KVTokens = s.Running, s.KV
 		l.Load.Begun = time.Duration(s.Begun) * time.Microsecond
 		for i, us := range s.Reading {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -136,11 +136,23 @@
 		m.readNext(now)
 	}
 	m.dirty = true
+	m.readParts = append(m.readParts, m.newShared(w.parts)...)
 	m.cache.add(w.parts, now)
-	m.readParts = append(m.readParts, w.parts...)
 	w.measure(now)
 }
 
+// newShared returns the parts that the runner has not read before and that other
+// requests may share. The last part belongs to one request or session.
+func (m *member) newShared(parts []port.PromptPart) []port.PromptPart {
+	var out []port.PromptPart
+	for i, part := range parts {
+		if _, known := m.cache.parts[part.ID]; !known && i+1 < len(parts) {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
 // measure corrects the rate of the runner by a reading that nothing delayed.
 func (w *Work) measure(now time.Time) {
 	if !w.alone || w.unread < minSample {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -157,3 +158,55 @@
 		})
 	}
 }
+
+// Guards against cells that leave a daemon without partners or an engine without
+// daemons, and against costs that grow with the fleet.
+func TestCellsStaySmall(t *testing.T) {
+	for _, size := range []int{1, 8, 9, 30, 79, 380} {
+		var daemons []placement.Daemon
+		for i := range size {
+			daemons = append(daemons, placement.Daemon{Name: fmt.Sprintf("d%03d", i), DataCentre: fmt.Sprintf("dc%d", i%3)})
+		}
+		for _, d := range daemons {
+			partners := placement.Partners(d, daemons)
+			if len(partners) > 8 {
+				t.Errorf("%d daemons: %s has %d partners, want at most 8", size, d.Name, len(partners))
+			}
+			if size >= 6 && len(partners) < 2 {
+				t.Errorf("%d daemons: %s has %d partners, want at least 2", size, d.Name, len(partners))
+			}
+			for _, p := range partners {
+				if !slices.Contains(placement.Partners(daemons[slices.IndexFunc(daemons, func(o placement.Daemon) bool { return o.Name == p })], daemons), d.Name) {
+					t.Errorf("%d daemons: %s is no partner of its partner %s", size, d.Name, p)
+				}
+			}
+		}
+	}
+}
+
+// Guards against shared parts that each cell reads anew, and against messages about
+// parts that only one request has.
+func TestNewSharedPartsAreTold(t *testing.T) {
+	a, b := newFleet(port.RoleDecode, port.RoleDecode), newFleet(port.RoleDecode, port.RoleDecode)
+	shared, own := port.PromptPart{ID: "history", Tokens: 5_000}, port.PromptPart{ID: "own", Tokens: 500}
+	_, w := place(t, a, start, placement.Query{Prompt: prompt(5_500, shared, own)})
+	w.Read(start)
+	changes := a.Changes(start, false)
+	if len(changes) != 1 || len(changes[0].Parts) != 1 || changes[0].Parts[0] != shared {
+		t.Fatalf("changes are %+v, want the shared part of one engine", changes)
+	}
+	for i := range changes {
+		changes[i].PartsOnly = true
+	}
+	b.Heard(start, "peer", changes)
+	_, other := place(t, b, start, placement.Query{Prompt: prompt(5_500, shared), Excluded: map[string]bool{w.Runner().ID: true}})
+	if other.FetchFrom() != w.Runner().Address {
+		t.Errorf("the shared part is fetched from %q, want %q", other.FetchFrom(), w.Runner().Address)
+	}
+	w.End(start, placement.Answered)
+	_, again := place(t, a, start, placement.Query{Prompt: prompt(5_500, shared, own)})
+	again.Read(start)
+	if changes := a.Changes(start, false); len(changes) == 1 && len(changes[0].Parts) > 0 {
+		t.Errorf("a known part is told again: %+v", changes)
+	}
+}
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -10,8 +10,10 @@
 type RunnerLoad struct {
 	ID   string
 	Load Load
-	// Parts are parts of prompts that the runner has read since the last message.
+	// Parts are shared parts of prompts that the runner has read since the last message.
 	Parts []port.PromptPart
+	// PartsOnly is set when the load is not told.
+	PartsOnly bool
 }
 
 // Changes returns the loads that peers have not been told of; with all set, also every
@@ -40,7 +42,9 @@
 		if !ok {
 			continue
 		}
-		m.peers[peer] = peerLoad{load: l.Load, at: now}
+		if !l.PartsOnly {
+			m.peers[peer] = peerLoad{load: l.Load, at: now}
+		}
 		m.cache.add(l.Parts, now)
 	}
 }
