--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,8 @@
 	probes  *http.Server
 	metric  *http.Server
 	peering *peer.Server
+	// peerListener is closed apart from the server, which closes connections only.
+	peerListener net.Listener
 }
 
 // New returns a gateway that is not running yet.
@@ -209,6 +211,9 @@
 			return trace.Wrap(err, "listen on %s for %s", s.address, s.name)
 		}
 		listeners[i] = l
+		if s.name == "peers" {
+			g.peerListener = l
+		}
 	}
 	for i, s := range serve {
 		g.tomb.Go(func() error {
@@ -244,9 +249,10 @@
 	return mux
 }
 
-// Ready tells whether the daemon takes new connections.
+// Ready tells whether the daemon takes new connections: it knows the configuration and
+// has found runners.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.config.table.Load() != nil && g.found.known.Load()
+	return !g.stopping.Load() && g.config.table.Load() != nil && g.found.known.Load() && g.fleet.Size() > 0
 }
 
 // Dead returns a channel that is closed when the daemon has ended.
@@ -290,6 +296,7 @@
 	_ = g.clients.Close()
 	_ = g.probes.Close()
 	_ = g.metric.Close()
+	_ = g.peerListener.Close()
 	g.peering.Close()
 	return g.tomb.Wait()
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -68,6 +68,7 @@
 type Work struct {
 	fleet   *Fleet
 	member  *member
+	runner  port.Runner
 	urgency int
 	unread  int
 	context int
@@ -88,7 +89,7 @@
 // begin counts a request at a member; the lock is held.
 func (f *Fleet) begin(m *member, now time.Time, p *port.Prompt, urgency, unread int) *Work {
 	f.begun++
-	w := &Work{fleet: f, member: m, urgency: urgency, began: now, order: f.begun, read: true}
+	w := &Work{fleet: f, member: m, runner: m.runner, urgency: urgency, began: now, order: f.begun, read: true}
 	if p != nil {
 		w.unread, w.context, w.parts = unread, p.InputTokens, p.Parts
 		w.reading = readingTime(m.rate, unread, p.InputTokens)
@@ -105,8 +106,8 @@
 	return w
 }
 
-// Runner returns the runner that the work is at.
-func (w *Work) Runner() port.Runner { return w.member.runner }
+// Runner returns the runner that the work is at, as it was when the work began.
+func (w *Work) Runner() port.Runner { return w.runner }
 
 // Unread returns the prompt tokens that the runner is expected to read.
 func (w *Work) Unread() int { return w.unread }
@@ -211,12 +212,11 @@
 	}
 }
 
-// Has tells whether a runner is known.
-func (f *Fleet) Has(id string) bool {
+// Size returns the number of runners.
+func (f *Fleet) Size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	_, ok := f.members[id]
-	return ok
+	return len(f.members)
 }
 
 // Addresses returns the addresses of all runners.
