--- /dev/null
+++ b/internal/gateway/crashes_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/quarantine"
+)
+
+const digest = quarantine.Digest("d")
+
+func runnerAt(i int, started int64) port.Runner {
+	return port.Runner{ID: fmt.Sprintf("r%d", i), StartedMS: started}
+}
+
+// Guards against requests that are refused as crashing because connections were reset,
+// and against requests that take down one runner after another.
+func TestCrashesNeedEvidence(t *testing.T) {
+	cases := []struct {
+		name    string
+		observe func(g *crashGuard, i int, at time.Time)
+		blocked bool
+	}{
+		{"connections reset only", func(*crashGuard, int, time.Time) {}, false},
+		{"runners unchanged", func(g *crashGuard, i int, at time.Time) { g.observe([]port.Runner{runnerAt(i, 1)}, at) }, false},
+		{"runners started again", func(g *crashGuard, i int, at time.Time) { g.observe([]port.Runner{runnerAt(i, 2)}, at) }, true},
+		{"runners gone", func(g *crashGuard, _ int, at time.Time) { g.observe(nil, at) }, true},
+		{"runners refuse connections", func(g *crashGuard, i int, at time.Time) { g.ended(runnerAt(i, 1).ID, at) }, true},
+		{"runners gone much later", func(g *crashGuard, _ int, at time.Time) { g.observe(nil, at.Add(2*crashEvidence)) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newCrashGuard()
+			now := epoch
+			for i := range maxCrashes {
+				if g.blocked(digest, now) {
+					t.Fatalf("blocked after %d runners", i)
+				}
+				g.lost(digest, runnerAt(i, 1), now)
+				c.observe(g, i, now.Add(time.Second))
+				now = now.Add(2 * time.Second)
+			}
+			if got := g.blocked(digest, now); got != c.blocked {
+				t.Errorf("blocked is %t, want %t", got, c.blocked)
+			}
+		})
+	}
+}
+
+// Guards against a request that each daemon sends to as many runners again, and against
+// one that stays blocked although a runner has answered it.
+func TestCrashesAreSharedAndCleared(t *testing.T) {
+	a, b := newCrashGuard(), newCrashGuard()
+	for i := range maxCrashes {
+		a.lost(digest, runnerAt(i, 1), epoch)
+	}
+	a.observe(nil, epoch)
+	b.heard(epoch, a.unreported())
+	if !b.blocked(digest, epoch) {
+		t.Error("a daemon that was told of the crashes does not block the request")
+	}
+	b.answered(digest)
+	a.heard(epoch, b.unreported())
+	if a.blocked(digest, epoch) || b.blocked(digest, epoch) {
+		t.Error("the request is blocked after a runner answered it")
+	}
+}
--- a/internal/jsonlog/writer.go
+++ b/internal/jsonlog/writer.go
@@ -26,15 +26,18 @@
 	out   io.Writer
 	lines chan []byte
 	lost  atomic.Int64
-	done  chan struct{}
-	close sync.Once
+	// quit is closed to end the writer, done when it has ended. Lines that are written
+	// later stay unread.
+	quit chan struct{}
+	done chan struct{}
+	once sync.Once
 	// reported is when lost lines were reported last.
 	reported time.Time
 }
 
 // NewAsyncWriter returns a writer that passes lines on to out.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{out: out, lines: make(chan []byte, queuedLines), done: make(chan struct{})}
+	w := &AsyncWriter{out: out, lines: make(chan []byte, queuedLines), quit: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -54,7 +57,7 @@
 
 // Close writes what is queued, for at most a limit.
 func (w *AsyncWriter) Close(limit time.Duration) {
-	w.close.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.quit) })
 	select {
 	case <-w.done:
 	case <-time.After(limit):
@@ -63,13 +66,35 @@
 
 func (w *AsyncWriter) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		// An output that fails leaves no place to say so.
-		_, _ = w.out.Write(line)
-		w.reportLost()
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		case <-w.quit:
+			w.drain()
+			return
+		}
 	}
 }
 
+// drain writes the lines that are queued.
+func (w *AsyncWriter) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		default:
+			return
+		}
+	}
+}
+
+func (w *AsyncWriter) write(line []byte) {
+	// An output that fails leaves no place to say so.
+	_, _ = w.out.Write(line)
+	w.reportLost()
+}
+
 func (w *AsyncWriter) reportLost() {
 	if w.lost.Load() == 0 || time.Since(w.reported) < lostInterval {
 		return
