--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -174,18 +174,19 @@
 // fail ends the call without a runner's answer. 503 is sent only when the request has
 // not run and will not.
 func (c *call) fail(ctx context.Context, err error) {
-	if c.delivering {
-		c.broken = true
-		c.finish("broken", 0, err)
-		return
+	timeout := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if timeout {
+		err = fmt.Errorf("%w: %w", errTimeout, err)
 	}
+	// An answer that was begun must not look complete, also to a client that is leaving.
+	c.broken = c.delivering
 	if clientGone(ctx) {
 		c.finish("abandoned", 0, errClientGone)
 		return
 	}
-	timeout := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	if timeout {
-		err = fmt.Errorf("%w: %w", errTimeout, err)
+	if c.delivering {
+		c.finish("broken", 0, err)
+		return
 	}
 	status := http.StatusServiceUnavailable
 	outcome := "refused"
