Do not take equal requests without a body for one that crashes runners

Two instances of a service that end while a lookup of the same path runs at each would have had that path refused for a minute.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -63,8 +63,12 @@
 }
 
 // digestOf identifies a request by what a runner computes, not by its id, which is new
-// with each attempt of a client.
+// with each attempt of a client. Requests without a body have no digest: many clients
+// send equal ones, and all of them would be refused after two crashes by coincidence.
 func digestOf(r *port.ForwardRequest) quarantine.Digest {
+	if len(r.Body) == 0 {
+		return ""
+	}
 	return quarantine.DigestOf(r.Method+" "+r.Host+r.Target, string(r.Body))
 }
 
@@ -78,6 +82,9 @@
 
 // lost notes that a connection ended while a runner ran a request.
 func (g *crashGuard) lost(d quarantine.Digest, r port.Runner, now time.Time) {
+	if d == "" {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.losses) >= maxLosses {
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -67,3 +67,17 @@
 		t.Error("the request is blocked after a runner answered it")
 	}
 }
+
+// Guards against equal requests of many clients that are all refused because two of
+// them were in flight at runners that ended.
+func TestRequestsWithoutABodyAreNotBlocked(t *testing.T) {
+	g := newCrashGuard()
+	d := digestOf(&port.ForwardRequest{Method: "GET", Host: "h", Target: "/slots/7"})
+	for i := range maxCrashes {
+		g.lost(d, runnerAt(i, 1), epoch)
+	}
+	g.observe(nil, epoch)
+	if g.blocked(d, epoch) {
+		t.Error("a request without a body is blocked")
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -17,6 +17,9 @@
 	// unknownConfigRetry is when a client may come back to a daemon that knows no
 	// configuration yet.
 	unknownConfigRetry = 300 * time.Millisecond
+	// fullMemoryRetry is when a client may come back to a daemon whose memory for bodies
+	// is taken.
+	fullMemoryRetry = time.Second
 	// writeMargin is how long after a request's deadline a client may take to read.
 	writeMargin = time.Second
 	// defaultTimeout limits requests whose route states no limit.
@@ -48,6 +51,9 @@
 	}
 	release, status := g.readBody(w, r, request, table.config.Limits)
 	defer release()
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfter(fullMemoryRetry))
+	}
 	if status != 0 {
 		g.reject(w, r, status, "body was not accepted")
 		return
--- /dev/null
+++ b/internal/gateway/stall_test.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// noRunners is a client that no test of this package sends through.
+type noRunners struct{ port.Runners }
+
+func (noRunners) Retain(func(string) bool) {}
+
+// newTestGateway returns a gateway without listeners that knows two runners.
+func newTestGateway(retries RetryLimits) *Gateway {
+	g := New(Settings{Name: "d", DataCentre: "north", Retries: retries}, Dependencies{Logger: zap.NewNop(), Registry: jsonRegistry{}, Runners: noRunners{}})
+	g.fleet.SetRunners([]port.Runner{
+		{ID: "a", Service: "s", Address: "10.0.0.1:80", DataCentre: "north", Slots: 4},
+		{ID: "b", Service: "s", Address: "10.0.0.2:80", DataCentre: "north", Slots: 4},
+	})
+	return g
+}
+
+func newTestCall(g *Gateway, excluded ...string) *call {
+	c := &call{
+		gateway: g, service: "s", excluded: map[string]bool{}, deadline: time.Now().Add(time.Hour),
+		request: &port.ForwardRequest{Received: time.Now()},
+		route:   &port.ForwardRoute{Repeat: port.RepeatSafe, Target: time.Hour, MaxAttempts: 3},
+	}
+	for _, id := range excluded {
+		c.excluded[id] = true
+	}
+	return c
+}
+
+// Guards against attempts that are ended as stalled although the limit of retries does
+// not allow another, which broke the limit, or although no other runner is left.
+func TestStalledAttemptEndsOnlyIfAnotherMayFollow(t *testing.T) {
+	cases := []struct {
+		name     string
+		slack    int
+		excluded []string
+		ends     bool
+	}{
+		{"retry allowed", 100, nil, true},
+		{"limit reached", 0, nil, false},
+		{"no other runner", 100, []string{"b"}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newTestGateway(RetryLimits{Window: 10 * time.Second, Slack: c.slack})
+			call := newTestCall(g, c.excluded...)
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			w := call.watchStall(cancel, "a", time.Hour)
+			w.expire(call, cancel)
+			if ended := errors.Is(context.Cause(ctx), errStalled); ended != c.ends {
+				t.Errorf("the attempt ended: %t, want %t", ended, c.ends)
+			}
+			if reserved := call.takeReserved(); reserved != c.ends {
+				t.Errorf("a retry is reserved: %t, want %t", reserved, c.ends)
+			}
+		})
+	}
+}
+
+// Guards against retries that are used up by runners that accept no connection.
+func TestSendsThatDidNotTakePlaceAreFree(t *testing.T) {
+	g := newTestGateway(RetryLimits{Window: 10 * time.Second, Slack: leastDaemons * 2})
+	c := newTestCall(g)
+	if !c.beginSend() {
+		t.Fatal("the first send is not allowed")
+	}
+	for i := range maxUnsent - 1 {
+		if !c.mayRetry(context.Background(), port.ErrNotSent) || !c.beginSend() {
+			t.Fatalf("no further send after %d without a connection", i+1)
+		}
+	}
+	if !g.retries("s").Take(time.Now()) {
+		t.Error("sends that did not take place used up the limit")
+	}
+	if c.mayRetry(context.Background(), port.ErrNotSent) {
+		t.Errorf("more than %d runners are tried without a connection", maxUnsent)
+	}
+}
+
+// Guards against a prefill that an engine did not accept and that is not counted.
+func TestPrefillsThatFailCountAsRetries(t *testing.T) {
+	cases := []struct {
+		name     string
+		err      error
+		reserved bool
+		counts   bool
+	}{
+		{"refused", port.ErrNotRun, false, true},
+		{"given up, with a place under the limit", errStalled, true, false},
+		{"not sent", port.ErrNotSent, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newTestGateway(RetryLimits{Window: 10 * time.Second, Slack: leastDaemons * 2})
+			call := newTestCall(g)
+			call.reserved.Store(c.reserved)
+			call.countPrefillFailure(c.err)
+			if left := g.retries("s").Take(time.Now()); left == c.counts {
+				t.Errorf("a retry is left: %t, want %t", left, !c.counts)
+			}
+		})
+	}
+}
