Keep a daemon that came back at another address as a partner

Its new link had no part in the cell until another daemon came or left. Found by reading. Log the status of answers that are not streams as it was sent.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -67,8 +67,9 @@
 	reserved atomic.Bool
 	// prefills counts prompts that were read elsewhere.
 	prefills int
-	// delivering is set once the head of an answer was written.
+	// delivering is set once the head of an answer was written, with its status.
 	delivering bool
+	status     int
 	// lastEvent is the id of the last event that was delivered.
 	lastEvent string
 	events    int
@@ -306,5 +307,6 @@
 	}
 	c.gateway.markClosing(h)
 	c.delivering = true
+	c.status = answer.Status
 	c.writer.WriteHeader(answer.Status)
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -168,7 +168,8 @@
 func (p *peers) meet(name string, a announcement, heard bool) {
 	p.mu.Lock()
 	l, ok := p.links[name]
-	if !ok || l.address != a.Address {
+	moved := !ok || l.address != a.Address
+	if moved {
 		l = &peerLink{
 			name: name, address: a.Address, dataCentre: a.DataCentre, client: p.dial(a.Address),
 			pending: map[string]runnerShare{}, answered: time.Now(),
@@ -181,11 +182,11 @@
 		l.pause = 0
 	}
 	var daemons []placement.Daemon
-	if !ok {
+	if moved {
 		daemons = p.arrange()
 	}
 	p.mu.Unlock()
-	if !ok {
+	if moved {
 		p.log.Info("daemon found", zap.String("peer", name), zap.String("peer-address", a.Address), zap.Int("daemons", len(daemons)))
 		p.resized(daemons)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,7 +48,7 @@
 		}
 		if err = c.runStream(ctx, work, memory); err == nil {
 			c.gateway.crashes.answered(c.digest)
-			c.finish("answered", http.StatusOK, nil)
+			c.finish("answered", c.status, nil)
 			return
 		}
 		c.step("%v", err)
