--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -14,15 +14,9 @@
 	MemoryBytes int64
 	// DrainNotice is how long after a runner's announcement new requests may reach it.
 	DrainNotice time.Duration
-	// ConfigApply is how long after its publication a configuration must be in force.
-	ConfigApply time.Duration
 	// StopGrace is the time from SIGTERM to SIGKILL.
 	StopGrace time.Duration
-	// Heartbeat is the interval at which runners renew their entries.
-	Heartbeat time.Duration
 	Retries   RetryLimits
-	// Lease is how long two daemons must not both order an engine.
-	Lease time.Duration
 }
 
 // Listen holds the addresses that a daemon serves, as host:port.
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -112,10 +112,6 @@
 	KVTokenBytes int
 	// LinkMbps is the rate of KV cache transfers in Mbit/s.
 	LinkMbps float64
-	// HandleHold is how long an engine keeps the KV cache of a prefill.
-	HandleHold time.Duration
-	// RoleChange is how long a change of role takes.
-	RoleChange time.Duration
 }
 
 // ForwardService is a group of runners that serve the same requests.
@@ -205,30 +201,6 @@
 	// Body returns io.EOF only after the whole body; any other error means that the
 	// answer is incomplete. Closing it early stops the runner's work.
 	Body io.ReadCloser
-	// Sealed is set when the answer carries the runner's signature.
-	Sealed bool
-}
-
-// RunnerReport is what an engine says of itself, as of some hundred milliseconds ago.
-type RunnerReport struct {
-	Role     Role
-	Changing bool
-	// Orders is the number of orders that the engine accepted since StartedMS.
-	Orders    int64
-	StartedMS int64
-	Queued    int
-	Running   int
-	KVUsed    int
-}
-
-// RoleOrder tells an engine to change its role.
-type RoleOrder struct {
-	Role   Role
-	Holder string
-	// Fencing grows with each holder.
-	Fencing int64
-	// ExpectedOrders is the number of orders that the engine must have accepted.
-	ExpectedOrders int64
 }
 
 // Runners sends requests to runners. Its errors are ErrNotSent, ErrNotRun,
@@ -241,9 +213,6 @@
 	Prefill(ctx context.Context, at Runner, r *ForwardRequest, o RunOptions) (MemoryHandle, error)
 	// Free gives up a handle.
 	Free(ctx context.Context, at Runner, h MemoryHandle) error
-	Report(ctx context.Context, of Runner) (RunnerReport, error)
-	// Order sends an order once. ErrNotRun means that it was refused.
-	Order(ctx context.Context, to Runner, o RoleOrder) error
 	// Retain closes idle connections to addresses that keep rejects.
 	Retain(keep func(address string) bool)
 }
@@ -267,9 +236,6 @@
 	Follow(ctx context.Context, topic string, from int64, wait time.Duration) ([]KeyedRecord, int64, error)
 	// Put appends records of keys. ErrAppendUnknown leaves open whether it did.
 	Put(ctx context.Context, topic string, records []KeyedRecord) error
-	// PutAt appends one record if the topic ends at offset at and returns whether it
-	// did, and the end of the topic.
-	PutAt(ctx context.Context, topic string, at int64, record KeyedRecord) (bool, int64, error)
 }
 
 // Registry topics of a KeyedLog.
