--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -76,6 +76,10 @@
 	urgency   int
 	predicted time.Duration
 	first     time.Duration
+	// delivered is when the last events were delivered, pause the longest time between
+	// two deliveries.
+	delivered time.Time
+	pause     time.Duration
 	// steps describes what was tried, for the log.
 	steps []string
 	// broken is set when the client's connection must be closed without an end.
@@ -250,6 +254,7 @@
 		zap.Duration("predicted", c.predicted),
 		zap.Duration("first-event", c.first),
 		zap.Int("events", c.events),
+		zap.Duration("longest-pause", c.pause),
 		zap.Int("runs", c.runs),
 		zap.Strings("steps", c.steps),
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -67,11 +67,15 @@
 // deliverEvents passes on whole events. The head of the first runner's answer stays when
 // a stream goes on at another runner.
 func (c *call) deliverEvents(work *placement.Work, answer *port.ForwardResponse, events []byte) error {
+	now := time.Now()
 	if !c.delivering {
-		c.first = time.Since(c.request.Received)
+		c.first = now.Sub(c.request.Received)
 		c.copyHead(answer)
+	} else {
+		c.pause = max(c.pause, now.Sub(c.delivered))
 	}
-	work.Read(time.Now())
+	c.delivered = now
+	work.Read(now)
 	events, last, count := newEvents(events, c.lastEvent)
 	c.lastEvent = last
 	c.events += count
