Fetch shared parts from engines of other data centres

Cause: with cells, only the daemons of a data centre told each other which shared parts its engines had read. A daemon now tells two daemons of each other data centre the parts of prompts of which its own data centre had none, and these pass them on.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -43,28 +43,6 @@
 	DataCentre string `json:"data_centre"`
 }
 
-// loadMessage tells peers what a daemon has in flight. Times are in microseconds.
-type loadMessage struct {
-	From    string         `json:"from"`
-	DC      string         `json:"data_centre"`
-	Address string         `json:"address"`
-	Config  int64          `json:"config"`
-	Runners []runnerShare  `json:"runners,omitempty"`
-	Crashes []crashMessage `json:"crashes,omitempty"`
-	Leaving bool           `json:"leaving,omitempty"`
-}
-
-type runnerShare struct {
-	ID      string                     `json:"id"`
-	Begun   int64                      `json:"begun"`
-	Reading [placement.Urgencies]int64 `json:"reading"`
-	Running int                        `json:"running"`
-	KV      int                        `json:"kv"`
-	Parts   map[string]int             `json:"parts,omitempty"`
-	// PartsOnly is set for daemons that do not share the load of the runner.
-	PartsOnly bool `json:"parts_only,omitempty"`
-}
-
 // peerLink is what a daemon knows of one other.
 type peerLink struct {
 	name    string
@@ -228,7 +206,9 @@
 		p.lastFull = now
 	}
 	p.mu.Unlock()
-	changes := encodeLoads(p.fleet.Changes(now, full))
+	loads := p.fleet.Changes(now, full)
+	changes := encodeLoads(loads)
+	first := encodeLoads(firstPartsOf(loads))
 	crashes := p.crashes.unreported()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -241,6 +221,9 @@
 			l.queueLoads(changes)
 		case l.dataCentre == p.dc:
 			l.queueLoads(partsOf(changes))
+		case l.probe:
+			// It passes them on to its data centre.
+			l.queueLoads(first)
 		}
 		l.queueCrashes(crashes)
 		watched := full && (l.partner || l.probe)
@@ -265,51 +248,6 @@
 	}
 }
 
-// maxPendingCrashes bounds the crash reports that wait for a peer.
-const maxPendingCrashes = 64
-
-// partsOf leaves only the parts of prompts that runners have read.
-func partsOf(changes []runnerShare) []runnerShare {
-	var out []runnerShare
-	for _, c := range changes {
-		if len(c.Parts) > 0 {
-			out = append(out, runnerShare{ID: c.ID, Parts: c.Parts, PartsOnly: true})
-		}
-	}
-	return out
-}
-
-// queueLoads adds changes; the newest load of a runner replaces an older one.
-func (l *peerLink) queueLoads(changes []runnerShare) {
-	for _, c := range changes {
-		if old, ok := l.pending[c.ID]; ok {
-			c.Parts = mergeParts(old.Parts, c.Parts)
-		}
-		l.pending[c.ID] = c
-	}
-}
-
-func (l *peerLink) queueCrashes(crashes []crashMessage) {
-	l.crashes = append(l.crashes, crashes...)
-	if extra := len(l.crashes) - maxPendingCrashes; extra > 0 {
-		l.crashes = l.crashes[extra:]
-	}
-}
-
-func mergeParts(a, b map[string]int) map[string]int {
-	if len(a) == 0 {
-		return b
-	}
-	out := make(map[string]int, len(a)+len(b))
-	for id, tokens := range a {
-		out[id] = tokens
-	}
-	for id, tokens := range b {
-		out[id] = tokens
-	}
-	return out
-}
-
 // send tells a peer what is pending; the lock is held.
 func (p *peers) send(ctx context.Context, l *peerLink) {
 	m := loadMessage{From: p.self, DC: p.dc, Address: p.address, Config: p.config.version(), Crashes: l.crashes}
@@ -373,7 +311,10 @@
 		return nil, nil
 	}
 	p.meet(m.From, announcement{Address: m.Address, DataCentre: m.DC}, true)
-	p.fleet.Heard(time.Now(), m.From, decodeLoads(m.Runners))
+	news := p.fleet.Heard(time.Now(), m.From, decodeLoads(m.Runners))
+	if m.DC != p.dc {
+		p.passParts(news)
+	}
 	p.crashes.heard(time.Now(), m.Crashes)
 	if m.Config > p.config.version() {
 		p.fetchConfig(m.Address)
@@ -439,38 +380,3 @@
 	}
 	group.Wait()
 }
-
-func encodeLoads(loads []placement.RunnerLoad) []runnerShare {
-	out := make([]runnerShare, 0, len(loads))
-	for _, l := range loads {
-		s := runnerShare{ID: l.ID, Running: l.Load.Running, KV: l.Load.KVTokens, Begun: l.Load.Begun.Microseconds()}
-		for i, d := range l.Load.Reading {
-			s.Reading[i] = d.Microseconds()
-		}
-		if len(l.Parts) > 0 {
-			s.Parts = make(map[string]int, len(l.Parts))
-		}
-		for _, part := range l.Parts {
-			s.Parts[part.ID] = part.Tokens
-		}
-		out = append(out, s)
-	}
-	return out
-}
-
-func decodeLoads(shares []runnerShare) []placement.RunnerLoad {
-	out := make([]placement.RunnerLoad, 0, len(shares))
-	for _, s := range shares {
-		l := placement.RunnerLoad{ID: s.ID, PartsOnly: s.PartsOnly}
-		l.Load.Running, l.Load.KVTokens = s.Running, s.KV
-		l.Load.Begun = time.Duration(s.Begun) * time.Microsecond
-		for i, us := range s.Reading {
-			l.Load.Reading[i] = time.Duration(us) * time.Microsecond
-		}
-		for id, tokens := range s.Parts {
-			l.Parts = append(l.Parts, port.PromptPart{ID: id, Tokens: tokens})
-		}
-		out = append(out, l)
-	}
-	return out
-}
--- /dev/null
+++ b/internal/gateway/peers_load.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/placement"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// loadMessage tells peers what a daemon has in flight. Times are in microseconds.
+type loadMessage struct {
+	From    string         `json:"from"`
+	DC      string         `json:"data_centre"`
+	Address string         `json:"address"`
+	Config  int64          `json:"config"`
+	Runners []runnerShare  `json:"runners,omitempty"`
+	Crashes []crashMessage `json:"crashes,omitempty"`
+	Leaving bool           `json:"leaving,omitempty"`
+}
+
+type runnerShare struct {
+	ID      string                     `json:"id"`
+	Begun   int64                      `json:"begun"`
+	Reading [placement.Urgencies]int64 `json:"reading"`
+	Running int                        `json:"running"`
+	KV      int                        `json:"kv"`
+	Parts   map[string]int             `json:"parts,omitempty"`
+	// PartsOnly is set for daemons that do not share the load of the runner.
+	PartsOnly bool `json:"parts_only,omitempty"`
+}
+
+// maxPendingCrashes bounds the crash reports that wait for a peer.
+const maxPendingCrashes = 64
+
+// partsOf leaves only the parts of prompts that runners have read.
+func partsOf(changes []runnerShare) []runnerShare {
+	var out []runnerShare
+	for _, c := range changes {
+		if len(c.Parts) > 0 {
+			out = append(out, runnerShare{ID: c.ID, Parts: c.Parts, PartsOnly: true})
+		}
+	}
+	return out
+}
+
+// firstPartsOf leaves only the parts that are new to the data centre, which others fetch
+// from there instead of reading them again.
+func firstPartsOf(loads []placement.RunnerLoad) []placement.RunnerLoad {
+	var out []placement.RunnerLoad
+	for _, l := range loads {
+		if len(l.FirstParts) > 0 {
+			out = append(out, placement.RunnerLoad{ID: l.ID, Parts: l.FirstParts, PartsOnly: true})
+		}
+	}
+	return out
+}
+
+// queueLoads adds changes; the newest load of a runner replaces an older one.
+func (l *peerLink) queueLoads(changes []runnerShare) {
+	for _, c := range changes {
+		if old, ok := l.pending[c.ID]; ok {
+			parts := mergeParts(old.Parts, c.Parts)
+			if c.PartsOnly {
+				c = old
+			}
+			c.Parts = parts
+		}
+		l.pending[c.ID] = c
+	}
+}
+
+func (l *peerLink) queueCrashes(crashes []crashMessage) {
+	l.crashes = append(l.crashes, crashes...)
+	if extra := len(l.crashes) - maxPendingCrashes; extra > 0 {
+		l.crashes = l.crashes[extra:]
+	}
+}
+
+func mergeParts(a, b map[string]int) map[string]int {
+	if len(a) == 0 {
+		return b
+	}
+	out := make(map[string]int, len(a)+len(b))
+	for id, tokens := range a {
+		out[id] = tokens
+	}
+	for id, tokens := range b {
+		out[id] = tokens
+	}
+	return out
+}
+
+// passParts tells the daemons of this data centre that share no loads with the sender
+// which parts engines of another data centre have read.
+func (p *peers) passParts(news []placement.RunnerLoad) {
+	shares := encodeLoads(news)
+	if len(shares) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sharesAll() {
+		return
+	}
+	for _, l := range p.links {
+		if l.dataCentre == p.dc {
+			l.queueLoads(shares)
+		}
+	}
+}
+
+// sharesAll tells whether all daemons share the loads of all engines; the lock is held.
+func (p *peers) sharesAll() bool {
+	for _, l := range p.links {
+		if !l.partner {
+			return false
+		}
+	}
+	return true
+}
+
+func encodeLoads(loads []placement.RunnerLoad) []runnerShare {
+	out := make([]runnerShare, 0, len(loads))
+	for _, l := range loads {
+		s := runnerShare{ID: l.ID, PartsOnly: l.PartsOnly, Running: l.Load.Running, KV: l.Load.KVTokens, Begun: l.Load.Begun.Microseconds()}
+		for i, d := range l.Load.Reading {
+			s.Reading[i] = d.Microseconds()
+		}
+		if len(l.Parts) > 0 {
+			s.Parts = make(map[string]int, len(l.Parts))
+		}
+		for _, part := range l.Parts {
+			s.Parts[part.ID] = part.Tokens
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func decodeLoads(shares []runnerShare) []placement.RunnerLoad {
+	out := make([]placement.RunnerLoad, 0, len(shares))
+	for _, s := range shares {
+		l := placement.RunnerLoad{ID: s.ID, PartsOnly: s.PartsOnly}
+		l.Load.Running, l.Load.KVTokens = s.Running, s.KV
+		l.Load.Begun = time.Duration(s.Begun) * time.Microsecond
+		for i, us := range s.Reading {
+			l.Load.Reading[i] = time.Duration(us) * time.Microsecond
+		}
+		for id, tokens := range s.Parts {
+			l.Parts = append(l.Parts, port.PromptPart{ID: id, Tokens: tokens})
+		}
+		out = append(out, l)
+	}
+	return out
+}
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -30,3 +31,47 @@
 		t.Errorf("%d daemons share the limit of retries after one left, want 1", g.daemons)
 	}
 }
+
+// Guards against a load that is lost when parts of prompts are told to the same peer
+// before it was sent.
+func TestPartsDoNotReplaceAPendingLoad(t *testing.T) {
+	l := &peerLink{pending: map[string]runnerShare{}}
+	l.queueLoads([]runnerShare{{ID: "r", Running: 3, Parts: map[string]int{"a": 1}}})
+	l.queueLoads([]runnerShare{{ID: "r", PartsOnly: true, Parts: map[string]int{"b": 2}}})
+	if got := l.pending["r"]; got.Running != 3 || got.PartsOnly || got.Parts["a"] != 1 || got.Parts["b"] != 2 {
+		t.Errorf("pending share is %+v, want the load with both parts", got)
+	}
+}
+
+// Guards against parts of other data centres that reach one daemon only, and against
+// daemons that pass them on in circles.
+func TestPartsOfOtherDataCentresArePassedOn(t *testing.T) {
+	g := newTestGateway(RetryLimits{})
+	g.peers.dial = func(string) port.Peer { return silentPeer{} }
+	for _, name := range []string{"e", "f", "g", "h"} {
+		g.peers.meet(name, announcement{Address: "10.0.0.7:" + name, DataCentre: "north"}, false)
+	}
+	for _, name := range []string{"s1", "s2", "s3", "s4", "s5"} {
+		g.peers.meet(name, announcement{Address: "10.1.0.7:" + name, DataCentre: "south"}, false)
+	}
+	hear := func(from, dataCentre, part string) {
+		t.Helper()
+		m := loadMessage{From: from, DC: dataCentre, Address: g.peers.links[from].address}
+		m.Runners = []runnerShare{{ID: "a", PartsOnly: true, Parts: map[string]int{part: 10}}}
+		params, err := json.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := g.peers.handleLoad(context.Background(), params); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hear("s1", "south", "p")
+	hear("e", "north", "q")
+	for name, l := range g.peers.links {
+		parts := l.pending["a"].Parts
+		if want := l.dataCentre == "north"; (parts["p"] == 10) != want || parts["q"] != 0 {
+			t.Errorf("%s is told the parts %v, want the one of the other data centre: %t", name, parts, want)
+		}
+	}
+}
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// unknown returns the parts that the engine is not known to keep.
+func (c *partCache) unknown(parts []port.PromptPart) []port.PromptPart {
+	var out []port.PromptPart
+	for _, part := range parts {
+		if _, ok := c.parts[part.ID]; !ok {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
 // evict forgets the least recently used part.
 func (c *partCache) evict() {
 	var oldest string
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -70,8 +70,10 @@
 	leaving bool
 	// dirty is set while peers have not been told of the newest load.
 	dirty bool
-	// readParts are parts that peers have not been told of.
-	readParts []port.PromptPart
+	// readParts are parts that peers have not been told of, firstParts those of prompts of
+	// which no engine of this data centre had read all.
+	readParts  []port.PromptPart
+	firstParts []port.PromptPart
 }
 
 type peerLoad struct {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -137,21 +138,32 @@
 		m.readNext(now)
 	}
 	m.dirty = true
-	m.readParts = append(m.readParts, m.newShared(w.parts)...)
+	fresh := m.cache.unknown(sharedParts(w.parts))
+	m.readParts = append(m.readParts, fresh...)
+	if w.fleet.newHere(m.runner.Service, fresh) {
+		// A part is of use only together with those before it.
+		m.firstParts = append(m.firstParts, sharedParts(w.parts)...)
+	}
 	m.cache.add(w.parts, now)
 	w.measure(now)
 }
 
-// newShared returns the parts that the runner has not read before and that other
-// requests may share. The last part belongs to one request or session.
-func (m *member) newShared(parts []port.PromptPart) []port.PromptPart {
-	var out []port.PromptPart
-	for i, part := range parts {
-		if _, known := m.cache.parts[part.ID]; !known && i+1 < len(parts) {
-			out = append(out, part)
+// sharedParts returns the parts that other requests may share. The last part belongs to
+// one request or session.
+func sharedParts(parts []port.PromptPart) []port.PromptPart { return parts[:max(0, len(parts)-1)] }
+
+// newHere tells whether no engine of this data centre is known to have read one of the parts.
+func (f *Fleet) newHere(service string, parts []port.PromptPart) bool {
+	return slices.ContainsFunc(parts, func(p port.PromptPart) bool { return !f.knownHere(service, p.ID) })
+}
+
+func (f *Fleet) knownHere(service, part string) bool {
+	for _, m := range f.services[service] {
+		if _, ok := m.cache.parts[part]; ok && m.runner.DataCentre == f.dataCentre {
+			return true
 		}
 	}
-	return out
+	return false
 }
 
 // measure corrects the rate of the runner by a reading that nothing delayed.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -211,3 +211,57 @@
 		t.Errorf("a known part is told again: %+v", changes)
 	}
 }
+
+// Guards against shared parts that each data centre reads anew because the parts before
+// them were not told together with them.
+func TestPartsOfOtherDataCentresAreFetched(t *testing.T) {
+	engines := []port.Runner{
+		{ID: "n1", Service: service, Address: "10.0.0.1:80", DataCentre: "north", Role: port.RoleDecode, Slots: 64},
+		{ID: "n2", Service: service, Address: "10.0.0.2:80", DataCentre: "north", Role: port.RoleDecode, Slots: 64},
+		{ID: "s1", Service: service, Address: "10.1.0.1:80", DataCentre: "south", Role: port.RoleDecode, Slots: 64},
+	}
+	newIn := func(dataCentre string) *placement.Fleet {
+		f := placement.NewFleet(dataCentre, "daemon")
+		f.SetServices(map[string]port.ForwardService{service: {Name: service, Engine: &limits}})
+		f.SetRunners(engines)
+		return f
+	}
+	north, south := newIn("north"), newIn("south")
+	common := port.PromptPart{ID: "common", Tokens: 500}
+	history := port.PromptPart{ID: "history", Tokens: 5_000}
+	own := port.PromptPart{ID: "own", Tokens: 500}
+	excluded := func(ids ...string) map[string]bool {
+		out := map[string]bool{}
+		for _, id := range ids {
+			out[id] = true
+		}
+		return out
+	}
+	read := func(p *port.Prompt, engine string) []placement.RunnerLoad {
+		t.Helper()
+		others := map[string]map[string]bool{"n1": excluded("n2", "s1"), "n2": excluded("n1", "s1")}
+		_, w := place(t, north, start, placement.Query{Prompt: p, Excluded: others[engine]})
+		w.Read(start)
+		w.End(start, placement.Answered)
+		return north.Changes(start, false)
+	}
+	read(prompt(1_000, common, own), "n1")
+	changes := read(prompt(6_000, common, history, own), "n2")
+	if len(changes) != 1 || !slices.Equal(changes[0].FirstParts, []port.PromptPart{common, history}) {
+		t.Fatalf("parts that are told to other data centres are %+v, want both shared ones", changes)
+	}
+	told := []placement.RunnerLoad{{ID: "n2", Parts: changes[0].FirstParts, PartsOnly: true}}
+	if news := south.Heard(start, "peer", told); len(news) != 1 || len(news[0].Parts) != 2 {
+		t.Errorf("news are %+v, want both parts", news)
+	}
+	if news := south.Heard(start, "peer", told); len(news) != 0 {
+		t.Errorf("news are %+v the second time, want none", news)
+	}
+	_, w := place(t, south, start, placement.Query{Prompt: prompt(6_000, common, history, own), Excluded: excluded("n1", "n2")})
+	if w.FetchFrom() != "10.0.0.2:80" || w.Unread() != 500 {
+		t.Errorf("parts are fetched from %q with %d tokens unread, want 10.0.0.2:80 and 500", w.FetchFrom(), w.Unread())
+	}
+	if changes := read(prompt(6_000, common, history, own), "n1"); len(changes) == 1 && len(changes[0].FirstParts) > 0 {
+		t.Errorf("parts that the data centre has are told again: %+v", changes)
+	}
+}
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -10,8 +10,10 @@
 type RunnerLoad struct {
 	ID   string
 	Load Load
-	// Parts are shared parts of prompts that the runner has read since the last message.
-	Parts []port.PromptPart
+	// Parts are shared parts of prompts that the runner has read since the last message,
+	// FirstParts those of prompts of which no engine of this data centre had read all.
+	Parts      []port.PromptPart
+	FirstParts []port.PromptPart
 	// PartsOnly is set when the load is not told.
 	PartsOnly bool
 }
@@ -26,17 +28,18 @@
 		if !m.dirty && !(all && len(m.work) > 0) {
 			continue
 		}
-		out = append(out, RunnerLoad{ID: id, Load: m.own(now), Parts: m.readParts})
+		out = append(out, RunnerLoad{ID: id, Load: m.own(now), Parts: m.readParts, FirstParts: m.firstParts})
 		m.dirty = false
-		m.readParts = nil
+		m.readParts, m.firstParts = nil, nil
 	}
 	return out
 }
 
-// Heard takes in what a peer told.
-func (f *Fleet) Heard(now time.Time, peer string, loads []RunnerLoad) {
+// Heard takes in what a peer told. It returns the parts that were not known before.
+func (f *Fleet) Heard(now time.Time, peer string, loads []RunnerLoad) []RunnerLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	var news []RunnerLoad
 	for _, l := range loads {
 		m, ok := f.members[l.ID]
 		if !ok {
@@ -45,6 +48,10 @@
 		if !l.PartsOnly {
 			m.peers[peer] = peerLoad{load: l.Load, at: now}
 		}
+		if unknown := m.cache.unknown(l.Parts); len(unknown) > 0 {
+			news = append(news, RunnerLoad{ID: l.ID, Parts: unknown, PartsOnly: true})
+		}
 		m.cache.add(l.Parts, now)
 	}
+	return news
 }
