--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,7 @@
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/porttest"
 	"bergamotsill.example/bergamotsill/internal/refusal"
 	"bergamotsill.example/bergamotsill/internal/settings"
 )
@@ -87,25 +87,12 @@
 	}
 }
 
-// lastPort is the port that was given out last. Ports lie below the range that the
-// kernel gives to outgoing connections, so that a process that starts later, or is
-// replaced, finds its port free.
-var lastPort = 20_000 + os.Getpid()%500*20
-
 // freeAddress gives a name an address on loopback that no other name has.
 func (s *system) freeAddress(name string) string {
 	s.t.Helper()
-	const lastUsable = 32_000
-	for lastPort < lastUsable {
-		lastPort++
-		address := fmt.Sprintf("127.0.0.1:%d", lastPort)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		s.addresses[name] = address
-		return address
+	if port := porttest.Free(1); port > 0 {
+		s.addresses[name] = fmt.Sprintf("127.0.0.1:%d", port)
+		return s.addresses[name]
 	}
 	s.t.Fatal("no port is free")
 	return ""
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -11,7 +11,10 @@
 // Window limits retries in a sliding window to a ratio of the first sends plus a
 // constant. It is safe for concurrent use.
 type Window struct {
-	mu     sync.Mutex
+	mu sync.Mutex
+	// origin is the first time that was seen. Slots are counted from it, so that they
+	// follow the steady clock: the time of day may jump.
+	origin time.Time
 	ratio  float64
 	slack  float64
 	slot   time.Duration
@@ -40,7 +43,10 @@
 // at returns the slot of a time and empties those that have left the window. One slot
 // more than the window is kept, so that the limit holds for every span of its length.
 func (w *Window) at(now time.Time) *windowSlot {
-	number := now.UnixNano() / int64(w.slot)
+	if w.origin.IsZero() {
+		w.origin = now
+	}
+	number := max(0, int64(now.Sub(w.origin)/w.slot))
 	for n := max(w.newest+1, number-windowSlots); n <= number; n++ {
 		w.slots[n%int64(len(w.slots))] = windowSlot{}
 	}
