--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -22,6 +22,9 @@
 const (
 	// shareInterval is how long changes of load are gathered before they are told.
 	shareInterval = 30 * time.Millisecond
+	// partsInterval is how long parts of prompts are gathered for daemons that share no
+	// loads. A message costs more than the parts in it, and there are many such daemons.
+	partsInterval = 150 * time.Millisecond
 	// heartbeatInterval is how often a daemon tells all its loads without a change. It
 	// is well below the age at which peers stop believing them.
 	heartbeatInterval = 300 * time.Millisecond
@@ -55,13 +58,16 @@
 	crashes []crashMessage
 	busy    bool
 	pause   time.Duration
-	next    time.Time
+	// next is when the peer may be told again.
+	next time.Time
 	// answered is when the peer last answered or called.
 	answered time.Time
 	// partner is set for daemons that share the loads of the same engines, probe for the
 	// few of other data centres by which the way there is watched.
 	partner bool
 	probe   bool
+	// relay is set for the one probe of a data centre that is told its new parts.
+	relay bool
 }
 
 // peers tells other daemons what this one has in flight and hears what they have.
@@ -182,7 +188,7 @@
 	for _, l := range p.links {
 		daemons = append(daemons, placement.Daemon{Name: l.name, DataCentre: l.dataCentre})
 		byCentre[l.dataCentre] = append(byCentre[l.dataCentre], l.name)
-		l.partner, l.probe = false, false
+		l.partner, l.probe, l.relay = false, false, false
 	}
 	for _, name := range placement.Partners(self, daemons) {
 		p.links[name].partner = true
@@ -191,8 +197,9 @@
 		if dc == p.dc {
 			continue
 		}
-		for _, name := range rendezvous.Top(p.self, names, probesPerCentre) {
+		for i, name := range rendezvous.Top(p.self, names, probesPerCentre) {
 			p.links[name].probe = true
+			p.links[name].relay = i == 0
 		}
 	}
 	return daemons
@@ -221,7 +228,7 @@
 			l.queueLoads(changes)
 		case l.dataCentre == p.dc:
 			l.queueLoads(partsOf(changes))
-		case l.probe:
+		case l.relay:
 			// It passes them on to its data centre.
 			l.queueLoads(first)
 		}
@@ -257,6 +264,9 @@
 	l.pending = map[string]runnerShare{}
 	l.crashes = nil
 	l.busy = true
+	if !l.partner {
+		l.next = time.Now().Add(partsInterval)
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
