Explain requests of a gateway from its log lines; remove what stood twice or unused

bergamotctl logs explain and logs outcomes read the JSON lines of several processes, whose daemons may be gone. A KV cache handle names its runner, so that no search by address is needed; header rules and the interruptible sleep stand once.

--- a/internal/adapter/clock/clock.go
+++ b/internal/adapter/clock/clock.go
@@ -1,8 +1,9 @@
-// Package clock reads the machine's clock that goes on during suspend. Leases are
-// measured on it: a holder that was suspended must find its lease expired.
+// Package clock waits, and reads the machine's clock that goes on during suspend. Leases
+// are measured on that one: a holder that was suspended must find its lease expired.
 package clock
 
 import (
+	"context"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -20,3 +21,13 @@
 	}
 	return time.Duration(ts.Nano())
 }
+
+// Sleep waits for a duration or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/ctl/logs.go
@@ -0,0 +1,154 @@
+package ctl
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/spf13/cobra"
+
+	"bergamotsill.example/bergamotsill/internal/logread"
+)
+
+// newLogs returns the commands that read the log lines of daemons in place of asking the
+// daemons, which may be gone.
+func newLogs(opts *options) *cobra.Command {
+	logs := &cobra.Command{Use: "logs", Short: "Explain requests from the log lines of daemons"}
+	logs.AddCommand(newLogsExplain(opts), newLogsOutcomes(opts))
+	return logs
+}
+
+// explained is the result of logs explain.
+type explained struct {
+	Lines []logread.Line `json:"lines"`
+	// Around is what the daemon that ended the request found out before and meanwhile.
+	Around []logread.Line `json:"around"`
+}
+
+func newLogsExplain(opts *options) *cobra.Command {
+	var before time.Duration
+	cmd := &cobra.Command{
+		Use:   "explain REQUEST-ID FILE...",
+		Short: "Show what happened to a request, and what its daemon found out at that time",
+		Args:  cobra.MinimumNArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			log, err := readLogs(cmd, args[1:])
+			if err != nil {
+				return err
+			}
+			var e explained
+			if e.Lines = log.Request(args[0]); len(e.Lines) == 0 {
+				return trace.NotFound("no line about request %q", args[0])
+			}
+			e.Around = log.Around(e.Lines[len(e.Lines)-1], before)
+			if opts.json {
+				return printJSON(cmd.OutOrStdout(), e)
+			}
+			return e.print(cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().DurationVar(&before, "before", 5*time.Second, "how long before the request other lines of its daemon are shown")
+	return cmd
+}
+
+func newLogsOutcomes(opts *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "outcomes FILE...",
+		Short: "Count how requests ended, by route and reason, with an example of each",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			log, err := readLogs(cmd, args)
+			if err != nil {
+				return err
+			}
+			if opts.json {
+				return printJSON(cmd.OutOrStdout(), log.Outcomes())
+			}
+			w := newTable(cmd.OutOrStdout())
+			fmt.Fprintln(w, "COUNT\tROUTE\tOUTCOME\tEXAMPLE\tREASON")
+			for _, o := range log.Outcomes() {
+				fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\n", o.Count, o.Route, o.Outcome, o.Example, o.Reason)
+			}
+			return w.Flush()
+		},
+	}
+}
+
+// readLogs reads files, or standard input for "-". All files that can't be read are
+// reported together.
+func readLogs(cmd *cobra.Command, paths []string) (*logread.Log, error) {
+	log := &logread.Log{}
+	var findings []error
+	for _, path := range paths {
+		if err := readLog(cmd, log, path); err != nil {
+			findings = append(findings, fmt.Errorf("%s: %s", path, trace.UserMessage(err)))
+		}
+	}
+	if err := errors.Join(findings...); err != nil {
+		return nil, trace.BadParameter("%v", err)
+	}
+	if log.Unreadable > 0 {
+		fmt.Fprintf(cmd.ErrOrStderr(), "%d lines are not JSON and were skipped\n", log.Unreadable)
+	}
+	return log, nil
+}
+
+func readLog(cmd *cobra.Command, log *logread.Log, path string) error {
+	if path == "-" {
+		return log.Read(cmd.InOrStdin())
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer file.Close()
+	return log.Read(file)
+}
+
+// shownFirst are fields that are columns of their own.
+var shownFirst = []string{"time", "level", "msg", "daemon", "data-centre", "version", "request-id", "steps"}
+
+func (e *explained) print(out io.Writer) error {
+	for _, l := range e.Lines {
+		fmt.Fprintf(out, "%s %s %s: %s\n", l.Time.Format(time.RFC3339Nano), l.Level, l.Daemon, l.Message)
+		steps, _ := l.Fields["steps"].([]any)
+		for _, s := range steps {
+			fmt.Fprintf(out, "    %v\n", s)
+		}
+		for _, name := range sortedKeys(l.Fields) {
+			fmt.Fprintf(out, "  %s: %v\n", name, l.Fields[name])
+		}
+	}
+	if len(e.Around) > 0 {
+		fmt.Fprintln(out, "\nOther lines of the daemon before and meanwhile:")
+	}
+	for _, l := range e.Around {
+		fmt.Fprintf(out, "%s %s: %s %s\n", l.Time.Format(time.RFC3339Nano), l.Level, l.Message, fieldList(l.Fields))
+	}
+	return nil
+}
+
+// sortedKeys returns the names of the fields that are not shown elsewhere.
+func sortedKeys(fields map[string]any) []string {
+	var names []string
+	for name := range fields {
+		if !slices.Contains(shownFirst, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func fieldList(fields map[string]any) string {
+	var parts []string
+	for _, name := range sortedKeys(fields) {
+		parts = append(parts, fmt.Sprintf("%s=%v", name, fields[name]))
+	}
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/internal/ctl/logs_test.go
@@ -0,0 +1,38 @@
+package ctl
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/gravitational/trace"
+)
+
+const gatewayLog = `{"level":"warn","time":"2026-12-04T10:00:02Z","msg":"metadata store is unavailable","daemon":"d1","purpose":"runners"}
+{"level":"warn","time":"2026-12-04T10:00:03Z","msg":"request finished","daemon":"d1","request-id":"r1","route":"a","outcome":"failed","took":0.5,"steps":["0ms run at i-1","500ms unexpected EOF"],"error":"unexpected EOF"}
+not JSON
+`
+
+// Guards against an explanation without the steps of the request or without what its
+// daemon knew, and against a failure that hides which file can't be read.
+func TestLogCommands(t *testing.T) {
+	path := write(t, "d1.log", gatewayLog)
+	out, err := run(nil, "logs", "explain", "r1", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"500ms unexpected EOF", "outcome: failed", "metadata store is unavailable", "1 lines are not JSON"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("output lacks %q:\n%s", want, out)
+		}
+	}
+	if out, err := run(nil, "logs", "outcomes", path); err != nil || !strings.Contains(out, "unexpected EOF") || !strings.Contains(out, "r1") {
+		t.Errorf("outcomes are %q, error %v", out, err)
+	}
+	if _, err := run(nil, "logs", "explain", "r2", path); !trace.IsNotFound(err) {
+		t.Errorf("error for an unknown request is %v, want NotFound", err)
+	}
+	_, err = run(nil, "logs", "outcomes", "/none/a", "/none/b")
+	if ExitCode(err) != ExitInvalid || !strings.Contains(Message(err), "/none/a") || !strings.Contains(Message(err), "/none/b") {
+		t.Errorf("error is %v, want both files with exit code %d", err, ExitInvalid)
+	}
+}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -68,6 +68,7 @@
 		newStatus(opts),
 		newControl(opts),
 		newExplain(opts),
+		newLogs(opts),
 		newBurn(opts),
 		newRoles(opts),
 		newVersion(version),
--- a/internal/daemon/claim_appender.go
+++ b/internal/daemon/claim_appender.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/claim"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -321,7 +322,7 @@
 		if time.Now().After(deadline) {
 			break
 		}
-		sleep(ctx, claimRetry)
+		clock.Sleep(ctx, claimRetry)
 	}
 	a.failWaiting(verdictUncertain)
 }
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/claim"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/refusal"
@@ -167,7 +168,7 @@
 		if !c.worthWaiting(ctx, record, result) || time.Now().After(deadline) {
 			return result, uncertain
 		}
-		sleep(ctx, claimPoll)
+		clock.Sleep(ctx, claimPoll)
 	}
 }
 
@@ -312,7 +313,7 @@
 			return
 		}
 		c.daemon.log.Debug("claim record not appended", zap.String("claim", r.Claim), zap.String("kind", string(r.Kind)))
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 		pause = min(2*pause, recordMaxPause)
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 	"bergamotsill.example/bergamotsill/internal/burn"
@@ -189,7 +190,7 @@
 	d.stopping.Store(true)
 	d.log.Info("daemon stopping", zap.Int("active-requests", d.requests.Active()))
 	d.orders.handOver(ctx)
-	sleep(ctx, d.settings.Timing.BalancerDelay.Std())
+	clock.Sleep(ctx, d.settings.Timing.BalancerDelay.Std())
 	d.requests.Close()
 	d.requests.Wait(ctx)
 	// A handler returns before its last bytes are sent; Shutdown waits for those.
@@ -217,16 +218,6 @@
 // context returns a context that ends with the daemon.
 func (d *Daemon) context() context.Context { return d.tomb.Context(context.Background()) }
 
-// sleep waits for a duration or until ctx ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // every calls f at each interval until ctx ends, the first time at once.
 func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
 	ticker := time.NewTicker(interval)
--- a/internal/daemon/follow.go
+++ b/internal/daemon/follow.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/rendezvous"
 	"bergamotsill.example/bergamotsill/internal/replay"
@@ -95,7 +96,7 @@
 	for ctx.Err() == nil {
 		err := f.readOnce(ctx)
 		if err != nil && (f.interval == 0 || !f.hasRead()) {
-			sleep(ctx, logRetryDelay)
+			clock.Sleep(ctx, logRetryDelay)
 			continue
 		}
 		f.more = f.more && err == nil
--- a/internal/daemon/gossip.go
+++ b/internal/daemon/gossip.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/engineview"
 	"bergamotsill.example/bergamotsill/internal/membership"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -144,10 +145,10 @@
 // fleet that starts at once does not ask at once.
 func (g *gossip) runMissing() error {
 	ctx := g.daemon.context()
-	sleep(ctx, time.Duration(g.rng.Int64N(int64(missingFirst))))
+	clock.Sleep(ctx, time.Duration(g.rng.Int64N(int64(missingFirst))))
 	for pause := missingFirst; ctx.Err() == nil; pause = min(2*pause, missingInterval) {
 		g.fetchMissing(ctx)
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 	return nil
 }
--- a/internal/daemon/orders.go
+++ b/internal/daemon/orders.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/lease"
 	"bergamotsill.example/bergamotsill/internal/order"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -293,7 +294,7 @@
 		if next > last {
 			return
 		}
-		sleep(ctx, 10*time.Millisecond)
+		clock.Sleep(ctx, 10*time.Millisecond)
 	}
 }
 
--- a/internal/daemon/quarantine_reports.go
+++ b/internal/daemon/quarantine_reports.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/quarantine"
 )
@@ -21,7 +22,7 @@
 	s.publishing <- struct{}{}
 	defer func() { <-s.publishing }()
 	for {
-		sleep(ctx, time.Until(s.published.Add(gatherInterval)))
+		clock.Sleep(ctx, time.Until(s.published.Add(gatherInterval)))
 		report := s.takeChanges()
 		if len(report.Crashes) == 0 && len(report.Released) == 0 {
 			return
--- a/internal/daemon/quarantine_trial.go
+++ b/internal/daemon/quarantine_trial.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/quarantine"
 	"bergamotsill.example/bergamotsill/internal/routing"
 )
@@ -142,7 +143,7 @@
 		if ctx.Err() != nil || time.Now().After(g.deadline) {
 			return false
 		}
-		sleep(ctx, drainPoll)
+		clock.Sleep(ctx, drainPoll)
 	}
 	return true
 }
--- a/internal/daemon/retry.go
+++ b/internal/daemon/retry.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/refusal"
 	"bergamotsill.example/bergamotsill/internal/retry"
@@ -82,7 +83,7 @@
 // pause sleeps for a jittered time. It fails when the caller left or when the
 // request's deadline is over afterwards.
 func (d *Daemon) pause(ctx context.Context, g *generation, tries int) error {
-	sleep(ctx, d.retries.backoff(tries))
+	clock.Sleep(ctx, d.retries.backoff(tries))
 	if ctx.Err() != nil {
 		return g.refuse(refusal.Incomplete, "the caller left before the answer was whole")
 	}
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -18,12 +18,6 @@
 	"bergamotsill.example/bergamotsill/internal/routing"
 )
 
-// hopHeaders are not passed on between connections (RFC 9110, section 7.6.1).
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // serveService passes a call on to a plain service.
 func (d *Daemon) serveService(ctx context.Context, w http.ResponseWriter, c *call) error {
 	snapshot := d.config.Snapshot()
@@ -46,11 +40,12 @@
 }
 
 func writeServiceResponse(w http.ResponseWriter, answer port.ServiceResponse) {
-	for name, values := range answer.Header {
+	for name, values := range port.EndToEnd(answer.Header) {
 		w.Header()[name] = values
 	}
-	for _, name := range hopHeaders {
-		w.Header().Del(name)
+	// The whole body is passed on, also that of an answer to HEAD, which is empty.
+	if length := answer.Header.Get("Content-Length"); length != "" {
+		w.Header().Set("Content-Length", length)
 	}
 	w.WriteHeader(answer.Status)
 	// A failed write means that the caller is gone.
@@ -58,12 +53,7 @@
 }
 
 func (c *call) serviceRequest() port.ServiceRequest {
-	header := c.request.Header.Clone()
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-	// The body is complete by now, so the upstream is not asked to agree to it.
-	header.Del("Expect")
+	header := port.EndToEnd(c.request.Header)
 	header.Set(refusal.HeaderRequestID, c.id)
 	return port.ServiceRequest{
 		Method: c.request.Method,
--- a/internal/daemon/stall.go
+++ b/internal/daemon/stall.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/routing"
 )
@@ -75,7 +76,7 @@
 	var queue *port.EngineStatus
 	waits, seen, wake := 0, s.since.Load(), s.limit()
 	for {
-		sleep(ctx, wake)
+		clock.Sleep(ctx, wake)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -100,7 +101,7 @@
 	backoff := newStoreBackoff(c.log, "configuration")
 	for ctx.Err() == nil {
 		if c.table.Load() != nil && c.relayed != nil && c.relayed() {
-			sleep(ctx, relayCheck)
+			clock.Sleep(ctx, relayCheck)
 			continue
 		}
 		records, _, err := f.next(ctx)
@@ -164,7 +165,7 @@
 		b.log.Warn("metadata store is unavailable", zap.String("purpose", b.purpose), zap.Error(err))
 	}
 	b.pause = min(storePauseMost, max(storePause, 2*b.pause))
-	sleep(ctx, b.pause)
+	clock.Sleep(ctx, b.pause)
 }
 
 func (b *storeBackoff) succeeded() {
@@ -174,13 +175,3 @@
 	b.lost = time.Time{}
 	b.pause = 0
 }
-
-// sleep waits for a duration or until ctx ends.
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -79,7 +80,7 @@
 	outage := false
 	for ctx.Err() == nil {
 		if d.known.Load() && d.relayed != nil && d.relayed() {
-			sleep(ctx, relayCheck)
+			clock.Sleep(ctx, relayCheck)
 			continue
 		}
 		records, whole, err := f.next(ctx)
@@ -94,7 +95,7 @@
 		if d.relay != nil {
 			d.relay(changed)
 		}
-		sleep(ctx, d.interval)
+		clock.Sleep(ctx, d.interval)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,7 +103,7 @@
 		fleet: g.fleet, config: g.config, crashes: g.crashes, resized: g.resize, links: map[string]*peerLink{},
 	}
 	r := &registryRelay{
-		log: g.log, peers: g.peers, found: g.found, config: g.config, busy: map[string]bool{}, missed: map[string][]relayRecord{},
+		peers: g.peers, found: g.found, config: g.config, busy: map[string]bool{}, missed: map[string][]relayRecord{},
 	}
 	g.peers.relay = r
 	g.found.relayed, g.found.relay = r.fresh, r.pass
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/rendezvous"
@@ -129,7 +130,7 @@
 		}
 		backoff.succeeded()
 		p.found(records)
-		sleep(ctx, membersInterval)
+		clock.Sleep(ctx, membersInterval)
 	}
 }
 
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -41,7 +39,6 @@
 // registryRelay lets one daemon of a data centre read the store for all of them, because
 // each call to the store is paid for and its rate is shared by all daemons.
 type registryRelay struct {
-	log    *zap.Logger
 	peers  *peers
 	found  *discovery
 	config *configFollower
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -42,7 +42,7 @@
 		}
 		if !c.beginSend() {
 			work.End(time.Now(), placement.Abandoned)
-			c.free(work.Runner(), memory)
+			c.free(memory)
 			c.fail(ctx, errRetryLimit)
 			return
 		}
@@ -146,7 +146,7 @@
 	plan.Prefill.End(now, placement.Answered)
 	work, ok := c.gateway.fleet.PlaceRun(now, c.query(), source)
 	if !ok {
-		c.free(source, memory)
+		c.free(memory)
 		return nil, port.MemoryHandle{}, errNoRunner
 	}
 	return work, memory, nil
@@ -156,20 +156,15 @@
 func engineUrgency(urgency int) int { return 1 + 2*urgency }
 
 // free gives up a KV cache that nobody will use, so that it does not hold memory.
-func (c *call) free(at port.Runner, memory port.MemoryHandle) {
+func (c *call) free(memory port.MemoryHandle) {
 	if memory.Empty() {
 		return
 	}
-	source, ok := c.gateway.fleet.ByAddress(memory.Address)
-	if !ok {
-		source = at
-		source.Address = memory.Address
-	}
 	c.gateway.background(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, freeTimeout)
 		defer cancel()
-		if err := c.gateway.runners.Free(ctx, source, memory); err != nil {
-			c.gateway.log.Warn("KV cache was not freed; it expires by itself", zap.String("runner", source.ID),
+		if err := c.gateway.runners.Free(ctx, memory); err != nil {
+			c.gateway.log.Warn("KV cache was not freed; it expires by itself", zap.String("runner", memory.At.ID),
 				zap.String(jsonlog.FieldRequestID, c.request.ID), zap.Error(err))
 		}
 	})
@@ -203,7 +198,7 @@
 	}
 	work.End(time.Now(), outcomeOf(ctx, err))
 	if err != nil && notRun(err) {
-		c.free(runner, memory)
+		c.free(memory)
 	}
 	return err
 }
--- /dev/null
+++ b/internal/logread/outcomes.go
@@ -0,0 +1,47 @@
+package logread
+
+import (
+	"cmp"
+	"regexp"
+	"slices"
+)
+
+// Outcome counts the requests of a route that ended alike.
+type Outcome struct {
+	Route   string `json:"route"`
+	Outcome string `json:"outcome"`
+	// Reason is the error without addresses, ids and numbers; empty for answered ones.
+	Reason string `json:"reason,omitempty"`
+	Count  int    `json:"count"`
+	// Example is the id of one of the requests.
+	Example string `json:"example"`
+}
+
+// details matches what differs between errors of the same kind.
+var details = regexp.MustCompile(`\d+(\.\d+)*(:\d+)?|\bi-[0-9a-f]+\b`)
+
+// Outcomes counts how requests ended, by route and reason, the most frequent first.
+func (g *Log) Outcomes() []Outcome {
+	type key struct{ route, outcome, reason string }
+	counts := map[key]*Outcome{}
+	for i := range g.Lines {
+		l := &g.Lines[i]
+		outcome := l.Text("outcome")
+		if outcome == "" || l.Text("route") == "" {
+			continue
+		}
+		k := key{l.Text("route"), outcome, details.ReplaceAllString(l.Text("error"), "#")}
+		if counts[k] == nil {
+			counts[k] = &Outcome{Route: k.route, Outcome: k.outcome, Reason: k.reason, Example: l.RequestID()}
+		}
+		counts[k].Count++
+	}
+	out := make([]Outcome, 0, len(counts))
+	for _, o := range counts {
+		out = append(out, *o)
+	}
+	slices.SortFunc(out, func(a, b Outcome) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Reason, b.Reason))
+	})
+	return out
+}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -117,9 +117,6 @@
 // the prompt is read, or an empty string.
 func (w *Work) FetchFrom() string { return w.fetchFrom }
 
-// Reading returns the predicted time to read them.
-func (w *Work) Reading() time.Duration { return w.reading }
-
 // Read notes that the runner has read the prompt.
 func (w *Work) Read(now time.Time) {
 	f := w.fleet
@@ -241,15 +238,3 @@
 	}
 	return out
 }
-
-// ByAddress returns the runner at host:port address.
-func (f *Fleet) ByAddress(address string) (port.Runner, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, m := range f.members {
-		if m.runner.Address == address {
-			return m.runner, true
-		}
-	}
-	return port.Runner{}, false
-}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -186,9 +186,9 @@
 
 // MemoryHandle names a KV cache at a runner. It can be used once.
 type MemoryHandle struct {
-	Address string
-	ID      string
-	Tokens  int
+	// At is the runner that holds it.
+	At Runner
+	ID string
 }
 
 // Empty tells whether the handle names nothing.
@@ -212,7 +212,7 @@
 	// Prefill has a request's prompt read. The caller uses or frees the handle.
 	Prefill(ctx context.Context, at Runner, r *ForwardRequest, o RunOptions) (MemoryHandle, error)
 	// Free gives up a handle.
-	Free(ctx context.Context, at Runner, h MemoryHandle) error
+	Free(ctx context.Context, h MemoryHandle) error
 	// Retain closes idle connections to addresses that keep rejects.
 	Retain(keep func(address string) bool)
 }
