--- a/internal/ctl/logs.go
+++ b/internal/ctl/logs.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
+	"bergamotsill.example/bergamotsill/internal/logplot"
 	"bergamotsill.example/bergamotsill/internal/logread"
 )
 
@@ -19,7 +20,7 @@
 // daemons, which may be gone.
 func newLogs(opts *options) *cobra.Command {
 	logs := &cobra.Command{Use: "logs", Short: "Explain requests from the log lines of daemons"}
-	logs.AddCommand(newLogsExplain(opts), newLogsOutcomes(opts))
+	logs.AddCommand(newLogsExplain(opts), newLogsOutcomes(opts), newLogsPlot())
 	return logs
 }
 
@@ -79,6 +80,29 @@
 	}
 }
 
+func newLogsPlot() *cobra.Command {
+	var out string
+	var step time.Duration
+	cmd := &cobra.Command{
+		Use:   "plot FILE...",
+		Short: "Draw requests by outcome and times to the first event over time",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if step <= 0 {
+				return trace.BadParameter("--step is %s, want a time above 0", step)
+			}
+			log, err := readLogs(cmd, args)
+			if err != nil {
+				return err
+			}
+			return logplot.Write(out, log, step)
+		},
+	}
+	cmd.Flags().StringVar(&out, "out", "run.svg", "file to write; its extension chooses the format (svg, png, pdf)")
+	cmd.Flags().DurationVar(&step, "step", time.Second, "interval over which requests are counted")
+	return cmd
+}
+
 // readLogs reads files, or standard input for "-". All files that can't be read are
 // reported together.
 func readLogs(cmd *cobra.Command, paths []string) (*logread.Log, error) {
@@ -118,10 +142,10 @@
 		fmt.Fprintf(out, "%s %s %s: %s\n", l.Time.Format(time.RFC3339Nano), l.Level, l.Daemon, l.Message)
 		steps, _ := l.Fields["steps"].([]any)
 		for _, s := range steps {
-			fmt.Fprintf(out, "    %v\n", s)
+			fmt.Fprintf(out, "    %s\n", oneLine(s))
 		}
 		for _, name := range sortedKeys(l.Fields) {
-			fmt.Fprintf(out, "  %s: %v\n", name, l.Fields[name])
+			fmt.Fprintf(out, "  %s: %s\n", name, oneLine(l.Fields[name]))
 		}
 	}
 	if len(e.Around) > 0 {
@@ -145,10 +169,13 @@
 	return names
 }
 
+// oneLine prints a value; joined errors have a line each.
+func oneLine(value any) string { return strings.ReplaceAll(fmt.Sprint(value), "\n", "; ") }
+
 func fieldList(fields map[string]any) string {
 	var parts []string
 	for _, name := range sortedKeys(fields) {
-		parts = append(parts, fmt.Sprintf("%s=%v", name, fields[name]))
+		parts = append(parts, name+"="+oneLine(fields[name]))
 	}
 	return strings.Join(parts, " ")
 }
--- a/internal/ctl/logs_test.go
+++ b/internal/ctl/logs_test.go
@@ -1,6 +1,8 @@
 package ctl
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -36,3 +38,22 @@
 		t.Errorf("error is %v, want both files with exit code %d", err, ExitInvalid)
 	}
 }
+
+// Guards against a plot that is empty or fails although there are requests, and against
+// one of nothing.
+func TestLogsPlot(t *testing.T) {
+	path := write(t, "d1.log", gatewayLog)
+	out := filepath.Join(t.TempDir(), "run.svg")
+	if _, err := run(nil, "logs", "plot", path, "--out", out); err != nil {
+		t.Fatal(err)
+	}
+	if data, err := os.ReadFile(out); err != nil || !strings.Contains(string(data), "failed") {
+		t.Errorf("the plot has %d bytes, error %v, want a line of failed requests", len(data), err)
+	}
+	if _, err := run(nil, "logs", "plot", write(t, "empty.log", ""), "--out", out); !trace.IsNotFound(err) {
+		t.Errorf("error for an empty log is %v, want NotFound", err)
+	}
+	if _, err := run(nil, "logs", "plot", path, "--step", "0s"); ExitCode(err) != ExitInvalid {
+		t.Errorf("error for a step of 0 is %v, want exit code %d", err, ExitInvalid)
+	}
+}
--- a/internal/logread/reader.go
+++ b/internal/logread/reader.go
@@ -4,6 +4,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"io"
@@ -24,7 +25,8 @@
 	Level   string    `json:"level"`
 	Message string    `json:"msg"`
 	Daemon  string    `json:"daemon"`
-	// Fields holds all fields, also those above, as JSON decodes them.
+	// Fields holds all fields, also those above, as JSON decodes them; numbers are
+	// json.Number, so that large ones are shown as they were written.
 	Fields map[string]any `json:"-"`
 }
 
@@ -42,8 +44,15 @@
 
 // Seconds returns a field that holds a time in seconds, or 0.
 func (l *Line) Seconds(field string) time.Duration {
-	seconds, _ := l.Fields[field].(float64)
-	return time.Duration(seconds * float64(time.Second))
+	return time.Duration(l.number(field) * float64(time.Second))
+}
+
+// number returns a field that holds a number, or 0.
+func (l *Line) number(field string) float64 {
+	number, _ := l.Fields[field].(json.Number)
+	// A number that JSON allows but that is out of range becomes infinite.
+	value, _ := number.Float64()
+	return value
 }
 
 // Log is what was read.
@@ -80,10 +89,12 @@
 		return Line{}, false
 	}
 	var l Line
-	if json.Unmarshal(data[start:], &l) != nil || json.Unmarshal(data[start:], &l.Fields) != nil {
+	if json.Unmarshal(data[start:], &l) != nil {
 		return Line{}, false
 	}
-	return l, true
+	fields := json.NewDecoder(bytes.NewReader(data[start:]))
+	fields.UseNumber()
+	return l, fields.Decode(&l.Fields) == nil
 }
 
 // Request returns the lines about a request, the oldest first.
--- a/internal/logread/reader_test.go
+++ b/internal/logread/reader_test.go
@@ -61,3 +61,11 @@
 		t.Errorf("error is %v, want line 2 to exceed the limit", err)
 	}
 }
+
+// Guards against intervals that are shifted, or left out where nothing ended.
+func TestSeriesHasEveryInterval(t *testing.T) {
+	got := read(t, text).Series(500 * time.Millisecond)
+	if len(got) != 5 || got[0].Outcomes["failed"] != 1 || got[1].Outcomes["failed"] != 0 || got[4].Outcomes["answered"] != 1 {
+		t.Errorf("series is %+v, want 5 intervals with 1, 0, 1, 0 failed and 1 answered", got)
+	}
+}
--- /dev/null
+++ b/internal/logread/series.go
@@ -0,0 +1,71 @@
+package logread
+
+import (
+	"slices"
+	"time"
+)
+
+// Interval is what ended within one step of time.
+type Interval struct {
+	Start time.Time
+	// Outcomes counts requests by outcome.
+	Outcomes map[string]int
+	// FirstEvents holds the times to the first event or answer of answered requests, by
+	// urgency, the shortest first.
+	FirstEvents map[int][]time.Duration
+}
+
+// Quantile returns the time within which a share q of the answered requests of an urgency
+// had their first event, or 0 when there were none.
+func (i *Interval) Quantile(urgency int, q float64) time.Duration {
+	times := i.FirstEvents[urgency]
+	if len(times) == 0 {
+		return 0
+	}
+	return times[min(len(times)-1, int(q*float64(len(times))))]
+}
+
+// Series divides the requests of a log into steps of time, from the first that ended to
+// the last. Steps in which none ended are empty.
+func (g *Log) Series(step time.Duration) []Interval {
+	var first, last time.Time
+	for i := range g.Lines {
+		l := &g.Lines[i]
+		if l.Text("outcome") == "" {
+			continue
+		}
+		if first.IsZero() || l.Time.Before(first) {
+			first = l.Time
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	}
+	if first.IsZero() {
+		return nil
+	}
+	out := make([]Interval, int(last.Sub(first)/step)+1)
+	for i := range out {
+		out[i] = Interval{Start: first.Add(time.Duration(i) * step), Outcomes: map[string]int{}, FirstEvents: map[int][]time.Duration{}}
+	}
+	for i := range g.Lines {
+		l := &g.Lines[i]
+		if outcome := l.Text("outcome"); outcome != "" {
+			out[int(l.Time.Sub(first)/step)].add(outcome, l)
+		}
+	}
+	for i := range out {
+		for _, times := range out[i].FirstEvents {
+			slices.Sort(times)
+		}
+	}
+	return out
+}
+
+func (i *Interval) add(outcome string, l *Line) {
+	i.Outcomes[outcome]++
+	if _, ok := l.Fields["urgency"]; ok && outcome == "answered" {
+		urgency := int(l.number("urgency"))
+		i.FirstEvents[urgency] = append(i.FirstEvents[urgency], l.Seconds("first-event"))
+	}
+}
