--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/refusal"
 	"bergamotsill.example/bergamotsill/internal/standin"
@@ -82,7 +83,7 @@
 		}
 		detail = why
 		c.note(ctx, got.refusal)
-		pause(ctx, delay(got.refusal))
+		clock.Sleep(ctx, delay(got.refusal))
 	}
 	result.End, result.Detail = c.giveUp(c.refused), detail
 	return nil
@@ -192,15 +193,6 @@
 	return min(time.Duration(r.RetryAfterMS)*time.Millisecond, maxRetryAfter)
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // content returns the text that the caller sends, padded to the kind's length.
 func (c *caller) content() string {
 	const bytesPerToken = 4
