--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/standin"
 )
@@ -93,14 +94,14 @@
 		r.collector.begin()
 		r.calls.Go(func() { r.collector.add(c.run(ctx)) })
 		gap := rng.ExpFloat64() / phase.Rate(kind)
-		pause(ctx, time.Duration(gap*float64(time.Second)))
+		clock.Sleep(ctx, time.Duration(gap*float64(time.Second)))
 	}
 }
 
 // report prints a line of progress at each interval.
 func (r *Runner) report(ctx context.Context) {
 	for {
-		pause(ctx, progressInterval)
+		clock.Sleep(ctx, progressInterval)
 		if ctx.Err() != nil {
 			return
 		}
