Give the soak and the tests of processes ranges of ports of their own

Both packages are tested at the same time, and a port is bound only when its process starts: with one range two packages could be given the same port. Found by reading.

--- a/internal/porttest/ports.go
+++ b/internal/porttest/ports.go
@@ -8,32 +8,54 @@
 	"sync"
 )
 
-// Ports are given out below the range that the kernel gives to outgoing connections, so
-// that a process that starts later, or is replaced, finds its port free. The first one
-// depends on the process, so that packages under test at the same time rarely meet.
-const (
-	firstPort       = 20_000
-	lastPort        = 32_000
-	portsPerProcess = 20
-	processes       = 500
-)
-
+// Each package of tests has a range of its own, because packages are tested at the same
+// time and a port that was given out is not bound before its process starts. The ranges
+// lie below the one that the kernel gives to outgoing connections, so that a process that
+// is replaced finds its port free.
 var (
-	mu   sync.Mutex
-	next = firstPort + os.Getpid()%processes*portsPerProcess
+	// Processes is the range of internal/processtest.
+	Processes = newRange(20_000, 26_000)
+	// Soak is the range of platform/soak.
+	Soak = newRange(26_000, 32_000)
 )
 
+// startEvery spreads the first ports of test processes, so that runs of the same package
+// at the same time rarely meet.
+const startEvery = 60
+
+// Range gives out ports of a range, each one once.
+type Range struct {
+	mu    sync.Mutex
+	next  int
+	first int
+	last  int
+	given int
+}
+
+func newRange(first, last int) *Range {
+	starts := (last - first) / startEvery
+	return &Range{first: first, last: last, next: first + os.Getpid()%starts*startEvery}
+}
+
 // Free returns the first of n consecutive TCP ports on 127.0.0.1 that nothing listens on
 // and that no other caller in this process was given. It returns 0 when there are none.
-func Free(n int) int {
-	mu.Lock()
-	defer mu.Unlock()
-	for ; next+n <= lastPort; next++ {
-		if allFree(next, n) {
-			first := next
-			next += n
-			return first
+func (r *Range) Free(n int) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.given+n <= r.last-r.first {
+		if r.next+n > r.last {
+			r.given += r.last - r.next
+			r.next = r.first
+		}
+		first := r.next
+		if !allFree(first, n) {
+			r.next++
+			r.given++
+			continue
 		}
+		r.next += n
+		r.given += n
+		return first
 	}
 	return 0
 }
--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -90,7 +90,7 @@
 // freeAddress gives a name an address on loopback that no other name has.
 func (s *system) freeAddress(name string) string {
 	s.t.Helper()
-	if port := porttest.Free(1); port > 0 {
+	if port := porttest.Processes.Free(1); port > 0 {
 		s.addresses[name] = fmt.Sprintf("127.0.0.1:%d", port)
 		return s.addresses[name]
 	}
