Predict pauses of streams, and readings of all daemons one after another

Traces showed a second fault: each daemon took an engine to read its own prompt all the time, so that a queue of eight daemons seemed to shrink eight times as fast as it does (predicted wait of 214 ms where ten prompts of 1 s in sum waited). The rates assumed one engine.

The model now predicts the pause of the streams at a place (usual pause plus the reading that falls into it, both learnt), charges streams on time that would become late, and fits a time per token and per pair of tokens to the engines' answers. Of the prompts that come first for several daemons, one is being read. A transfer costs its time on the stated link instead of 100 ms a GB.

Ruled out: transfers of KV cache (11 ms a prompt), admission (slots and memory below a third).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -281,6 +281,8 @@
 		Target:    max(time.Millisecond, c.route.Target-time.Since(c.request.Received)),
 		Patience:  c.patience(),
 		Excluded:  c.excluded,
+
+		AllowedPause: c.route.GapTarget,
 	}
 }
 
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -21,9 +21,15 @@
 type runnerShare struct {
 	ID      string                     `json:"id"`
 	Begun   int64                      `json:"begun"`
+	First   int                        `json:"first,omitempty"`
+	For     int64                      `json:"for,omitempty"`
+	Done    int64                      `json:"done,omitempty"`
 	Reading [placement.Urgencies]int64 `json:"reading"`
 	Running int                        `json:"running"`
 	KV      int                        `json:"kv"`
+	OnTime  int                        `json:"on_time,omitempty"`
+	Pause   int64                      `json:"pause,omitempty"`
+	Recent  int64                      `json:"recent,omitempty"`
 	Parts   map[string]int             `json:"parts,omitempty"`
 	// PartsOnly is set for daemons that do not share the load of the runner.
 	PartsOnly bool `json:"parts_only,omitempty"`
@@ -122,7 +128,11 @@
 func encodeLoads(loads []placement.RunnerLoad) []runnerShare {
 	out := make([]runnerShare, 0, len(loads))
 	for _, l := range loads {
-		s := runnerShare{ID: l.ID, PartsOnly: l.PartsOnly, Running: l.Load.Running, KV: l.Load.KVTokens, Begun: l.Load.Begun.Microseconds()}
+		s := runnerShare{ID: l.ID, PartsOnly: l.PartsOnly, Running: l.Load.Running, KV: l.Load.KVTokens, Begun: l.Load.Begun.Microseconds(), First: l.Load.BegunUrgency, Done: l.Load.Done}
+		if l.Load.Begun > 0 {
+			s.For = time.Since(l.Load.BegunAt).Microseconds()
+		}
+		s.OnTime, s.Pause, s.Recent = l.Load.OnTime, l.Load.AllowedPause.Microseconds(), l.Load.Recent.Microseconds()
 		for i, d := range l.Load.Reading {
 			s.Reading[i] = d.Microseconds()
 		}
@@ -143,6 +153,12 @@
 		l := placement.RunnerLoad{ID: s.ID, PartsOnly: s.PartsOnly}
 		l.Load.Running, l.Load.KVTokens = s.Running, s.KV
 		l.Load.Begun = time.Duration(s.Begun) * time.Microsecond
+		l.Load.BegunUrgency = min(max(0, s.First), placement.Urgencies-1)
+		l.Load.BegunAt = time.Now().Add(-time.Duration(s.For) * time.Microsecond)
+		l.Load.Done = s.Done
+		l.Load.OnTime = s.OnTime
+		l.Load.AllowedPause = time.Duration(s.Pause) * time.Microsecond
+		l.Load.Recent = time.Duration(s.Recent) * time.Microsecond
 		for i, us := range s.Reading {
 			l.Load.Reading[i] = time.Duration(us) * time.Microsecond
 		}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -75,7 +75,7 @@
 		c.pause = max(c.pause, now.Sub(c.delivered))
 	}
 	c.delivered = now
-	work.Read(now)
+	work.Event(now)
 	events, last, count := newEvents(events, c.lastEvent)
 	c.lastEvent = last
 	c.events += count
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -19,6 +19,9 @@
 	// client leaves without one. 0 means that there is no limit.
 	Target   time.Duration
 	Patience time.Duration
+	// AllowedPause is the longest pause between events that is on time; 0 means that there
+	// is no limit.
+	AllowedPause time.Duration
 	// Excluded holds ids of runners that failed the request.
 	Excluded map[string]bool
 	// NoPrefill asks for an engine that reads the prompt itself.
@@ -63,7 +66,7 @@
 	if best.member == nil {
 		return Plan{}, false
 	}
-	w := f.begin(best.member, now, q.Prompt, q.Urgency, best.unread)
+	w := f.begin(best.member, now, q, best.unread)
 	if best.source != nil {
 		w.fetchFrom = best.source.runner.Address
 	}
@@ -127,7 +130,7 @@
 		cached += more
 	}
 	o.unread = q.Prompt.InputTokens - cached
-	reading := readingTime(m.rate, o.unread, q.Prompt.InputTokens)
+	reading := m.readingTime(o.unread, q.Prompt.InputTokens)
 	o.first += o.wait + reading + firstEvent
 	o.cost += time.Duration(shareOfOthers * float64(reading))
 	if m.runner.Role == port.RolePrefill {
@@ -135,7 +138,7 @@
 		o.first += prefillTrip + move
 		o.cost += penalty
 	} else {
-		o.cost += time.Duration(l.Running)*streamPenalty + decodeShare(reading, l.Running)
+		o.cost += time.Duration(l.Running)*streamPenalty + m.pausePenalty(&l, reading, q)
 	}
 	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
 		o.cost += fullPenalty
@@ -145,6 +148,22 @@
 	return o
 }
 
+// pausePenalty is the price of the pauses that reading a prompt between the tokens of
+// others causes: for the streams that run there, and for the request itself if prompts
+// wait behind its own.
+func (m *member) pausePenalty(l *Load, reading time.Duration, q Query) time.Duration {
+	others := float64(l.OnTime) * lateShare(m.models.pauses.predict(l.backlog()+reading), l.AllowedPause)
+	return time.Duration(others*float64(latePenalty)) + m.ownPausePenalty(l.wait(Urgencies-1)-l.wait(q.Urgency), q)
+}
+
+// ownPausePenalty is the price of the pauses of a request that runs while so much is read.
+func (m *member) ownPausePenalty(reading time.Duration, q Query) time.Duration {
+	if q.Urgency == UrgencyLate {
+		return 0
+	}
+	return time.Duration(lateShare(m.models.pauses.predict(reading), q.AllowedPause) * float64(latePenalty))
+}
+
 // limitPenalty keeps requests from places where they would miss a limit.
 func limitPenalty(first time.Duration, q Query) time.Duration {
 	switch {
@@ -202,7 +221,7 @@
 	if best.member == nil {
 		return nil, false
 	}
-	w := f.begin(best.member, now, q.Prompt, q.Urgency, 0)
+	w := f.begin(best.member, now, q, 0)
 	// The engine keeps what it fetched like parts that it read.
 	best.member.cache.add(w.parts, now)
 	return w, true
@@ -212,10 +231,10 @@
 	l := m.load(now)
 	moved := q.Prompt.InputTokens - m.cache.cached(q.Prompt)
 	move, penalty := moveTime(m.limits, moved, m.runner.DataCentre != source.DataCentre)
-	o := option{member: m, first: move + firstEvent}
-	// A request with a KV cache is admitted first but shares steps with the reading of
-	// other prompts.
-	o.cost = penalty + l.wait(Urgencies-1)/4 + time.Duration(l.Running)*streamPenalty
+	// A request with a KV cache goes before waiting prompts, but not before the one that
+	// is being read.
+	o := option{member: m, first: move + l.Begun + firstEvent}
+	o.cost = penalty + m.ownPausePenalty(l.backlog(), q) + time.Duration(l.Running)*streamPenalty
 	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
 		o.cost += fullPenalty
 	}
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -14,17 +14,17 @@
 	// minRate and maxRate bound measurements.
 	minRate = 1.0
 	maxRate = 500.0
-	// rateWeight is the weight of a new measurement in the moving average.
-	rateWeight = 0.25
+	// speedWeight is the weight of a new measurement in the moving average of an engine's
+	// speed, minSpeed and maxSpeed bound it.
+	speedWeight = 0.25
+	minSpeed    = 0.2
+	maxSpeed    = 5.0
 	// minSample is the number of tokens from which a reading time says something about
 	// the rate rather than about fixed costs.
 	minSample = 500
 )
 
 const (
-	// attentionPerMillion is the extra reading time per million pairs of tokens that
-	// attention compares; it is typical for models of about 100 billion parameters.
-	attentionPerMillion = 250 * time.Microsecond
 	// firstEvent is the time from a read prompt to the first event.
 	firstEvent = 15 * time.Millisecond
 	// moveSetup is the fixed part of a KV cache transfer.
@@ -39,8 +39,9 @@
 
 // Penalties are added to predicted times where a choice costs more than time.
 const (
-	// movePenalty per GB of KV cache moved, and its factor between data centres.
-	movePenalty       = 100 * time.Millisecond
+	// movePenalty is the part of a transfer's time that is added for the transfers that
+	// wait for the link, remoteMovePenalty its factor between data centres.
+	movePenalty       = 1.0
 	remoteMovePenalty = 3
 	// remotePenalty per KB of request body sent to another data centre.
 	remotePenalty = 700 * time.Microsecond
@@ -51,9 +52,6 @@
 	shareOfOthers = 0.5
 	// streamPenalty per running stream: each one lengthens the steps of all.
 	streamPenalty = time.Millisecond
-	// busyStreams is the number of running streams at which a decode engine has about
-	// half of its steps left. Reading a prompt there takes steps from all of them.
-	busyStreams = 16
 	// latePenalty is for places where an objective is missed, abandonedPenalty for those
 	// where the client leaves before the first event.
 	latePenalty      = 500 * time.Millisecond
@@ -63,20 +61,6 @@
 	memoryLimit = 0.85
 )
 
-// readingTime predicts how long reading unread tokens at the end of a context takes.
-func readingTime(rate float64, unread, context int) time.Duration {
-	linear := time.Duration(float64(unread) / rate * float64(time.Millisecond))
-	pairs := float64(unread) * (float64(context) - float64(unread)/2) / 1e6
-	return linear + time.Duration(pairs*float64(attentionPerMillion))
-}
-
-// decodeShare is the cost of reading at a decode engine with running streams: little on
-// an idle one, several times the reading time on one that is short of steps.
-func decodeShare(reading time.Duration, running int) time.Duration {
-	busy := float64(running) / busyStreams
-	return time.Duration(float64(reading) * busy * busy)
-}
-
 // moveTime predicts the transfer of a prompt's KV cache.
 func moveTime(limits *port.EngineLimits, tokens int, remote bool) (took, penalty time.Duration) {
 	if limits == nil || limits.LinkMbps <= 0 {
@@ -84,7 +68,7 @@
 	}
 	gigabytes := float64(tokens) * float64(limits.KVTokenBytes) / 1e9
 	transfer := time.Duration(gigabytes * 8000 / limits.LinkMbps * float64(time.Second))
-	penalty = time.Duration(gigabytes * float64(movePenalty))
+	penalty = time.Duration(movePenalty * float64(transfer))
 	if remote {
 		return moveSetup + remoteMoveFactor*transfer, remoteMovePenalty * penalty
 	}
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -28,40 +28,87 @@
 
 // Load is the work in flight at a runner.
 type Load struct {
-	// Begun is the rest of the prompt that is being read. Engines finish it before more
-	// urgent ones.
-	Begun time.Duration
+	// Begun is the predicted time to read the prompt that is being read. Engines finish it
+	// before more urgent ones. In the load that one daemon caused it is the whole time of
+	// the prompt that comes first among its own, with its urgency and since when it does.
+	Begun        time.Duration
+	BegunUrgency int
+	BegunAt      time.Time
 	// Reading is the predicted time to read the waiting prompts, by urgency.
 	Reading [Urgencies]time.Duration
+	// Done counts the prompts that a daemon had read.
+	Done int64
 	// Running is the number of requests, KVTokens the memory that they take.
 	Running  int
 	KVTokens int
+	// OnTime is the number of streams that have kept their limits so far, and AllowedPause
+	// the shortest pause that is too long for one of them. Recent is what was read just
+	// before, as far as it falls into the present pause of a stream.
+	OnTime       int
+	AllowedPause time.Duration
+	Recent       time.Duration
 }
 
+// add counts the load that another daemon caused, as if all of its prompts waited.
 func (l *Load) add(o Load) {
-	l.Begun += o.Begun
+	l.Reading[o.BegunUrgency] += o.Begun
 	for i := range l.Reading {
 		l.Reading[i] += o.Reading[i]
 	}
 	l.Running += o.Running
 	l.KVTokens += o.KVTokens
+	l.OnTime += o.OnTime
+	l.Recent += o.Recent
+	l.allow(o.AllowedPause)
 }
 
+// begin takes the prompt that the engine is reading out of those that wait. It has been
+// reading it since the last prompt was read, at most.
+func (l *Load) begin(o Load, now, progressed time.Time) {
+	if o.Begun == 0 {
+		return
+	}
+	since := o.BegunAt
+	if progressed.After(since) {
+		since = progressed
+	}
+	l.Reading[o.BegunUrgency] -= o.Begun
+	l.Begun = max(0, o.Begun-max(0, now.Sub(since)))
+}
+
+// allow takes in the allowed pause of a stream.
+func (l *Load) allow(pause time.Duration) {
+	if pause > 0 && (l.AllowedPause == 0 || pause < l.AllowedPause) {
+		l.AllowedPause = pause
+	}
+}
+
+// backlog returns all that is to be read, and what was read just before.
+func (l *Load) backlog() time.Duration { return l.wait(Urgencies-1) + l.Recent }
+
 // member is one runner and what is known of it. The fleet's lock guards it.
 type member struct {
 	runner port.Runner
 	limits *port.EngineLimits
-	rate   float64
-	cache  partCache
-	hash   uint64
+	models models
+	// speed is the measured speed of reading in relation to the service's model.
+	speed float64
+	cache partCache
+	hash  uint64
 	// outside is set while the runner belongs to another cell.
 	outside bool
 
 	work map[*Work]struct{}
-	// current is the work whose prompt the runner is taken to read, since progressed.
+	// current is the work whose prompt comes first among those of this daemon, since
+	// currentAt. progressed is when any daemon's prompt was last known to be read.
 	current    *Work
+	currentAt  time.Time
 	progressed time.Time
-	peers      map[string]peerLoad
+	done       int64
+	// recent is what this daemon had read here, as of recentAt.
+	recent   time.Duration
+	recentAt time.Time
+	peers    map[string]peerLoad
 
 	failures     int
 	successes    int
@@ -81,20 +128,38 @@
 	at   time.Time
 }
 
-func newMember(r port.Runner, limits *port.EngineLimits) *member {
-	m := &member{runner: r, limits: limits, hash: hashOf(r.ID), work: map[*Work]struct{}{}, peers: map[string]peerLoad{}}
-	m.resetRate()
+// models are what a fleet has learnt of the engines of a service.
+type models struct {
+	prefill, decode *readingModel
+	pauses          *pauseModel
+}
+
+func newModels() models {
+	return models{prefill: newReadingModel(port.RolePrefill), decode: newReadingModel(port.RoleDecode), pauses: newPauseModel()}
+}
+
+func newMember(r port.Runner, limits *port.EngineLimits, learnt models) *member {
+	m := &member{
+		runner: r, limits: limits, hash: hashOf(r.ID), models: learnt, speed: 1,
+		work: map[*Work]struct{}{}, peers: map[string]peerLoad{},
+	}
 	if limits != nil {
 		m.cache.capacity = int(float64(limits.KVTokens) * cacheShare)
 	}
 	return m
 }
 
-func (m *member) resetRate() {
-	m.rate = defaultDecodeRate
+// reading returns the model of the engine's role.
+func (m *member) reading() *readingModel {
 	if m.runner.Role == port.RolePrefill {
-		m.rate = defaultPrefillRate
+		return m.models.prefill
 	}
+	return m.models.decode
+}
+
+// readingTime predicts the reading of unread tokens at the end of a context.
+func (m *member) readingTime(unread, context int) time.Duration {
+	return time.Duration(float64(m.reading().time(unread, context)) / m.speed)
 }
 
 // update takes in a newer entry of the runner.
@@ -109,31 +174,59 @@
 		m.leaving = false
 	}
 	if changed || restarted {
-		m.resetRate()
+		m.speed = 1
 	}
 }
 
-// own returns the load that this daemon caused, less what was read since.
+// own returns the load that this daemon caused.
 func (m *member) own(now time.Time) Load {
 	var l Load
 	for w := range m.work {
 		l.Running++
 		l.KVTokens += w.kvTokens
+		if w.onTime {
+			l.OnTime++
+			l.allow(w.allowedPause)
+		}
 		switch {
 		case w.read:
 		case w == m.current:
-			l.Begun += w.reading
+			l.Begun, l.BegunUrgency, l.BegunAt = w.reading, w.urgency, m.currentAt
 		default:
 			l.Reading[w.urgency] += w.reading
 		}
 	}
-	return l.readFor(now.Sub(m.progressed))
+	l.Recent = m.recentReading(now)
+	l.Done = m.done
+	return l
+}
+
+// recentReading returns what this daemon had read here, as far as it falls into the
+// present pause of a stream: that begins at most one usual pause ago.
+func (m *member) recentReading(now time.Time) time.Duration {
+	return fade(m.recent, now.Sub(m.recentAt), m.models.pauses.quiet)
+}
+
+// fade lets a reading fall out of the present pause within a usual one.
+func fade(reading, age, quiet time.Duration) time.Duration {
+	if age >= quiet {
+		return 0
+	}
+	return time.Duration(float64(reading) * (1 - float64(max(0, age))/float64(quiet)))
+}
+
+// noteRead notes a reading that has just ended.
+func (m *member) noteRead(now time.Time, took time.Duration) {
+	m.recent = m.recentReading(now) + took
+	m.recentAt = now
+	m.progressed = now
+	m.done++
 }
 
 // readNext notes the work whose prompt the runner reads next: the most urgent one, and
 // the one that was sent first among several.
 func (m *member) readNext(now time.Time) {
-	m.progressed = now
+	m.currentAt = now
 	m.current = nil
 	for w := range m.work {
 		if w.read {
@@ -145,33 +238,38 @@
 	}
 }
 
-// readFor takes off what an engine reads within a time, the most urgent first.
-func (l Load) readFor(d time.Duration) Load {
-	begun := min(max(0, d), l.Begun)
-	l.Begun -= begun
-	d -= begun
-	for i := range l.Reading {
-		read := min(max(0, d), l.Reading[i])
-		l.Reading[i] -= read
-		d -= read
-	}
-	return l
-}
-
-// load returns the whole load: this daemon's and what peers told.
+// load returns the whole load: this daemon's and what peers told. The engine reads one
+// prompt at a time: of those that come first for their daemons, the one that did so first.
 func (m *member) load(now time.Time) Load {
-	l := m.own(now)
+	var l Load
+	own := m.own(now)
+	l.add(own)
+	first := own
 	for name, p := range m.peers {
 		age := now.Sub(p.at)
 		if age > peerSilence {
 			delete(m.peers, name)
 			continue
 		}
-		l.add(p.load.readFor(age))
+		told := p.load
+		told.Recent = fade(told.Recent, age, m.models.pauses.quiet)
+		l.add(told)
+		if told.Begun > 0 && (first.Begun == 0 || told.BegunAt.Before(first.BegunAt)) {
+			first = told
+		}
 	}
+	l.begin(first, now, m.progressed)
 	return l
 }
 
+// heard takes in what a peer told.
+func (m *member) heard(peer string, told Load, now time.Time) {
+	if old, ok := m.peers[peer]; ok && old.load.Done != told.Done {
+		m.progressed = now
+	}
+	m.peers[peer] = peerLoad{load: told, at: now}
+}
+
 // wait returns how long a new request of an urgency waits for its reading to begin.
 func (l *Load) wait(urgency int) time.Duration {
 	total := l.Begun
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -19,14 +19,16 @@
 	// services maps a service to its runners.
 	services map[string][]*member
 	limits   map[string]*port.EngineLimits
-	begun    int64
+	// learnt maps a service to what was learnt of its engines.
+	learnt map[string]models
+	begun  int64
 	// paths holds what is known of the ways to data centres.
 	paths map[string]*path
 }
 
 // NewFleet returns an empty fleet, seen from a daemon in a data centre.
 func NewFleet(dataCentre, daemon string) *Fleet {
-	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, paths: map[string]*path{}}
+	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, learnt: map[string]models{}, paths: map[string]*path{}}
 }
 
 // SetServices takes in the limits of engines by service.
@@ -56,7 +58,7 @@
 		if ok && m.runner.Address == r.Address && m.runner.Service == r.Service {
 			m.update(r)
 		} else {
-			m = newMember(r, f.limits[r.Service])
+			m = newMember(r, f.limits[r.Service], f.modelsOf(r.Service))
 		}
 		members[r.ID] = m
 		services[r.Service] = append(services[r.Service], m)
@@ -65,6 +67,16 @@
 	f.assignCells()
 }
 
+// modelsOf returns what was learnt of a service's engines; the lock is held.
+func (f *Fleet) modelsOf(service string) models {
+	learnt, ok := f.learnt[service]
+	if !ok {
+		learnt = newModels()
+		f.learnt[service] = learnt
+	}
+	return learnt
+}
+
 // Work is one request in flight at a runner.
 type Work struct {
 	fleet   *Fleet
@@ -85,15 +97,24 @@
 	alone bool
 	read  bool
 	ended bool
+	// onTime is set while a stream at a decode engine has kept its limits.
+	onTime       bool
+	firstBy      time.Time
+	allowedPause time.Duration
+	// lastEvent is when the last event came, readingSince since when the engine has been
+	// taken to read without a break.
+	lastEvent time.Time
 }
 
 // begin counts a request at a member; the lock is held.
-func (f *Fleet) begin(m *member, now time.Time, p *port.Prompt, urgency, unread int) *Work {
+func (f *Fleet) begin(m *member, now time.Time, q Query, unread int) *Work {
 	f.begun++
-	w := &Work{fleet: f, member: m, runner: m.runner, urgency: urgency, began: now, order: f.begun, read: true}
-	if p != nil {
+	w := &Work{fleet: f, member: m, runner: m.runner, urgency: q.Urgency, began: now, order: f.begun, read: true}
+	if p := q.Prompt; p != nil {
+		w.onTime = m.runner.Role != port.RolePrefill && q.Urgency != UrgencyLate && q.AllowedPause > 0
+		w.firstBy, w.allowedPause = now.Add(q.Target), q.AllowedPause
 		w.unread, w.context, w.parts = unread, p.InputTokens, p.Parts
-		w.reading = readingTime(m.rate, unread, p.InputTokens)
+		w.reading = m.readingTime(unread, p.InputTokens)
 		w.kvTokens = p.InputTokens + p.OutputTokens
 		w.read = unread == 0
 	}
@@ -131,6 +152,7 @@
 	}
 	w.read = true
 	m := w.member
+	m.noteRead(now, w.reading)
 	if m.current == w {
 		m.readNext(now)
 	}
@@ -163,17 +185,52 @@
 	return false
 }
 
-// measure corrects the rate of the runner by a reading that nothing delayed.
+// Event notes that events of a stream arrived.
+func (w *Work) Event(now time.Time) {
+	f := w.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w.markRead(now)
+	if w.lastEvent.IsZero() {
+		w.onTime = w.onTime && !now.After(w.firstBy)
+		w.lastEvent = now
+		return
+	}
+	pause := now.Sub(w.lastEvent)
+	w.lastEvent = now
+	if pause > w.allowedPause {
+		w.onTime = false
+	}
+	m := w.member
+	m.models.pauses.learn(pause, m.readWithin(now, pause))
+}
+
+// readWithin returns how much of the time before now the engine is taken to have read.
+func (m *member) readWithin(now time.Time, pause time.Duration) time.Duration {
+	l := m.load(now)
+	if l.wait(Urgencies-1) > 0 && now.Sub(m.progressed) >= pause {
+		return pause
+	}
+	if l.backlog() > 0 {
+		return 1
+	}
+	return 0
+}
+
+// measure corrects the models by a reading that nothing delayed.
 func (w *Work) measure(now time.Time) {
 	if !w.alone || w.unread < minSample {
 		return
 	}
+	m := w.member
 	took := now.Sub(w.began) - firstEvent
-	attention := readingTime(maxRate, w.unread, w.context) - time.Duration(float64(w.unread)/maxRate*float64(time.Millisecond))
-	if linear := took - attention; linear > 0 {
-		rate := min(maxRate, max(minRate, float64(w.unread)/(float64(linear)/float64(time.Millisecond))))
-		w.member.rate += rateWeight * (rate - w.member.rate)
+	if took <= 0 {
+		return
 	}
+	model := m.reading()
+	ratio := float64(model.time(w.unread, w.context)) / float64(took)
+	m.speed += speedWeight * (min(maxSpeed, max(minSpeed, ratio)) - m.speed)
+	model.learn(w.unread, w.context, took)
 }
 
 // Outcome tells how a request ended at a runner.
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		if !l.PartsOnly {
-			m.peers[peer] = peerLoad{load: l.Load, at: now}
+			m.heard(peer, l.Load, now)
 		}
 		if unknown := m.cache.unknown(l.Parts); len(unknown) > 0 {
 			news = append(news, RunnerLoad{ID: l.ID, Parts: unknown, PartsOnly: true})
