Let daemons that see the same loads prefer different engines

Cause: loads are told every 30 ms; until then all daemons that see the same loads choose the same engine, and requests wait behind each other unexpectedly. Each daemon now adds up to 30 ms by a hash of its own and the engine's name.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -144,7 +144,7 @@
 		o.cost += fullPenalty
 	}
 	f.addDistance(&o, q)
-	o.cost += o.first + limitPenalty(o.first, q)
+	o.cost += o.first + limitPenalty(o.first, q) + m.strangeness()
 	return o
 }
 
@@ -175,6 +175,11 @@
 	return 0
 }
 
+// strangeness spreads daemons that see the same loads over engines of nearly equal cost.
+func (m *member) strangeness() time.Duration {
+	return time.Duration(m.affinity * float64(affinitySpread))
+}
+
 func (f *Fleet) addDistance(o *option, q Query) {
 	if o.member.outside && q.Prompt != nil {
 		o.cost += outsidePenalty
@@ -239,6 +244,6 @@
 		o.cost += fullPenalty
 	}
 	f.addDistance(&o, q)
-	o.cost += o.first
+	o.cost += o.first + m.strangeness()
 	return o
 }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -50,6 +50,9 @@
 	// shareOfOthers is the part of a request's own reading time that is added for the
 	// requests that it delays.
 	shareOfOthers = 0.5
+	// affinitySpread is the difference in cost up to which a daemon keeps to the engines
+	// that it prefers: about what an engine reads until other daemons have heard of it.
+	affinitySpread = 30 * time.Millisecond
 	// streamPenalty per running stream: each one lengthens the steps of all.
 	streamPenalty = time.Millisecond
 	// latePenalty is for places where an objective is missed, abandonedPenalty for those
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -95,6 +95,8 @@
 	speed float64
 	cache partCache
 	hash  uint64
+	// affinity is the distance of this daemon's preference for the runner, from 0 to 1.
+	affinity float64
 	// outside is set while the runner belongs to another cell.
 	outside bool
 
@@ -138,10 +140,11 @@
 	return models{prefill: newReadingModel(port.RolePrefill), decode: newReadingModel(port.RoleDecode), pauses: newPauseModel()}
 }
 
-func newMember(r port.Runner, limits *port.EngineLimits, learnt models) *member {
+func newMember(daemon string, r port.Runner, limits *port.EngineLimits, learnt models) *member {
 	m := &member{
 		runner: r, limits: limits, hash: hashOf(r.ID), models: learnt, speed: 1,
-		work: map[*Work]struct{}{}, peers: map[string]peerLoad{},
+		affinity: float64(hashOf(daemon+" "+r.ID)>>11) / (1 << 53),
+		work:     map[*Work]struct{}{}, peers: map[string]peerLoad{},
 	}
 	if limits != nil {
 		m.cache.capacity = int(float64(limits.KVTokens) * cacheShare)
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -58,7 +58,7 @@
 		if ok && m.runner.Address == r.Address && m.runner.Service == r.Service {
 			m.update(r)
 		} else {
-			m = newMember(r, f.limits[r.Service], f.modelsOf(r.Service))
+			m = newMember(f.daemon, r, f.limits[r.Service], f.modelsOf(r.Service))
 		}
 		members[r.ID] = m
 		services[r.Service] = append(services[r.Service], m)
--- a/internal/placement/pause_test.go
+++ b/internal/placement/pause_test.go
@@ -134,3 +134,28 @@
 		}
 	}
 }
+
+// Load: two daemons with the same view place requests at the same moment. Guards against
+// all daemons that choose the same engine until they have heard of each other.
+func TestDaemonsSpreadOverEqualEngines(t *testing.T) {
+	var runners []port.Runner
+	for i := range 6 {
+		runners = append(runners, port.Runner{
+			ID: fmt.Sprintf("engine-%d", i), Service: service, Address: fmt.Sprintf("10.0.0.%d:80", i),
+			DataCentre: "north", Role: port.RolePrefill, Slots: 64,
+		})
+	}
+	chosen := map[string]int{}
+	for i := range 12 {
+		f := placement.NewFleet("north", fmt.Sprintf("daemon-%d", i))
+		f.SetServices(map[string]port.ForwardService{service: {Name: service, Engine: &limits}})
+		f.SetRunners(runners)
+		_, w := place(t, f, start, placement.Query{Prompt: prompt(1_000)})
+		chosen[w.Runner().ID]++
+	}
+	for id, n := range chosen {
+		if n > 6 {
+			t.Errorf("%d of 12 daemons chose %s at the same moment", n, id)
+		}
+	}
+}
