Let the roles of engines follow the mix of prompts and outputs

One daemon of each data centre plans: reading in the time that prefill engines take for it, outputs in the places and memory that streams take, both as seen by all daemons that share loads. Orders go out under a lease in the store that is claimed only when there is something to order.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,7 @@
 	Requests port.RequestCodec
 	Runners  port.Runners
 	Peers    port.PeerDialer
+	Clock    port.Clock
 	Logger   *zap.Logger
 }
 
@@ -67,6 +68,7 @@
 	found    *discovery
 	peers    *peers
 	crashes  *crashGuard
+	roles    *rolePlanner
 
 	stopping atomic.Bool
 	tomb     tomb.Tomb
@@ -108,6 +110,10 @@
 	g.peers.relay = r
 	g.found.relayed, g.found.relay = r.fresh, r.pass
 	g.config.relayed, g.config.installed = r.fresh, func() { r.pass(nil) }
+	g.roles = &rolePlanner{
+		log: g.log, fleet: g.fleet, runners: g.runners, first: r.first, demands: map[string]*poolDemand{},
+		lease: newOrderLease(deps.Store, deps.Clock, s.DataCentre, s.Name+"@"+s.Listen.Peers, s.OrderLease),
+	}
 	return g
 }
 
@@ -181,7 +187,7 @@
 	if err := g.listen(); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){g.config.run, g.found.run, g.peers.run} {
+	for _, run := range []func(context.Context){g.config.run, g.found.run, g.peers.run, g.roles.run} {
 		g.background(run)
 	}
 	l := g.settings.Load().Listen
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -23,7 +23,7 @@
 	Begun   int64                      `json:"begun"`
 	First   int                        `json:"first,omitempty"`
 	For     int64                      `json:"for,omitempty"`
-	Done    int64                      `json:"done,omitempty"`
+	Read    int64                      `json:"read,omitempty"`
 	Reading [placement.Urgencies]int64 `json:"reading"`
 	Running int                        `json:"running"`
 	KV      int                        `json:"kv"`
@@ -31,6 +31,10 @@
 	Pause   int64                      `json:"pause,omitempty"`
 	Recent  int64                      `json:"recent,omitempty"`
 	Parts   map[string]int             `json:"parts,omitempty"`
+	// Change is the role that the runner was ordered to take, ChangeLeft the time that it
+	// has for it.
+	Change     port.Role `json:"change,omitempty"`
+	ChangeLeft int64     `json:"change_left,omitempty"`
 	// PartsOnly is set for daemons that do not share the load of the runner.
 	PartsOnly bool `json:"parts_only,omitempty"`
 }
@@ -38,12 +42,13 @@
 // maxPendingCrashes bounds the crash reports that wait for a peer.
 const maxPendingCrashes = 64
 
-// partsOf leaves only the parts of prompts that runners have read.
+// partsOf leaves only what daemons need to know that do not share loads: the parts of
+// prompts that runners have read, and changes of roles.
 func partsOf(changes []runnerShare) []runnerShare {
 	var out []runnerShare
 	for _, c := range changes {
-		if len(c.Parts) > 0 {
-			out = append(out, runnerShare{ID: c.ID, Parts: c.Parts, PartsOnly: true})
+		if len(c.Parts) > 0 || c.Change != "" {
+			out = append(out, runnerShare{ID: c.ID, Parts: c.Parts, Change: c.Change, ChangeLeft: c.ChangeLeft, PartsOnly: true})
 		}
 	}
 	return out
@@ -54,8 +59,10 @@
 func firstPartsOf(loads []placement.RunnerLoad) []placement.RunnerLoad {
 	var out []placement.RunnerLoad
 	for _, l := range loads {
-		if len(l.FirstParts) > 0 {
-			out = append(out, placement.RunnerLoad{ID: l.ID, Parts: l.FirstParts, PartsOnly: true})
+		if len(l.FirstParts) > 0 || l.Changing != "" {
+			out = append(out, placement.RunnerLoad{
+				ID: l.ID, Parts: l.FirstParts, PartsOnly: true, Changing: l.Changing, ChangeLeft: l.ChangeLeft,
+			})
 		}
 	}
 	return out
@@ -67,6 +74,7 @@
 		if old, ok := l.pending[c.ID]; ok {
 			parts := mergeParts(old.Parts, c.Parts)
 			if c.PartsOnly {
+				old.Change, old.ChangeLeft = c.Change, c.ChangeLeft
 				c = old
 			}
 			c.Parts = parts
@@ -128,7 +136,8 @@
 func encodeLoads(loads []placement.RunnerLoad) []runnerShare {
 	out := make([]runnerShare, 0, len(loads))
 	for _, l := range loads {
-		s := runnerShare{ID: l.ID, PartsOnly: l.PartsOnly, Running: l.Load.Running, KV: l.Load.KVTokens, Begun: l.Load.Begun.Microseconds(), First: l.Load.BegunUrgency, Done: l.Load.Done}
+		s := runnerShare{ID: l.ID, PartsOnly: l.PartsOnly, Running: l.Load.Running, KV: l.Load.KVTokens, Begun: l.Load.Begun.Microseconds(), First: l.Load.BegunUrgency, Read: l.Load.Read.Microseconds(),
+			Change: l.Changing, ChangeLeft: l.ChangeLeft.Microseconds()}
 		if l.Load.Begun > 0 {
 			s.For = time.Since(l.Load.BegunAt).Microseconds()
 		}
@@ -155,7 +164,8 @@
 		l.Load.Begun = time.Duration(s.Begun) * time.Microsecond
 		l.Load.BegunUrgency = min(max(0, s.First), placement.Urgencies-1)
 		l.Load.BegunAt = time.Now().Add(-time.Duration(s.For) * time.Microsecond)
-		l.Load.Done = s.Done
+		l.Load.Read = time.Duration(s.Read) * time.Microsecond
+		l.Changing, l.ChangeLeft = s.Change, time.Duration(s.ChangeLeft)*time.Microsecond
 		l.Load.OnTime = s.OnTime
 		l.Load.AllowedPause = time.Duration(s.Pause) * time.Microsecond
 		l.Load.Recent = time.Duration(s.Recent) * time.Microsecond
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -72,6 +72,13 @@
 	return rank
 }
 
+// first tells whether this daemon has the lowest rank in its data centre.
+func (r *registryRelay) first() bool {
+	r.peers.mu.Lock()
+	defer r.peers.mu.Unlock()
+	return r.rank(r.near()) == 0
+}
+
 // near returns the links to the daemons of this data centre; the lock of peers is held.
 func (r *registryRelay) near() []*peerLink {
 	var out []*peerLink
--- /dev/null
+++ b/internal/gateway/role_lease.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/lease"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// orderTimeout bounds one order: engines answer at once, and a lease must cover it.
+const orderTimeout = 500 * time.Millisecond
+
+// errLeaseHeld reports that another daemon may send orders.
+var errLeaseHeld = errors.New("another daemon holds the lease")
+
+// orderLease is this daemon's view of the lease under which the engines of its data centre
+// get orders. The record of the lease is only read and written when there is something to
+// order, because calls to the store are paid for; a lease ends by itself. It is used by one
+// goroutine.
+type orderLease struct {
+	store port.KeyedLog
+	clock port.Clock
+	// key is the data centre, holder names the machine of this daemon.
+	key     string
+	holder  string
+	machine *lease.Machine
+	// end is the end of the topic, if known.
+	end   int64
+	known bool
+}
+
+func newOrderLease(store port.KeyedLog, clock port.Clock, key, holder string, duration time.Duration) *orderLease {
+	return &orderLease{
+		store: store, clock: clock, key: key, holder: holder,
+		machine: lease.NewMachine(lease.Options{
+			Holder: holder, Daemon: holder, Duration: duration,
+			// The last order of a lease may arrive that long after the lease ended, and
+			// the next holder's first one must come at least one duration later.
+			Drift: duration + orderTimeout,
+		}),
+	}
+}
+
+// acquire returns the fencing number under which an order may be sent now. errLeaseHeld
+// means that it may be asked for again later.
+func (l *orderLease) acquire(ctx context.Context) (int64, error) {
+	if l.valid() {
+		return l.machine.Lease().Fencing, nil
+	}
+	if !l.known {
+		if err := l.read(ctx); err != nil {
+			return 0, err
+		}
+	}
+	if l.machine.Lease().Holder != l.holder && !l.machine.Claimable(l.clock.Now()) {
+		// What was read last may be out of date when the lease may be claimed.
+		l.known = false
+		return 0, errLeaseHeld
+	}
+	return l.claim(ctx)
+}
+
+// valid tells whether an order that is sent now arrives while the lease is held.
+func (l *orderLease) valid() bool { return l.machine.Held(l.clock.Now() + orderTimeout) }
+
+// read takes in the record of the lease.
+func (l *orderLease) read(ctx context.Context) error {
+	records, end, err := l.store.Newest(ctx, port.TopicLeases)
+	if err != nil {
+		return err
+	}
+	l.end, l.known = end, true
+	for _, r := range records {
+		if r.Key != l.key {
+			continue
+		}
+		var record lease.Record
+		if err := json.Unmarshal(r.Value, &record); err != nil {
+			return err
+		}
+		seen := lease.Lease{Holder: record.Holder, Daemon: record.Daemon, Fencing: r.Offset + 1, Last: r.Offset + 1}
+		if seen != l.machine.Lease() {
+			l.machine.Restore(seen, l.clock.Now())
+		}
+	}
+	return nil
+}
+
+// claim appends a claim if nothing was appended since the topic was read.
+func (l *orderLease) claim(ctx context.Context) (int64, error) {
+	now := l.clock.Now()
+	record := l.machine.Claim(l.holder, now)
+	// A record of strings and numbers can always be encoded.
+	value, _ := json.Marshal(record)
+	at := l.end
+	l.known = false
+	done, err := l.store.PutAt(ctx, port.TopicLeases, at, port.KeyedRecord{Key: l.key, Value: value})
+	if err != nil {
+		return 0, err
+	}
+	if !done {
+		return 0, errLeaseHeld
+	}
+	l.machine.Apply(l.holder, at, record, l.clock.Now())
+	l.end, l.known = at+1, true
+	if !l.valid() {
+		return 0, errLeaseHeld
+	}
+	return l.machine.Lease().Fencing, nil
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -16,7 +16,9 @@
 	DrainNotice time.Duration
 	// StopGrace is the time from SIGTERM to SIGKILL.
 	StopGrace time.Duration
-	Retries   RetryLimits
+	// OrderLease is the shortest time between orders of two daemons to one engine.
+	OrderLease time.Duration
+	Retries    RetryLimits
 }
 
 // Listen holds the addresses that a daemon serves, as host:port.
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -36,8 +36,9 @@
 	BegunAt      time.Time
 	// Reading is the predicted time to read the waiting prompts, by urgency.
 	Reading [Urgencies]time.Duration
-	// Done counts the prompts that a daemon had read.
-	Done int64
+	// Read is what a daemon had read since its start, as the time that prefill engines
+	// take for it. It only grows, so that a change shows progress.
+	Read time.Duration
 	// Running is the number of requests, KVTokens the memory that they take.
 	Running  int
 	KVTokens int
@@ -106,7 +107,10 @@
 	current    *Work
 	currentAt  time.Time
 	progressed time.Time
-	done       int64
+	// read is what this daemon had read here, and readByAll what all daemons had since
+	// this one knows the runner; see Load.Read.
+	read      time.Duration
+	readByAll time.Duration
 	// recent is what this daemon had read here, as of recentAt.
 	recent   time.Duration
 	recentAt time.Time
@@ -117,6 +121,16 @@
 	suspectUntil time.Time
 	// leaving is set when the runner refused this daemon as another instance.
 	leaving bool
+	// changing is the role that the runner was ordered to take, until changed at the
+	// latest.
+	changing  port.Role
+	changedBy time.Time
+	// ordered is set when this daemon ordered it, roleSince is when the runner took its
+	// role, or zero when it had it from the start.
+	ordered bool
+	// unansweredUntil is the time up to which an order without an answer may be carried out.
+	unansweredUntil time.Time
+	roleSince       time.Time
 	// dirty is set while peers have not been told of the newest load.
 	dirty bool
 	// readParts are parts that peers have not been told of, firstParts those of prompts of
@@ -178,6 +192,7 @@
 	}
 	if changed || restarted {
 		m.speed = 1
+		m.changing = ""
 	}
 }
 
@@ -200,7 +215,7 @@
 		}
 	}
 	l.Recent = m.recentReading(now)
-	l.Done = m.done
+	l.Read = m.read
 	return l
 }
 
@@ -219,11 +234,13 @@
 }
 
 // noteRead notes a reading that has just ended.
-func (m *member) noteRead(now time.Time, took time.Duration) {
-	m.recent = m.recentReading(now) + took
+func (m *member) noteRead(now time.Time, w *Work) {
+	m.recent = m.recentReading(now) + w.reading
 	m.recentAt = now
 	m.progressed = now
-	m.done++
+	amount := m.models.prefill.time(w.unread, w.context)
+	m.read += amount
+	m.readByAll += amount
 }
 
 // readNext notes the work whose prompt the runner reads next: the most urgent one, and
@@ -267,8 +284,9 @@
 
 // heard takes in what a peer told.
 func (m *member) heard(peer string, told Load, now time.Time) {
-	if old, ok := m.peers[peer]; ok && old.load.Done != told.Done {
+	if old, ok := m.peers[peer]; ok && told.Read > old.load.Read {
 		m.progressed = now
+		m.readByAll += told.Read - old.load.Read
 	}
 	m.peers[peer] = peerLoad{load: told, at: now}
 }
@@ -292,9 +310,12 @@
 
 // usable tells whether the runner may get new requests.
 func (m *member) usable(now time.Time) bool {
-	return !m.runner.Draining && !m.leaving && !now.Before(m.suspectUntil)
+	return !m.runner.Draining && !m.leaving && !now.Before(m.suspectUntil) && !m.away(now)
 }
 
+// away tells whether the runner is changing its role.
+func (m *member) away(now time.Time) bool { return m.changing != "" && now.Before(m.changedBy) }
+
 func (m *member) failed(now time.Time) {
 	m.failures++
 	m.successes = 0
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -152,7 +152,7 @@
 	}
 	w.read = true
 	m := w.member
-	m.noteRead(now, w.reading)
+	m.noteRead(now, w)
 	if m.current == w {
 		m.readNext(now)
 	}
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -16,6 +16,10 @@
 	FirstParts []port.PromptPart
 	// PartsOnly is set when the load is not told.
 	PartsOnly bool
+	// Changing is the role that the runner was ordered to take, which it has after
+	// ChangeLeft at the latest; empty when it was not.
+	Changing   port.Role
+	ChangeLeft time.Duration
 }
 
 // Changes returns the loads that peers have not been told of; with all set, also every
@@ -28,7 +32,11 @@
 		if !m.dirty && !(all && len(m.work) > 0) {
 			continue
 		}
-		out = append(out, RunnerLoad{ID: id, Load: m.own(now), Parts: m.readParts, FirstParts: m.firstParts})
+		l := RunnerLoad{ID: id, Load: m.own(now), Parts: m.readParts, FirstParts: m.firstParts}
+		if m.away(now) && m.ordered {
+			l.Changing, l.ChangeLeft = m.changing, m.changedBy.Sub(now)
+		}
+		out = append(out, l)
 		m.dirty = false
 		m.readParts, m.firstParts = nil, nil
 	}
@@ -45,11 +53,14 @@
 		if !ok {
 			continue
 		}
+		if l.Changing != "" && l.Changing != m.runner.Role {
+			m.changing, m.changedBy = l.Changing, now.Add(l.ChangeLeft)
+		}
 		if !l.PartsOnly {
 			m.heard(peer, l.Load, now)
 		}
-		if unknown := m.cache.unknown(l.Parts); len(unknown) > 0 {
-			news = append(news, RunnerLoad{ID: l.ID, Parts: unknown, PartsOnly: true})
+		if unknown := m.cache.unknown(l.Parts); len(unknown) > 0 || l.Changing != "" {
+			news = append(news, RunnerLoad{ID: l.ID, Parts: unknown, PartsOnly: true, Changing: l.Changing, ChangeLeft: l.ChangeLeft})
 		}
 		m.cache.add(l.Parts, now)
 	}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -112,6 +112,8 @@
 	KVTokenBytes int
 	// LinkMbps is the rate of KV cache transfers in Mbit/s.
 	LinkMbps float64
+	// RoleChange is how long an engine is away to change its role; 0 when it can not.
+	RoleChange time.Duration
 }
 
 // ForwardService is a group of runners that serve the same requests.
@@ -203,6 +205,14 @@
 	Body io.ReadCloser
 }
 
+// RoleOrder tells an engine to change its role.
+type RoleOrder struct {
+	Role Role
+	// Holder is the daemon that holds the lease, Fencing grows with each lease.
+	Holder  string
+	Fencing int64
+}
+
 // Runners sends requests to runners. Its errors are ErrNotSent, ErrNotRun,
 // ErrWrongInstance, ErrMemoryGone and ErrSpoiled; any other error leaves open
 // whether the request ran.
@@ -213,6 +223,8 @@
 	Prefill(ctx context.Context, at Runner, r *ForwardRequest, o RunOptions) (MemoryHandle, error)
 	// Free gives up a handle.
 	Free(ctx context.Context, h MemoryHandle) error
+	// Order sends an order once. ErrNotRun and ErrWrongInstance mean that it was refused.
+	Order(ctx context.Context, to Runner, o RoleOrder) error
 	// Retain closes idle connections to addresses that keep rejects.
 	Retain(keep func(address string) bool)
 }
@@ -236,6 +248,9 @@
 	Follow(ctx context.Context, topic string, from int64, wait time.Duration) ([]KeyedRecord, int64, error)
 	// Put appends records of keys. ErrAppendUnknown leaves open whether it did.
 	Put(ctx context.Context, topic string, records []KeyedRecord) error
+	// PutAt appends one record if the topic ends at an offset, and returns whether it
+	// did. ErrAppendUnknown leaves that open.
+	PutAt(ctx context.Context, topic string, at int64, record KeyedRecord) (bool, error)
 }
 
 // Registry topics of a KeyedLog.
@@ -246,6 +261,8 @@
 	TopicRunners = "runners"
 	// TopicDaemons holds the peer addresses of daemons by name.
 	TopicDaemons = "daemons"
+	// TopicLeases holds the leases under which engines get orders, by data centre.
+	TopicLeases = "leases"
 	// KeyRouteConfig is the key of the newest configuration.
 	KeyRouteConfig = "config"
 )
--- a/internal/roles/planner.go
+++ b/internal/roles/planner.go
@@ -26,6 +26,9 @@
 	// proportion to the share that one engine is of its data centre otherwise.
 	Margin      float64
 	ShareMargin float64
+	// Concurrent is the number of engines that may be out of service at once; 0 counts as
+	// 1.
+	Concurrent int
 }
 
 // DefaultOptions returns options for engines of the given speeds.
@@ -47,7 +50,8 @@
 	Role port.Role
 	// Since is when the engine took its role.
 	Since time.Time
-	// Serving is false while the engine drains, changes or is down.
+	// Serving is false while the engine drains, changes or is down. An engine that changes
+	// counts with its new role.
 	Serving bool
 }
 
@@ -58,6 +62,8 @@
 	Allowed []port.Role
 	// MinServing is the number of engines that must stay in service.
 	MinServing int
+	// Keep is the number of engines that must have a role.
+	Keep       map[port.Role]int
 	Fast, Slow Demand
 }
 
@@ -112,7 +118,7 @@
 			serving++
 		}
 	}
-	if serving < len(in.Engines) {
+	if len(in.Engines)-serving >= max(1, p.opts.Concurrent) {
 		none.Verdict = NotIdle
 		return none
 	}
@@ -127,11 +133,14 @@
 	return best
 }
 
-// oldest returns the engine of each role that has had it the longest. The others
-// of the role have the same gain.
+// oldest returns the serving engine of each role that has had it the longest, the first
+// one among several. The others of the role have the same gain.
 func (p *Planner) oldest(engines []Engine) []Engine {
 	var out []Engine
 	for _, e := range engines {
+		if !e.Serving {
+			continue
+		}
 		i := slices.IndexFunc(out, func(o Engine) bool { return o.Role == e.Role })
 		switch {
 		case i < 0:
@@ -151,6 +160,9 @@
 			continue
 		}
 		c := p.evaluate(in, e, role)
+		if c.Verdict == Change && in.holding(e.Role) <= in.Keep[e.Role] {
+			c.Verdict = BelowServing
+		}
 		if c.Verdict == Change && now.Sub(e.Since) < p.opts.MinStay {
 			c.Verdict = StaysTooShort
 		}
@@ -159,6 +171,17 @@
 	return best
 }
 
+// holding returns the number of engines that have a role.
+func (in *Input) holding(role port.Role) int {
+	n := 0
+	for _, e := range in.Engines {
+		if e.Role == role {
+			n++
+		}
+	}
+	return n
+}
+
 // better returns the candidate that gains more under the fast demand; at equal gain
 // the first one. A candidate that may not change yet still ranks first: while a shift
 // goes on, the slow demand still counts work that is gone, and the second best change
