--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -174,7 +174,7 @@
 // the client has the whole answer.
 func (c *call) runStream(ctx context.Context, work *placement.Work, memory port.MemoryHandle) error {
 	runner := work.Runner()
-	c.step("run at %s, %d unread tokens", runner.ID, work.Unread())
+	c.step("run at %s, %d unread tokens, parts from %q", runner.ID, work.Unread(), work.FetchFrom())
 	attempt, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := &stallWatch{}
