Predict which parts yield from what all daemons had written

Cause: of 38 prompts with a part that was taken to be kept at a decode engine, 11 were read as a whole (447 predicted tokens took 430 ms), and made the streams there pause. Each daemon counted only what its own requests wrote into the engine's memory, so that parts seemed to stay several times as long as they do.

Daemons now tell how many tokens their requests had written; a part counts as kept until 0.6 of the memory was written after its last use.

--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -24,6 +24,7 @@
 	First   int                        `json:"first,omitempty"`
 	For     int64                      `json:"for,omitempty"`
 	Read    int64                      `json:"read,omitempty"`
+	Written int64                      `json:"written,omitempty"`
 	Reading [placement.Urgencies]int64 `json:"reading"`
 	Running int                        `json:"running"`
 	KV      int                        `json:"kv"`
@@ -136,7 +137,7 @@
 func encodeLoads(loads []placement.RunnerLoad) []runnerShare {
 	out := make([]runnerShare, 0, len(loads))
 	for _, l := range loads {
-		s := runnerShare{ID: l.ID, PartsOnly: l.PartsOnly, Running: l.Load.Running, KV: l.Load.KVTokens, Begun: l.Load.Begun.Microseconds(), First: l.Load.BegunUrgency, Read: l.Load.Read.Microseconds(),
+		s := runnerShare{ID: l.ID, PartsOnly: l.PartsOnly, Running: l.Load.Running, KV: l.Load.KVTokens, Begun: l.Load.Begun.Microseconds(), First: l.Load.BegunUrgency, Read: l.Load.Read.Microseconds(), Written: l.Load.Written,
 			Change: l.Changing, ChangeLeft: l.ChangeLeft.Microseconds()}
 		if l.Load.Begun > 0 {
 			s.For = time.Since(l.Load.BegunAt).Microseconds()
@@ -164,7 +165,7 @@
 		l.Load.Begun = time.Duration(s.Begun) * time.Microsecond
 		l.Load.BegunUrgency = min(max(0, s.First), placement.Urgencies-1)
 		l.Load.BegunAt = time.Now().Add(-time.Duration(s.For) * time.Microsecond)
-		l.Load.Read = time.Duration(s.Read) * time.Microsecond
+		l.Load.Read, l.Load.Written = time.Duration(s.Read)*time.Microsecond, s.Written
 		l.Changing, l.ChangeLeft = s.Change, time.Duration(s.ChangeLeft)*time.Microsecond
 		l.Load.OnTime = s.OnTime
 		l.Load.AllowedPause = time.Duration(s.Pause) * time.Microsecond
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -1,27 +1,39 @@
 package placement
 
-import (
-	"time"
+import "bergamotsill.example/bergamotsill/internal/port"
 
-	"bergamotsill.example/bergamotsill/internal/port"
+const (
+	// cacheShare is the part of an engine's memory that new tokens may fill before a part
+	// of a prompt that was not used since is taken to have yielded. The rest is held by
+	// parts that are used again and again.
+	cacheShare = 0.6
+	// sweepLeast is the number of parts from which those that yielded are dropped.
+	sweepLeast = 256
 )
 
-// cacheShare is the part of an engine's memory that is expected to keep parts of
-// prompts; running requests take the rest.
-const cacheShare = 0.6
-
-// partCache predicts which parts of prompts an engine keeps. The least recently used
-// ones yield.
+// partCache predicts which parts of prompts an engine keeps. The least recently used ones
+// yield, so that a part is kept until a certain amount has been written after its last use,
+// by the requests of whatever daemon.
 type partCache struct {
 	// capacity is in tokens.
-	capacity int
-	used     int
-	parts    map[string]cachedPart
+	capacity int64
+	// written counts the tokens that all daemons had written into the engine's memory,
+	// writtenHere those of this daemon's requests.
+	written     int64
+	writtenHere int64
+	parts       map[string]cachedPart
+	sweepAt     int
 }
 
 type cachedPart struct {
-	tokens int
-	used   time.Time
+	// used is the count of written tokens at the last use.
+	used int64
+}
+
+// keeps tells whether a part is expected to be there.
+func (c *partCache) keeps(id string) bool {
+	part, ok := c.parts[id]
+	return ok && c.written-part.used <= c.capacity
 }
 
 // cached returns the tokens at the start of a prompt that are cached. A part counts only
@@ -29,7 +41,7 @@
 func (c *partCache) cached(p *port.Prompt) int {
 	tokens := 0
 	for _, part := range p.Parts {
-		if _, ok := c.parts[part.ID]; !ok {
+		if !c.keeps(part.ID) {
 			break
 		}
 		tokens += part.Tokens
@@ -37,21 +49,25 @@
 	return min(tokens, p.InputTokens)
 }
 
-// add notes that the engine has read the parts.
-func (c *partCache) add(parts []port.PromptPart, now time.Time) {
+// add notes that the engine has read or fetched the parts for a request of this daemon.
+func (c *partCache) add(parts []port.PromptPart) {
+	for _, part := range c.unknown(parts) {
+		c.written += int64(part.Tokens)
+		c.writtenHere += int64(part.Tokens)
+	}
+	c.use(parts)
+}
+
+// use notes that the parts were used, without counting what was written for it.
+func (c *partCache) use(parts []port.PromptPart) {
 	if c.parts == nil {
 		c.parts = map[string]cachedPart{}
 	}
 	for _, part := range parts {
-		old, ok := c.parts[part.ID]
-		if ok {
-			c.used -= old.tokens
-		}
-		c.parts[part.ID] = cachedPart{tokens: part.Tokens, used: now}
-		c.used += part.Tokens
+		c.parts[part.ID] = cachedPart{used: c.written}
 	}
-	for c.used > c.capacity && len(c.parts) > 0 {
-		c.evict()
+	if len(c.parts) >= max(sweepLeast, c.sweepAt) {
+		c.sweep()
 	}
 }
 
@@ -59,27 +75,24 @@
 func (c *partCache) unknown(parts []port.PromptPart) []port.PromptPart {
 	var out []port.PromptPart
 	for _, part := range parts {
-		if _, ok := c.parts[part.ID]; !ok {
+		if !c.keeps(part.ID) {
 			out = append(out, part)
 		}
 	}
 	return out
 }
 
-// evict forgets the least recently used part.
-func (c *partCache) evict() {
-	var oldest string
-	for id, part := range c.parts {
-		if oldest == "" || part.used.Before(c.parts[oldest].used) {
-			oldest = id
+// sweep drops the parts that yielded.
+func (c *partCache) sweep() {
+	for id := range c.parts {
+		if !c.keeps(id) {
+			delete(c.parts, id)
 		}
 	}
-	c.used -= c.parts[oldest].tokens
-	delete(c.parts, oldest)
+	c.sweepAt = 2 * len(c.parts)
 }
 
 // clear forgets everything, as after a restart.
 func (c *partCache) clear() {
-	c.parts = nil
-	c.used = 0
+	*c = partCache{capacity: c.capacity}
 }
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -228,7 +228,7 @@
 	}
 	w := f.begin(best.member, now, q, 0)
 	// The engine keeps what it fetched like parts that it read.
-	best.member.cache.add(w.parts, now)
+	best.member.cache.add(w.parts)
 	return w, true
 }
 
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -39,6 +39,9 @@
 	// Read is what a daemon had read since its start, as the time that prefill engines
 	// take for it. It only grows, so that a change shows progress.
 	Read time.Duration
+	// Written is the number of tokens that a daemon had written into the engine's memory
+	// since its start.
+	Written int64
 	// Running is the number of requests, KVTokens the memory that they take.
 	Running  int
 	KVTokens int
@@ -161,7 +164,7 @@
 		work:     map[*Work]struct{}{}, peers: map[string]peerLoad{},
 	}
 	if limits != nil {
-		m.cache.capacity = int(float64(limits.KVTokens) * cacheShare)
+		m.cache.capacity = int64(float64(limits.KVTokens) * cacheShare)
 	}
 	return m
 }
@@ -215,7 +218,7 @@
 		}
 	}
 	l.Recent = m.recentReading(now)
-	l.Read = m.read
+	l.Read, l.Written = m.read, m.cache.writtenHere
 	return l
 }
 
@@ -284,9 +287,12 @@
 
 // heard takes in what a peer told.
 func (m *member) heard(peer string, told Load, now time.Time) {
-	if old, ok := m.peers[peer]; ok && told.Read > old.load.Read {
-		m.progressed = now
-		m.readByAll += told.Read - old.load.Read
+	if old, ok := m.peers[peer]; ok {
+		if told.Read > old.load.Read {
+			m.progressed = now
+			m.readByAll += told.Read - old.load.Read
+		}
+		m.cache.written += max(0, told.Written-old.load.Written)
 	}
 	m.peers[peer] = peerLoad{load: told, at: now}
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -42,7 +42,7 @@
 	for _, m := range f.members {
 		m.limits = f.limits[m.runner.Service]
 		if m.limits != nil {
-			m.cache.capacity = int(float64(m.limits.KVTokens) * cacheShare)
+			m.cache.capacity = int64(float64(m.limits.KVTokens) * cacheShare)
 		}
 	}
 }
@@ -163,7 +163,7 @@
 		// A part is of use only together with those before it.
 		m.firstParts = append(m.firstParts, sharedParts(w.parts)...)
 	}
-	m.cache.add(w.parts, now)
+	m.cache.add(w.parts)
 	w.measure(now)
 }
 
@@ -178,7 +178,7 @@
 
 func (f *Fleet) knownHere(service, part string) bool {
 	for _, m := range f.services[service] {
-		if _, ok := m.cache.parts[part]; ok && m.runner.DataCentre == f.dataCentre {
+		if m.runner.DataCentre == f.dataCentre && m.cache.keeps(part) {
 			return true
 		}
 	}
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -62,7 +62,7 @@
 		if unknown := m.cache.unknown(l.Parts); len(unknown) > 0 || l.Changing != "" {
 			news = append(news, RunnerLoad{ID: l.ID, Parts: unknown, PartsOnly: true, Changing: l.Changing, ChangeLeft: l.ChangeLeft})
 		}
-		m.cache.add(l.Parts, now)
+		m.cache.use(l.Parts)
 	}
 	return news
 }
