--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,6 +22,9 @@
 	// short, so that a prompt that waits behind a long one unexpectedly can still meet
 	// its objective elsewhere.
 	prefillStallLeast = 250 * time.Millisecond
+	// shortShare is the part of the objective up to which a request is short: it keeps its
+	// urgency when it will miss the objective, because it hardly delays others.
+	shortShare = 3
 	// gapFactor limits a pause between events, as a multiple of the objective.
 	gapFactor = 3
 	// freeTimeout bounds the call that gives up a KV cache.
@@ -67,9 +70,9 @@
 func (c *call) classify() bool {
 	c.urgency = min(c.route.Priority, placement.UrgencyLate-1)
 	now := time.Now()
-	first, _, ok := c.gateway.fleet.Predict(now, c.query())
+	first, wait, ok := c.gateway.fleet.Predict(now, c.query())
 	c.predicted = first
-	if ok && first > c.route.Target-now.Sub(c.request.Received) {
+	if ok && first > c.route.Target-now.Sub(c.request.Received) && first-wait > c.route.Target/shortShare {
 		c.urgency = placement.UrgencyLate
 		first, _, ok = c.gateway.fleet.Predict(now, c.query())
 		c.predicted = first
