Let a relayed registry count for longer than its reader's pause

One daemon of a data centre reads for all, once in a third of the time to take a leaving runner out (1.33 s there), but its word counted for 1.2 s only: then all daemons read for themselves. It now counts for 0.6 of that time.

Ruled out: changes of the list of daemons (each reads it every 30 s) and reads of the configuration (one daemon of each data centre).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,7 @@
 	}
 	r := &registryRelay{
 		peers: g.peers, found: g.found, config: g.config, busy: map[string]bool{}, missed: map[string][]relayRecord{},
+		freshFor: time.Duration(relayShare * float64(s.DrainNotice)),
 	}
 	g.peers.relay = r
 	g.found.relayed, g.found.relay = r.fresh, r.pass
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -14,9 +14,10 @@
 const (
 	// methodRegistry passes on what one daemon of a data centre read from the store.
 	methodRegistry = "gateway.registry"
-	// relayFresh is the age up to which a relayed state counts as current. A daemon that
-	// hears nothing for longer reads the store itself.
-	relayFresh = 1200 * time.Millisecond
+	// relayShare is the part of the time to take a leaving runner out of use up to which a
+	// relayed state counts as current: longer than the reader's pause of discoveryPart, and
+	// short enough for a daemon that hears nothing to read the store itself in time.
+	relayShare = 0.6
 	// relayRanks is the number of daemons of a data centre that may pass the registry
 	// on: one does, the others take over when those before them are silent.
 	relayRanks = 3
@@ -42,6 +43,8 @@
 	peers  *peers
 	found  *discovery
 	config *configFollower
+	// freshFor is the age up to which a relayed state counts as current.
+	freshFor time.Duration
 
 	mu sync.Mutex
 	// heard is when a daemon of a lower rank last passed a state on, and matches whether
@@ -58,7 +61,7 @@
 func (r *registryRelay) fresh() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.matches && time.Since(r.heard) < relayFresh
+	return r.matches && time.Since(r.heard) < r.freshFor
 }
 
 // rank returns the place of this daemon among those of its data centre that answer.
--- a/internal/gateway/relay_registry_test.go
+++ b/internal/gateway/relay_registry_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"time"
+
+	"go.uber.org/zap"
 
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -54,3 +57,14 @@
 		t.Error("the daemon that reads first relies on one that reads after it")
 	}
 }
+
+// Guards against daemons that all read the store because the one that reads for them pauses
+// longer than its word counts.
+func TestRelayOutlivesThePauseOfItsReader(t *testing.T) {
+	for _, notice := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 10 * time.Second} {
+		g := New(Settings{Name: "d", DataCentre: "north", DrainNotice: notice}, Dependencies{Logger: zap.NewNop()})
+		if pause, fresh := g.found.interval, g.peers.relay.freshFor; fresh < pause*3/2 || fresh > notice*3/4 {
+			t.Errorf("with %s to take a runner out of use, the reader pauses %s and its word counts for %s", notice, pause, fresh)
+		}
+	}
+}
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -18,7 +18,7 @@
 
 // newTestGateway returns a gateway without listeners that knows two runners.
 func newTestGateway(retries RetryLimits) *Gateway {
-	g := New(Settings{Name: "d", DataCentre: "north", Retries: retries}, Dependencies{Logger: zap.NewNop(), Registry: jsonRegistry{}, Runners: noRunners{}})
+	g := New(Settings{Name: "d", DataCentre: "north", DrainNotice: 2 * time.Second, Retries: retries}, Dependencies{Logger: zap.NewNop(), Registry: jsonRegistry{}, Runners: noRunners{}})
 	g.fleet.SetRunners([]port.Runner{
 		{ID: "a", Service: "s", Address: "10.0.0.1:80", DataCentre: "north", Slots: 4},
 		{ID: "b", Service: "s", Address: "10.0.0.2:80", DataCentre: "north", Slots: 4},
