Test roles, leases, orders, yielding parts and the class of late requests

They found two faults: an engine that changes its role was used when no other was left, and a lease record that can not be read stopped all planning. The class of a request is now chosen in package placement.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -282,6 +282,7 @@
 		Patience:  c.patience(),
 		Excluded:  c.excluded,
 
+		Objective:    c.route.Target,
 		AllowedPause: c.route.GapTarget,
 	}
 }
--- a/internal/gateway/role_lease.go
+++ b/internal/gateway/role_lease.go
@@ -79,7 +79,8 @@
 		}
 		var record lease.Record
 		if err := json.Unmarshal(r.Value, &record); err != nil {
-			return err
+			// Whoever holds a lease that can not be read has it until its end.
+			record = lease.Record{}
 		}
 		seen := lease.Lease{Holder: record.Holder, Daemon: record.Daemon, Fencing: r.Offset + 1, Last: r.Offset + 1}
 		if seen != l.machine.Lease() {
--- /dev/null
+++ b/internal/gateway/role_lease_test.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/lease"
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/seedtest"
+)
+
+// manualClock is a clock that tests advance.
+type manualClock struct{ now time.Duration }
+
+func (c *manualClock) Now() time.Duration { return c.now }
+
+// leaseLog is a log of one topic whose answers may be lost or whose calls may fail.
+type leaseLog struct {
+	port.KeyedLog
+	records []port.KeyedRecord
+	// fail and lose are asked before and after each append.
+	fail, lose func() bool
+}
+
+func (l *leaseLog) Newest(context.Context, string) ([]port.KeyedRecord, int64, error) {
+	if l.fail != nil && l.fail() {
+		return nil, 0, port.ErrLogUnavailable
+	}
+	newest := map[string]port.KeyedRecord{}
+	for _, r := range l.records {
+		newest[r.Key] = r
+	}
+	var out []port.KeyedRecord
+	for _, r := range newest {
+		out = append(out, r)
+	}
+	return out, int64(len(l.records)), nil
+}
+
+func (l *leaseLog) PutAt(_ context.Context, _ string, at int64, r port.KeyedRecord) (bool, error) {
+	if l.fail != nil && l.fail() {
+		return false, port.ErrLogUnavailable
+	}
+	if at != int64(len(l.records)) {
+		return false, nil
+	}
+	r.Offset = at
+	l.records = append(l.records, r)
+	if l.lose != nil && l.lose() {
+		return false, port.ErrAppendUnknown
+	}
+	return true, nil
+}
+
+const testLease = 3 * time.Second
+
+// Guards against two daemons that may send orders within one lease of each other, against
+// fencing numbers that do not grow, and against a lease that nobody can take over.
+func TestOneDaemonSendsOrders(t *testing.T) {
+	ctx := context.Background()
+	log, clock := &leaseLog{}, &manualClock{now: time.Hour}
+	a := newOrderLease(log, clock, "north", "a", testLease)
+	b := newOrderLease(log, clock, "north", "b", testLease)
+	other := newOrderLease(log, clock, "south", "c", testLease)
+	first, err := a.acquire(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.acquire(ctx); !errors.Is(err, errLeaseHeld) {
+		t.Errorf("a second daemon acquires the lease: %v", err)
+	}
+	if _, err := other.acquire(ctx); err != nil {
+		t.Errorf("the lease of another data centre is not free: %v", err)
+	}
+	clock.now += testLease + testLease/2
+	if a.valid() {
+		t.Error("the lease is valid after its end")
+	}
+	if _, err := b.acquire(ctx); !errors.Is(err, errLeaseHeld) {
+		t.Errorf("a second daemon acquires the lease before the last order of the first one is old enough: %v", err)
+	}
+	clock.now += testLease
+	second, err := b.acquire(ctx)
+	if err != nil || second <= first {
+		t.Errorf("fencing number %d after %d, %v", second, first, err)
+	}
+	restarted := newOrderLease(log, clock, "north", "b", testLease)
+	third, err := restarted.acquire(ctx)
+	if err != nil || third <= second {
+		t.Errorf("after a restart of its holder the lease has number %d after %d, %v", third, second, err)
+	}
+}
+
+// Guards against the same under a store that fails and loses answers, daemons that restart
+// and clocks that stand still for a while: whatever happens, orders of two daemons are at
+// least one lease apart and their numbers grow.
+func TestOrdersOfTwoDaemonsAreApart(t *testing.T) {
+	seedtest.Run(t, func(t *testing.T, seed uint64) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		clock := &manualClock{now: time.Hour}
+		often := func(share float64) func() bool { return func() bool { return rng.Float64() < share } }
+		log := &leaseLog{fail: often(0.2), lose: often(0.2)}
+		names := []string{"a", "b", "c"}
+		daemons := map[string]*orderLease{}
+		var last struct {
+			holder  string
+			at      time.Duration
+			fencing int64
+		}
+		orders := 0
+		for range 2000 {
+			clock.now += time.Duration(rng.Int64N(int64(time.Second)))
+			name := names[rng.IntN(len(names))]
+			if daemons[name] == nil || rng.Float64() < 0.05 {
+				daemons[name] = newOrderLease(log, clock, "north", name, testLease)
+			}
+			fencing, err := daemons[name].acquire(context.Background())
+			if err != nil {
+				continue
+			}
+			orders++
+			// The order arrives some time after the lease was checked.
+			arrival := clock.now + time.Duration(rng.Int64N(int64(orderTimeout)))
+			if last.holder != "" && last.holder != name && arrival-last.at < testLease {
+				t.Fatalf("orders of %s and %s arrive %s apart", last.holder, name, arrival-last.at)
+			}
+			if fencing < last.fencing || fencing == last.fencing && name != last.holder {
+				t.Fatalf("%s orders with number %d after %s with %d", name, fencing, last.holder, last.fencing)
+			}
+			last.holder, last.at, last.fencing = name, arrival, fencing
+			clock.now = arrival
+		}
+		if orders < 100 {
+			t.Errorf("only %d of 2,000 orders could be sent", orders)
+		}
+	})
+}
+
+// Guards against a malformed record in the store that stops all planning.
+func TestUnreadableLeaseIsReplaced(t *testing.T) {
+	log, clock := &leaseLog{records: []port.KeyedRecord{{Key: "north", Value: []byte("{")}}}, &manualClock{now: time.Hour}
+	l := newOrderLease(log, clock, "north", "a", testLease)
+	var err error
+	for range 20 {
+		if _, err = l.acquire(context.Background()); err == nil {
+			break
+		}
+		clock.now += time.Second
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	var record lease.Record
+	if err := json.Unmarshal(log.records[1].Value, &record); err != nil || record.Holder != "a" {
+		t.Errorf("record of the lease is %s, %v", log.records[1].Value, err)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,9 +22,6 @@
 	// short, so that a prompt that waits behind a long one unexpectedly can still meet
 	// its objective elsewhere.
 	prefillStallLeast = 250 * time.Millisecond
-	// shortShare is the part of the objective up to which a request is short: it keeps its
-	// urgency when it will miss the objective, because it hardly delays others.
-	shortShare = 3
 	// gapFactor limits a pause between events, as a multiple of the objective.
 	gapFactor = 3
 	// freeTimeout bounds the call that gives up a KV cache.
@@ -64,20 +61,12 @@
 	}
 }
 
-// classify predicts the first event and sets the urgency: requests that will miss their
-// objective must not delay the others. It returns false when the first event is
-// predicted only after the client has left.
+// classify predicts the first event and sets the urgency. It returns false when the first
+// event is predicted only after the client has left.
 func (c *call) classify() bool {
-	c.urgency = min(c.route.Priority, placement.UrgencyLate-1)
-	now := time.Now()
-	first, wait, ok := c.gateway.fleet.Predict(now, c.query())
-	c.predicted = first
-	if ok && first > c.route.Target-now.Sub(c.request.Received) && first-wait > c.route.Target/shortShare {
-		c.urgency = placement.UrgencyLate
-		first, _, ok = c.gateway.fleet.Predict(now, c.query())
-		c.predicted = first
-	}
-	return !ok || first < c.patience()
+	class := c.gateway.fleet.Classify(time.Now(), c.query(), c.route.Priority)
+	c.urgency, c.predicted = class.Urgency, class.FirstEvent
+	return class.Served
 }
 
 // placeStream finds the engine that runs the request, and has the prompt read elsewhere
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -19,6 +19,8 @@
 	// client leaves without one. 0 means that there is no limit.
 	Target   time.Duration
 	Patience time.Duration
+	// Objective is the whole time that the first event may take.
+	Objective time.Duration
 	// AllowedPause is the longest pause between events that is on time; 0 means that there
 	// is no limit.
 	AllowedPause time.Duration
@@ -99,7 +101,7 @@
 			continue
 		}
 		if !m.usable(now) || f.cut(m.runner.DataCentre, now) {
-			if !m.runner.Draining && !m.leaving && (fallback == nil || m.suspectUntil.Before(fallback.suspectUntil)) {
+			if !m.runner.Draining && !m.leaving && !m.away(now) && (fallback == nil || m.suspectUntil.Before(fallback.suspectUntil)) {
 				fallback = m
 			}
 			continue
--- a/internal/roles/planner_test.go
+++ b/internal/roles/planner_test.go
@@ -208,3 +208,45 @@
 		t.Errorf("margin is %g with 3 engines and %g with 100", small, large)
 	}
 }
+
+// Guards against a role that no engine is left with, and against more engines that are away
+// at once than allowed.
+func TestEnginesThatMustStay(t *testing.T) {
+	speeds := Speeds{port.RolePrefill: {Prompt: 1}, port.RoleDecode: {Prompt: 0.2, Output: 1}}
+	engines := func(away int, list ...port.Role) []Engine {
+		var out []Engine
+		for i, role := range list {
+			out = append(out, Engine{ID: fmt.Sprint("e", i), Role: role, Serving: i >= away})
+		}
+		return out
+	}
+	p, d := port.RolePrefill, port.RoleDecode
+	cases := []struct {
+		name       string
+		engines    []Engine
+		concurrent int
+		want       Verdict
+	}{
+		{"enough engines", engines(0, p, d, d, d), 1, Change},
+		{"the role must keep two", engines(0, p, p, d, d), 1, BelowServing},
+		{"one is away", engines(1, p, d, d, d, d, d), 1, NotIdle},
+		{"one of two may be away", engines(1, p, d, d, d, d, d), 2, Change},
+		{"two are away", engines(2, p, p, d, d, d, d), 2, NotIdle},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			o := DefaultOptions(speeds)
+			o.Busy, o.Concurrent = 0.3, c.concurrent
+			demand := Demand{Prompt: 3, Output: 0.2}
+			got := NewPlanner(o).Propose(start, Input{
+				Engines: c.engines, Allowed: []port.Role{p, d}, Keep: map[port.Role]int{p: 1, d: 2}, Fast: demand, Slow: demand,
+			})
+			if got.Verdict != c.want {
+				t.Errorf("verdict is %s for %s, want %s", got.Verdict, got.Engine, c.want)
+			}
+			if got.Verdict == Change && (got.From != d || got.Engine == "e0") {
+				t.Errorf("%s changes from %s", got.Engine, got.From)
+			}
+		})
+	}
+}
