Bound what a daemon reads of a response before it is known to be the right one

Cause: the head of a response was read by http.ReadResponse without a bound, and the body of a response to another request was discarded without one. A server that sends without end, until its caller closes, filled the memory of a daemon until the deadline of each request (184 MB on the smallest machines).

A head may take 32 KB, the body of a response to another request 256 KB; beyond that the connection is closed and the response counts as spoiled. Chunk extensions and trailers were bounded already by net/http.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -83,7 +83,7 @@
 }
 
 type conn struct {
-	net.Conn
+	*boundedConn
 	address string
 	reader  *bufio.Reader
 	reused  bool
@@ -134,7 +134,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	bounded := &boundedConn{Conn: raw, left: -1}
+	return &conn{boundedConn: bounded, address: address, reader: bufio.NewReaderSize(bounded, readBuffer)}, nil
 }
 
 // takeIdle returns the connection that was used last, and closes those that are too
@@ -243,6 +244,7 @@
 func (x *transfer) readHead() (*http.Response, error) {
 	asked := &http.Request{Method: x.request.Method}
 	for range maxStrayResponses + 1 {
+		x.conn.bound(maxHeadBytes)
 		response, err := http.ReadResponse(x.conn.reader, asked)
 		if err != nil {
 			return nil, classifyReadError(err)
@@ -251,14 +253,16 @@
 			continue
 		}
 		if x.request.Answers == nil || x.request.Answers(response.StatusCode, response.Header) {
+			x.conn.bound(-1)
 			return response, nil
 		}
 		x.stray = true
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, port.ErrSpoiled
 		}
+		x.conn.bound(maxStrayBytes)
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, fmt.Errorf("stray response: %w", err)
+			return nil, fmt.Errorf("stray response: %w", classifyReadError(err))
 		}
 	}
 	return nil, fmt.Errorf("%w: %w", port.ErrSpoiled, ErrTooManyResponses)
