Do not take comments for progress of a stream; bound the memory of answers

Answers that are read as a whole were bounded one by one (16 MB), not together.

Comments are still passed on once an answer has begun. An event, and what comes before the first one, is bounded by 256 KB instead of 1 MB, because many streams may reach it at once.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -82,6 +82,8 @@
 	pause     time.Duration
 	// steps describes what was tried, for the log.
 	steps []string
+	// answerBytes is the memory that answers take which are read as a whole.
+	answerBytes int64
 	// broken is set when the client's connection must be closed without an end.
 	broken bool
 }
@@ -107,7 +109,7 @@
 		return placement.Answered
 	case errors.Is(err, port.ErrWrongInstance):
 		return placement.Misdirected
-	case errors.Is(err, port.ErrMemoryGone):
+	case errors.Is(err, port.ErrMemoryGone) || errors.Is(err, errAnswerMemory):
 		return placement.Abandoned
 	case errors.Is(err, port.ErrNotRun):
 		return placement.Refused
@@ -170,7 +172,7 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		c.gateway.crashes.ended(r.ID, time.Now())
-	case notRun(err) || errors.Is(err, port.ErrSpoiled) || errors.Is(err, errStalled):
+	case notRun(err) || errors.Is(err, port.ErrSpoiled) || errors.Is(err, errStalled) || errors.Is(err, errAnswerMemory):
 	default:
 		c.gateway.crashes.lost(c.digest, r, time.Now())
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,8 +35,10 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is more than operators allow clients to send.
 	maxHeaderBytes = 64 << 10
-	// bodyShare is the part of the memory that the bodies of requests may take.
-	bodyShare = 0.25
+	// bodyShare and answerShare are the parts of the memory that the bodies of requests,
+	// and answers that are read as a whole, may take.
+	bodyShare   = 0.25
+	answerShare = 0.25
 	// retryShare is the part of the shared retry limit that is used; the rest covers
 	// daemons that do not know of each other.
 	retryShare = 0.6
@@ -74,6 +76,8 @@
 	tomb     tomb.Tomb
 	// bodies counts the bytes of request bodies in memory.
 	bodies atomic.Int64
+	// answers counts the bytes of answers that are read as a whole.
+	answers atomic.Int64
 
 	mu      sync.Mutex
 	windows map[string]*retry.Window
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -18,6 +19,8 @@
 	firstTryShare = 0.6
 	// maxAnswerBytes bounds the answers that are read before they are passed on.
 	maxAnswerBytes = 16 << 20
+	// answerStep is how much memory an answer takes at a time while it is read.
+	answerStep = 16 << 10
 )
 
 // servePlain passes a call on to a plain service. The answer is read completely before
@@ -73,7 +76,7 @@
 	})
 	var body []byte
 	if err == nil {
-		body, err = readAnswer(answer)
+		body, err = c.readAnswer(answer)
 	}
 	if err != nil && errors.Is(context.Cause(attempt), errStalled) {
 		err = errors.Join(errStalled, err)
@@ -105,18 +108,48 @@
 	return 0
 }
 
-// readAnswer reads a whole body.
-func readAnswer(answer *port.ForwardResponse) ([]byte, error) {
+// errAnswerMemory reports that answers take all the memory that they may.
+var errAnswerMemory = errors.New("memory for answers is taken")
+
+// readAnswer reads a whole body. Its memory counts as taken until the call ends.
+func (c *call) readAnswer(answer *port.ForwardResponse) ([]byte, error) {
 	// After a complete body, closing has no effect.
 	defer func() { _ = answer.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
-	if err != nil {
-		return nil, errors.Join(errInterrupted, err)
-	}
-	if len(body) > maxAnswerBytes {
-		return nil, port.ErrSpoiled
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			grown := slices.Grow(body, answerStep)
+			if !c.takeMemory(int64(cap(grown) - cap(body))) {
+				return nil, errAnswerMemory
+			}
+			body = grown
+		}
+		n, err := answer.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, errors.Join(errInterrupted, err)
+		case len(body) > maxAnswerBytes:
+			return nil, port.ErrSpoiled
+		}
 	}
-	return body, nil
+}
+
+// takeMemory counts bytes of an answer. It returns false when answers take all the memory
+// that they may.
+func (c *call) takeMemory(bytes int64) bool {
+	c.answerBytes += bytes
+	used := c.gateway.answers.Add(bytes)
+	memory := c.gateway.settings.Load().MemoryBytes
+	return memory <= 0 || float64(used) <= answerShare*float64(memory)
+}
+
+// releaseMemory gives back what the answers of the call took.
+func (c *call) releaseMemory() {
+	c.gateway.answers.Add(-c.answerBytes)
+	c.answerBytes = 0
 }
 
 // deliver passes on a complete answer.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -16,8 +16,9 @@
 const (
 	// relayBuffer is the size of the first buffer for events.
 	relayBuffer = 4 << 10
-	// maxEventBytes bounds one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event, and the comments before the first one. Many streams
+	// may reach it at once.
+	maxEventBytes = 256 << 10
 )
 
 // eventEnds are the blank lines that end an event (HTML standard, section 9.2.6).
@@ -34,6 +35,17 @@
 	return end
 }
 
+// carriesEvent tells whether whole blocks hold more than comments and blank lines.
+func carriesEvent(blocks []byte) bool {
+	for line := range bytes.Lines(blocks) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // relay delivers the events of a stream as they arrive, each one whole, so that a
 // stream that breaks inside an event can go on after the last whole one.
 func (c *call) relay(work *placement.Work, answer *port.ForwardResponse, watch *stallWatch) error {
@@ -47,11 +59,19 @@
 		n, err := answer.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if whole := wholeEvents(buffer); whole > 0 {
-			watch.progress()
-			if sendErr := c.deliverEvents(work, answer, buffer[:whole]); sendErr != nil {
-				return sendErr
+			// Comments alone are passed on, but they are no progress, and they do not begin
+			// an answer.
+			events := carriesEvent(buffer[:whole])
+			if events {
+				watch.progress()
+				c.noteEvents(work)
+			}
+			if events || c.delivering {
+				if sendErr := c.deliverEvents(answer, buffer[:whole]); sendErr != nil {
+					return sendErr
+				}
+				buffer = append(buffer[:0], buffer[whole:]...)
 			}
-			buffer = append(buffer[:0], buffer[whole:]...)
 		}
 		switch {
 		case err == io.EOF:
@@ -64,18 +84,24 @@
 	}
 }
 
-// deliverEvents passes on whole events. The head of the first runner's answer stays when
-// a stream goes on at another runner.
-func (c *call) deliverEvents(work *placement.Work, answer *port.ForwardResponse, events []byte) error {
+// noteEvents notes the arrival of events, for the log and the model of the engine.
+func (c *call) noteEvents(work *placement.Work) {
 	now := time.Now()
 	if !c.delivering {
 		c.first = now.Sub(c.request.Received)
-		c.copyHead(answer)
 	} else {
 		c.pause = max(c.pause, now.Sub(c.delivered))
 	}
 	c.delivered = now
 	work.Event(now)
+}
+
+// deliverEvents passes on whole events. The head of the first runner's answer stays when
+// a stream goes on at another runner.
+func (c *call) deliverEvents(answer *port.ForwardResponse, events []byte) error {
+	if !c.delivering {
+		c.copyHead(answer)
+	}
 	events, last, count := newEvents(events, c.lastEvent)
 	c.lastEvent = last
 	c.events += count
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -61,6 +61,7 @@
 	c := g.newCall(w, request, route, table)
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer c.releaseMemory()
 	c.serve(ctx)
 	if c.broken {
 		// Closes the connection without the end of the answer.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -200,7 +200,7 @@
 	if answer.Status == http.StatusOK {
 		return c.relay(work, answer, watch)
 	}
-	body, err := readAnswer(answer)
+	body, err := c.readAnswer(answer)
 	if err != nil {
 		return err
 	}
