Take an answer without an id only as the first one on its connection

Cause: an answer without the id of a request counted as the answer to whatever was asked last. A second copy that a server sends late, without an id, on a connection that is in use again reached the next caller, as the answer of a call or as the handle of a prompt (the next stream would have gone on from another one's KV cache). On a connection's first response there is no earlier request that it could belong to; after that the id has to match.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -52,8 +52,9 @@
 	// new connection.
 	MaxIdle time.Duration
 	// Answers tells whether a response belongs to the request; nil accepts all. A
-	// response that does not is skipped.
-	Answers func(status int, header http.Header) bool
+	// response that does not is skipped. First is set for the first response on a
+	// connection, which can belong to no earlier request.
+	Answers func(first bool, header http.Header) bool
 }
 
 // Response is the answer to a Request.
@@ -252,7 +253,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if x.request.Answers == nil || x.request.Answers(response.StatusCode, response.Header) {
+		if x.request.Answers == nil || x.request.Answers(!x.conn.reused && !x.stray, response.Header) {
 			x.conn.bound(-1)
 			return response, nil
 		}
--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -79,7 +79,7 @@
 	return exchange.Request{
 		Method: http.MethodPost, Host: "host.example", Target: "/a/b?c=d", Header: http.Header{idHeader: {id}},
 		Body: []byte("body"), MaxIdle: time.Minute,
-		Answers: func(_ int, h http.Header) bool { return h.Get(idHeader) == id },
+		Answers: func(_ bool, h http.Header) bool { return h.Get(idHeader) == id },
 	}
 }
 
