Reuse connections idle for up to 3 s for streams that run once

Cause: streams that run at most once opened a new connection after 1 s of idleness; at 144 pairs of daemon and engine that is most of them. 3 s is what the client assumes of servers that state no timeout.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -31,7 +31,7 @@
 	idleRepeatable = time.Minute
 	// idleStream is that time for streams that run at most once: short, because a
 	// request that crosses the runner's close of an idle connection is lost.
-	idleStream = time.Second
+	idleStream = 3 * time.Second
 )
 
 // Reasons of refusals and failures that the gateway itself decides.
