--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -21,8 +21,10 @@
 	// writtenHere those of this daemon's requests.
 	written     int64
 	writtenHere int64
-	parts       map[string]cachedPart
-	sweepAt     int
+	// assumed is written as it was when other cells were last taken to do the same.
+	assumed int64
+	parts   map[string]cachedPart
+	sweepAt int
 }
 
 type cachedPart struct {
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -27,6 +27,9 @@
 func (f *Fleet) Changes(now time.Time, all bool) []RunnerLoad {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if all {
+		f.assumeWritten()
+	}
 	var out []RunnerLoad
 	for id, m := range f.members {
 		if !m.dirty && !(all && len(m.work) > 0) {
@@ -43,6 +46,31 @@
 	return out
 }
 
+// assumeWritten takes what is written into the memory of engines of other cells, which this
+// daemon is not told, to be what is written into those of its own cell on average. The lock
+// is held.
+func (f *Fleet) assumeWritten() {
+	for _, members := range f.services {
+		known, sum := int64(0), int64(0)
+		for _, m := range members {
+			if !m.outside {
+				known++
+				sum += m.cache.written - m.cache.assumed
+				m.cache.assumed = m.cache.written
+			}
+		}
+		if known == 0 {
+			continue
+		}
+		for _, m := range members {
+			if m.outside {
+				m.cache.written += sum / known
+				m.cache.assumed = m.cache.written
+			}
+		}
+	}
+}
+
 // Heard takes in what a peer told. It returns the parts that were not known before.
 func (f *Fleet) Heard(now time.Time, peer string, loads []RunnerLoad) []RunnerLoad {
 	f.mu.Lock()
