Let a panic end one task or one call of a peer, not the process

Cause, by reading: a panic in a task (discovery, configuration, load sharing, membership, role planning) or in a call of a peer ended the daemon with all its requests, and so did any error of the peer listener, as when no descriptor was left for a moment. Tasks now run again after a second, calls fail alone, each with a log line that holds the stack; the listener goes on.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 GO ?= go
 SEEDS ?= 20
 SEED ?= 1
+FUZZTIME ?= 30s
 SIZES ?= 6,24,96,380
 
 .PHONY: build test lint fuzz demo bench scale
@@ -17,9 +18,10 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-# Runs the seeded tests with SEEDS seeds each.
+# Runs the seeded tests with SEEDS seeds each, and each fuzz target for FUZZTIME.
 fuzz:
 	BERGAMOT_SEEDS=$(SEEDS) $(GO) test -count=1 -timeout 60m ./...
+	$(GO) test ./internal/gateway -run '^$$' -fuzz FuzzPeerMessages -fuzztime $(FUZZTIME)
 
 # Runs the Feed Board example on loopback; logs go to out/demo.
 demo: build
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -171,7 +171,12 @@
 	return &Server{handlers: handlers, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
-// Serve accepts connections until the listener is closed.
+// acceptPause is how long a server pauses that can not accept a connection, as when no
+// descriptor is left.
+const acceptPause = 100 * time.Millisecond
+
+// Serve accepts connections until the listener is closed. Other errors of the listener
+// pass: a server that stopped would cut its daemon off from the others for good.
 func (s *Server) Serve(l net.Listener) error {
 	for {
 		raw, err := l.Accept()
@@ -179,7 +184,8 @@
 			return nil
 		}
 		if err != nil {
-			return trace.Wrap(err)
+			time.Sleep(acceptPause)
+			continue
 		}
 		conn := newConn(raw, s.handle)
 		s.track(conn)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,6 +107,7 @@
 	g.peers = &peers{
 		log: g.log, self: s.Name, address: s.Listen.Peers, dc: s.DataCentre, store: deps.Store, dial: deps.Peers,
 		fleet: g.fleet, config: g.config, crashes: g.crashes, resized: g.resize, links: map[string]*peerLink{},
+		attempt: g.attempt,
 	}
 	r := &registryRelay{
 		peers: g.peers, found: g.found, config: g.config, busy: map[string]bool{}, missed: map[string][]relayRecord{},
@@ -176,9 +177,9 @@
 func (g *Gateway) random() float64 { return rand.Float64() }
 
 // background runs f until the gateway ends, beyond the request that needs it.
-func (g *Gateway) background(f func(context.Context)) {
+func (g *Gateway) background(task string, f func(context.Context)) {
 	g.tomb.Go(func() error {
-		f(g.tomb.Context(context.Background()))
+		g.attempt(task, func() { f(g.tomb.Context(context.Background())) })
 		return nil
 	})
 }
@@ -188,12 +189,15 @@
 	g.clients = g.server(http.HandlerFunc(g.serveClient))
 	g.probes = g.server(g.probeHandler())
 	g.metric = g.server(g.metricsHandler())
-	g.peering = peer.NewServer(g.peers.handlers())
+	g.peering = peer.NewServer(g.guardHandlers(g.peers.handlers()))
 	if err := g.listen(); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){g.config.run, g.found.run, g.peers.run, g.roles.run} {
-		g.background(run)
+	for task, run := range map[string]func(context.Context){
+		"configuration": g.config.run, "discovery": g.found.run, "load sharing": g.peers.run, "membership": g.peers.runMembers,
+		"role planning": g.roles.run,
+	} {
+		g.background(task, func(ctx context.Context) { g.supervise(ctx, task, run) })
 	}
 	l := g.settings.Load().Listen
 	g.log.Info("daemon started", zap.String("caller-address", l.Clients), zap.String("peer-address", l.Peers))
--- /dev/null
+++ b/internal/gateway/guard_test.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/adapter/peer"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+// Guards against one malformed message or unexpected error that ends the whole process: a
+// task goes on after a panic, and a call of a peer fails alone.
+func TestPanicsEndOneTaskOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTestGateway(RetryLimits{})
+		ctx, cancel := context.WithCancel(t.Context())
+		runs := 0
+		g.supervise(ctx, "test", func(context.Context) {
+			if runs++; runs < 4 {
+				var m map[string]int
+				m["x"] = runs
+			}
+			cancel()
+		})
+		if runs != 4 || g.metrics.panics.Value() != 3 {
+			t.Errorf("the task ran %d times with %d panics counted, want 4 and 3", runs, g.metrics.panics.Value())
+		}
+	})
+	g := newTestGateway(RetryLimits{})
+	handlers := g.guardHandlers(map[string]port.PeerHandler{
+		"bad":  func(context.Context, json.RawMessage) (any, error) { panic("malformed") },
+		"good": func(context.Context, json.RawMessage) (any, error) { return "answer", nil },
+	})
+	if _, err := handlers["bad"](context.Background(), nil); err == nil {
+		t.Error("a call that panicked has an answer")
+	}
+	if answer, err := handlers["good"](context.Background(), nil); answer != "answer" || err != nil {
+		t.Errorf("answer %v, %v", answer, err)
+	}
+}
+
+// Guards against messages of peers that panic or leave the daemon unusable, whatever they
+// hold.
+func FuzzPeerMessages(f *testing.F) {
+	for _, seed := range []string{
+		`{}`, `null`, `[]`, `{"from":"e","address":"x","runners":[{"id":"a","first":99,"reading":[1,2,3,4],"running":-5,"kv":-1}]}`,
+		`{"from":"e","data_centre":"north","address":"10.0.0.9:1","runners":[{"id":"b","begun":9223372036854775807,"for":-9223372036854775808,"read":-1,"written":-9,"change":"prefill","change_left":9223372036854775807}]}`,
+		`{"from":"d","leaving":true}`, `{"from":"c","runners":9,"config":7,"changes":[{"key":"","value":"e30="},{"key":"x","value":null}]}`,
+		`{"crashes":[{}]}`, `{"changes":[{"key":"a","value":"bnVsbA=="}]}`,
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, message []byte) {
+		for method := range newTestGateway(RetryLimits{}).peers.handlers() {
+			g := newTestGateway(RetryLimits{})
+			g.found.known.Store(true)
+			g.peers.dial = func(string) port.Peer { return deafPeer{} }
+			// Any error is fine.
+			_, _ = g.peers.handlers()[method](context.Background(), message)
+			g.fleet.Changes(time.Now(), true)
+			// What a peer passes on of the registry may take all runners away.
+			if _, ok := g.fleet.Place(time.Now(), newTestCall(g).query()); !ok && method != methodRegistry {
+				t.Errorf("no request can be placed after %s with %q", method, message)
+			}
+		}
+	})
+}
+
+// deafPeer is a daemon that answers nothing.
+type deafPeer struct{}
+
+func (deafPeer) Call(context.Context, string, any, any) error { return errors.New("silent") }
+
+// failingListener fails some times before it accepts.
+type failingListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, errors.New("accept: too many open files")
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a daemon that ends because it could not accept a connection of a peer for
+// a moment.
+func TestPeerListenerOutlivesFailures(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &failingListener{Listener: inner}
+	l.failures.Store(3)
+	server := peer.NewServer(map[string]port.PeerHandler{})
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(l) }()
+	for l.failures.Load() >= 0 {
+		select {
+		case err := <-ended:
+			t.Fatalf("the server ended with %v", err)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	inner.Close()
+	if err := <-ended; err != nil {
+		t.Errorf("the server ended with %v after its listener was closed", err)
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,6 +23,8 @@
 	requests *expvar.Map
 	inFlight *expvar.Int
 	bodies   *expvar.Int
+	// panics counts tasks and calls of peers that panicked.
+	panics *expvar.Int
 
 	mu sync.Mutex
 	// first and total are in milliseconds, by rank.
@@ -32,7 +34,7 @@
 
 func newMetrics() *metrics {
 	return &metrics{
-		requests: new(expvar.Map).Init(), inFlight: new(expvar.Int), bodies: new(expvar.Int),
+		requests: new(expvar.Map).Init(), inFlight: new(expvar.Int), bodies: new(expvar.Int), panics: new(expvar.Int),
 		first: map[int]*hdrhistogram.Histogram{}, total: map[int]*hdrhistogram.Histogram{},
 	}
 }
@@ -80,6 +82,7 @@
 	v.Set("requests", m.requests)
 	v.Set("requests_in_flight", m.inFlight)
 	v.Set("body_bytes_in_flight", m.bodies)
+	v.Set("panics", m.panics)
 	v.Set("first_event_ms_by_rank", m.latencies(m.first))
 	v.Set("answer_ms_by_rank", m.latencies(m.total))
 	return v
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -83,6 +83,8 @@
 	config  *configFollower
 	crashes *crashGuard
 	relay   *registryRelay
+	// attempt runs a function whose panic must not end the process.
+	attempt func(task string, f func()) bool
 	// resized is called with all daemons when their number changes.
 	resized func(daemons []placement.Daemon)
 
@@ -93,9 +95,8 @@
 	fetching bool
 }
 
-// run announces the daemon, finds the others and shares loads until ctx ends.
+// run shares loads until ctx ends.
 func (p *peers) run(ctx context.Context) {
-	go p.runMembers(ctx)
 	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
 	for {
@@ -268,12 +269,12 @@
 	if !l.partner {
 		l.next = time.Now().Add(partsInterval)
 	}
-	go func() {
+	go p.attempt(methodLoad, func() {
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		err := l.client.Call(ctx, methodLoad, m, nil)
 		p.sent(l, m.Crashes, err)
-	}()
+	})
 }
 
 // sent notes the result of a message. Loads are told anew after a failure, because the
@@ -351,7 +352,12 @@
 	if busy {
 		return
 	}
-	go func() {
+	go p.attempt(methodConfig, func() {
+		defer func() {
+			p.mu.Lock()
+			p.fetching = false
+			p.mu.Unlock()
+		}()
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
 		var value []byte
@@ -361,10 +367,7 @@
 		} else if len(value) > 0 {
 			p.config.install(value, "peer")
 		}
-		p.mu.Lock()
-		p.fetching = false
-		p.mu.Unlock()
-	}()
+	})
 }
 
 func (p *peers) handleConfig(context.Context, json.RawMessage) (any, error) {
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -126,7 +126,7 @@
 	}
 	r.busy[l.name] = true
 	r.mu.Unlock()
-	go func() {
+	go r.peers.attempt(methodRegistry, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 		defer cancel()
 		err := l.client.Call(ctx, methodRegistry, m, nil)
@@ -138,7 +138,7 @@
 			// A daemon that missed changes finds that its state differs and reads itself.
 			delete(r.missed, l.name)
 		}
-	}()
+	})
 }
 
 // handle takes in what another daemon read.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -152,7 +152,7 @@
 	if memory.Empty() {
 		return
 	}
-	c.gateway.background(func(ctx context.Context) {
+	c.gateway.background("free KV cache", func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, freeTimeout)
 		defer cancel()
 		if err := c.gateway.runners.Free(ctx, memory); err != nil {
