Bound the answers that the own interface's clients read

Cause: heads of engines, services and the platform could take 10 MB each (the default of net/http), and the answer of a control call of an engine any number of bytes until its time limit. Heads may now take 32 KB, the same bound as on the other interface, and an answer of a control call 1 MB.

--- a/internal/adapter/engine/engine.go
+++ b/internal/adapter/engine/engine.go
@@ -96,11 +96,15 @@
 		IdleConnTimeout:     opts.IdleTrust,
 		MaxIdleConnsPerHost: maxIdleConns,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: network.MaxHeadBytes,
 	}
 	fresh := &http.Transport{
 		DialContext:        opts.Network.DialContext,
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: network.MaxHeadBytes,
 	}
 	return &Client{
 		base:     "http://" + address,
@@ -214,7 +218,15 @@
 		_, err = io.Copy(io.Discard, resp.Body)
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(json.NewDecoder(resp.Body).Decode(out))
+	return trace.Wrap(decodeControl(resp.Body, out))
+}
+
+// maxControlBytes bounds the answer of a control call.
+const maxControlBytes = 1 << 20
+
+// decodeControl reads the JSON answer of a control call.
+func decodeControl(body io.Reader, out any) error {
+	return json.NewDecoder(io.LimitReader(body, maxControlBytes)).Decode(out)
 }
 
 // unreachable marks a new connection that the engine refused or closed. A
--- a/internal/adapter/engine/order.go
+++ b/internal/adapter/engine/order.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -26,7 +27,7 @@
 func (c *Client) Order(ctx context.Context, o port.Order) error {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	transport := &http.Transport{DialContext: dialOnce(c.dial), DisableCompression: true}
+	transport := &http.Transport{DialContext: dialOnce(c.dial), DisableCompression: true, MaxResponseHeaderBytes: network.MaxHeadBytes}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
 	if o.Incarnation != "" {
@@ -75,7 +76,7 @@
 	defer resp.Body.Close()
 	var status port.EngineStatus
 	// Decoding to the end of the body leaves the connection reusable.
-	if err := json.NewDecoder(resp.Body).Decode(&status); err != nil {
+	if err := decodeControl(resp.Body, &status); err != nil {
 		return trace.Wrap(err)
 	}
 	if status.Incarnation != want {
--- a/internal/adapter/exchange/bounded.go
+++ b/internal/adapter/exchange/bounded.go
@@ -5,13 +5,8 @@
 	"net"
 )
 
-const (
-	// maxHeadBytes bounds the head of a response: several times what servers accept as the
-	// head of a request, and little enough for hundreds of connections at once.
-	maxHeadBytes = 32 << 10
-	// maxStrayBytes bounds the body of a response to another request.
-	maxStrayBytes = 256 << 10
-)
+// maxStrayBytes bounds the body of a response to another request.
+const maxStrayBytes = 256 << 10
 
 // errTooLong reports a response that goes on beyond what is accepted of it.
 var errTooLong = errors.New("response is too long")
--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -245,7 +245,7 @@
 func (x *transfer) readHead() (*http.Response, error) {
 	asked := &http.Request{Method: x.request.Method}
 	for range maxStrayResponses + 1 {
-		x.conn.bound(maxHeadBytes)
+		x.conn.bound(network.MaxHeadBytes)
 		response, err := http.ReadResponse(x.conn.reader, asked)
 		if err != nil {
 			return nil, classifyReadError(err)
--- a/internal/adapter/network/network.go
+++ b/internal/adapter/network/network.go
@@ -19,6 +19,10 @@
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// MaxHeadBytes bounds the head of a response that a daemon reads, against servers that send
+// without end.
+const MaxHeadBytes = 32 << 10
+
 const (
 	// dialTimeout bounds the TCP handshake.
 	dialTimeout = 2 * time.Second
--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -31,7 +31,7 @@
 }
 
 func newClient(base string, nw network.Network) client {
-	transport := &http.Transport{}
+	transport := &http.Transport{MaxResponseHeaderBytes: network.MaxHeadBytes}
 	network.ConfigureTransport(transport, nw)
 	return client{
 		base: strings.TrimSuffix(base, "/"),
--- a/internal/adapter/service/conn.go
+++ b/internal/adapter/service/conn.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -35,7 +36,8 @@
 func (c *Client) Open(ctx context.Context) (port.ServiceConn, error) {
 	conn := &Conn{base: c.base}
 	conn.transport = &http.Transport{
-		DisableCompression: true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: network.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			if conn.dialed.Swap(true) {
 				return nil, errSecondDial
--- a/internal/adapter/service/service.go
+++ b/internal/adapter/service/service.go
@@ -48,6 +48,8 @@
 				DialContext:        nw.DialContext,
 				IdleConnTimeout:    idleTrust,
 				DisableCompression: true,
+
+				MaxResponseHeaderBytes: network.MaxHeadBytes,
 			},
 		}
 	}
