--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -146,7 +146,7 @@
 		o.cost += fullPenalty
 	}
 	f.addDistance(&o, q)
-	o.cost += o.first + limitPenalty(o.first, q) + m.strangeness()
+	o.cost += o.first + limitPenalty(o.first, q) + m.affinityPenalty()
 	return o
 }
 
@@ -177,8 +177,8 @@
 	return 0
 }
 
-// strangeness spreads daemons that see the same loads over engines of nearly equal cost.
-func (m *member) strangeness() time.Duration {
+// affinityPenalty spreads daemons that see the same loads over engines of nearly equal cost.
+func (m *member) affinityPenalty() time.Duration {
 	return time.Duration(m.affinity * float64(affinitySpread))
 }
 
@@ -246,6 +246,6 @@
 		o.cost += fullPenalty
 	}
 	f.addDistance(&o, q)
-	o.cost += o.first + m.strangeness()
+	o.cost += o.first + m.affinityPenalty()
 	return o
 }
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -124,16 +124,16 @@
 	suspectUntil time.Time
 	// leaving is set when the runner refused this daemon as another instance.
 	leaving bool
-	// changing is the role that the runner was ordered to take, until changed at the
-	// latest.
+	// changing is the role that the runner was ordered to take, or empty. It gets no
+	// requests until it has the role, or until changedBy.
 	changing  port.Role
 	changedBy time.Time
-	// ordered is set when this daemon ordered it, roleSince is when the runner took its
-	// role, or zero when it had it from the start.
+	// ordered is set when this daemon sent the order.
 	ordered bool
 	// unansweredUntil is the time up to which an order without an answer may be carried out.
 	unansweredUntil time.Time
-	roleSince       time.Time
+	// roleSince is when this daemon last ordered the runner to change its role, or zero.
+	roleSince time.Time
 	// dirty is set while peers have not been told of the newest load.
 	dirty bool
 	// readParts are parts that peers have not been told of, firstParts those of prompts of
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -103,8 +103,7 @@
 	onTime       bool
 	firstBy      time.Time
 	allowedPause time.Duration
-	// lastEvent is when the last event came, readingSince since when the engine has been
-	// taken to read without a break.
+	// lastEvent is when the last event came.
 	lastEvent time.Time
 }
 
@@ -204,19 +203,19 @@
 		w.onTime = false
 	}
 	m := w.member
-	m.models.pauses.learn(pause, m.readWithin(now, pause))
+	m.models.pauses.learn(pause, m.readDuring(now, pause))
 }
 
-// readWithin returns how much of the time before now the engine is taken to have read.
-func (m *member) readWithin(now time.Time, pause time.Duration) time.Duration {
+// readDuring tells how much of the time before now the engine is taken to have read.
+func (m *member) readDuring(now time.Time, pause time.Duration) readingDuring {
 	l := m.load(now)
-	if l.wait(Urgencies-1) > 0 && now.Sub(m.progressed) >= pause {
-		return pause
+	switch {
+	case l.wait(Urgencies-1) > 0 && now.Sub(m.progressed) >= pause:
+		return readAll
+	case l.backlog() > 0:
+		return readSome
 	}
-	if l.backlog() > 0 {
-		return 1
-	}
-	return 0
+	return readNothing
 }
 
 // measure corrects the models by a reading that nothing delayed.
--- a/internal/placement/pause.go
+++ b/internal/placement/pause.go
@@ -37,13 +37,21 @@
 	return p.quiet + reading
 }
 
-// learn takes in a pause. Reading tells how much of it the engine is taken to have read.
-func (p *pauseModel) learn(pause, reading time.Duration) {
-	switch {
-	case reading == 0:
+// readingDuring tells how much of a pause an engine is taken to have read prompts.
+type readingDuring int
+
+const (
+	readNothing readingDuring = iota
+	readSome
+	readAll
+)
+
+// learn takes in a pause.
+func (p *pauseModel) learn(pause time.Duration, during readingDuring) {
+	switch during {
+	case readNothing:
 		p.quiet += time.Duration(pauseWeight * float64(min(pause, 4*p.quiet)-p.quiet))
-	case reading >= pause:
-		// The engine read all the time.
+	case readAll:
 		added := pause - p.quiet
 		weight := lowerWeight
 		if added > p.most {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -13,7 +13,7 @@
 	Runner port.Runner
 	// Role is the one that the engine has or was ordered to take.
 	Role port.Role
-	// Since is when it took the role, or zero.
+	// Since is when this daemon last ordered it to change its role, or zero.
 	Since time.Time
 	// Away is set while it changes its role.
 	Away bool
--- a/internal/placement/typical.go
+++ b/internal/placement/typical.go
@@ -25,10 +25,10 @@
 			if m.outside || m.limits == nil {
 				continue
 			}
-			p := pool{service, m.runner.Role}
+			p, l := pool{service, m.runner.Role}, m.load(now)
 			sum := sums[p]
-			sum.Begun += m.load(now).Begun
-			sum.add(m.load(now).waiting())
+			sum.Begun += l.Begun
+			sum.add(l.waiting())
 			sums[p] = sum
 			counts[p]++
 		}
