Arrange daemons and engines once for all daemons that are found together

Entries that are read together are now met together, partners are found with one sort, and cells that stay the same leave the engines as they are.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -137,6 +137,7 @@
 
 // found takes in the registry of daemons.
 func (p *peers) found(records []port.KeyedRecord) {
+	all := map[string]announcement{}
 	for _, r := range records {
 		var a announcement
 		if r.Key == p.self || r.Value == nil {
@@ -146,36 +147,50 @@
 			p.log.Warn("entry of a daemon is not usable", zap.String("peer", r.Key), zap.Error(err))
 			continue
 		}
-		p.meet(r.Key, a, false)
+		all[r.Key] = a
 	}
+	p.meet(all, false)
 }
 
-// meet adds a peer or notes its new address.
-func (p *peers) meet(name string, a announcement, heard bool) {
+// meet adds peers or notes their new addresses. Those that start together are met together:
+// each change makes all daemons be arranged anew.
+func (p *peers) meet(all map[string]announcement, heard bool) {
+	var met []zap.Field
+	var daemons []placement.Daemon
 	p.mu.Lock()
-	l, ok := p.links[name]
-	moved := !ok || l.address != a.Address
-	if moved {
-		l = &peerLink{
-			name: name, address: a.Address, dataCentre: a.DataCentre, client: p.dial(a.Address),
-			pending: map[string]runnerShare{}, answered: time.Now(),
+	for name, a := range all {
+		if p.enter(name, a) {
+			met = append(met, zap.String("peer", name), zap.String("peer-address", a.Address))
+		}
+		if l := p.links[name]; heard {
+			l.answered = time.Now()
+			l.pause = 0
 		}
-		p.links[name] = l
-		p.lastFull = time.Time{}
-	}
-	if heard {
-		l.answered = time.Now()
-		l.pause = 0
 	}
-	var daemons []placement.Daemon
-	if moved {
+	if len(met) > 0 {
+		p.lastFull = time.Time{}
 		daemons = p.arrange()
 	}
 	p.mu.Unlock()
-	if moved {
-		p.log.Info("daemon found", zap.String("peer", name), zap.String("peer-address", a.Address), zap.Int("daemons", len(daemons)))
-		p.resized(daemons)
+	if len(met) == 0 {
+		return
+	}
+	// One line names one daemon; of many only the number is of use.
+	p.log.Info("daemon found", append(met[:2], zap.Int("found", len(met)/2), zap.Int("daemons", len(daemons)))...)
+	p.resized(daemons)
+}
+
+// enter adds a peer or replaces the link of one that has moved. It returns false for one
+// that is known; the lock is held.
+func (p *peers) enter(name string, a announcement) bool {
+	if l, ok := p.links[name]; ok && l.address == a.Address {
+		return false
+	}
+	p.links[name] = &peerLink{
+		name: name, address: a.Address, dataCentre: a.DataCentre, client: p.dial(a.Address),
+		pending: map[string]runnerShare{}, answered: time.Now(),
 	}
+	return true
 }
 
 // probesPerCentre is the number of daemons of each other data centre that are watched.
@@ -322,7 +337,7 @@
 		p.left(m.From)
 		return nil, nil
 	}
-	p.meet(m.From, announcement{Address: m.Address, DataCentre: m.DC}, true)
+	p.meet(map[string]announcement{m.From: {Address: m.Address, DataCentre: m.DC}}, true)
 	news := p.fleet.Heard(time.Now(), m.From, decodeLoads(m.Runners))
 	if m.DC != p.dc {
 		p.passParts(news)
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"bergamotsill.example/bergamotsill/internal/placement"
 	"context"
 	"encoding/json"
+	"fmt"
 	"testing"
 
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -21,7 +23,7 @@
 	g := newTestGateway(RetryLimits{})
 	g.peers.dial = func(string) port.Peer { return silentPeer{} }
 	for _, address := range []string{"10.0.0.7:1", "10.0.0.8:1"} {
-		g.peers.meet("e", announcement{Address: address, DataCentre: "north"}, true)
+		g.peers.meet(map[string]announcement{"e": {Address: address, DataCentre: "north"}}, true)
 		if l := g.peers.links["e"]; l.address != address || !l.partner {
 			t.Errorf("at %s: address %s, partner %t, want a partner", address, l.address, l.partner)
 		}
@@ -49,10 +51,10 @@
 	g := newTestGateway(RetryLimits{})
 	g.peers.dial = func(string) port.Peer { return silentPeer{} }
 	for _, name := range []string{"e", "f", "g", "h"} {
-		g.peers.meet(name, announcement{Address: "10.0.0.7:" + name, DataCentre: "north"}, false)
+		g.peers.meet(map[string]announcement{name: {Address: "10.0.0.7:" + name, DataCentre: "north"}}, false)
 	}
 	for _, name := range []string{"s1", "s2", "s3", "s4", "s5"} {
-		g.peers.meet(name, announcement{Address: "10.1.0.7:" + name, DataCentre: "south"}, false)
+		g.peers.meet(map[string]announcement{name: {Address: "10.1.0.7:" + name, DataCentre: "south"}}, false)
 	}
 	hear := func(from, dataCentre, part string) {
 		t.Helper()
@@ -75,3 +77,24 @@
 		}
 	}
 }
+
+// Load: all daemons of a large fleet start at once. Guards against a start that arranges all
+// daemons and engines anew for each daemon that is found, which took small machines many
+// seconds of processor time.
+func TestDaemonsOfTheRegistryAreArrangedOnce(t *testing.T) {
+	const fleet = 380
+	g := newTestGateway(RetryLimits{})
+	g.peers.dial = func(string) port.Peer { return silentPeer{} }
+	arranged, daemons := 0, 0
+	g.peers.resized = func(all []placement.Daemon) { arranged, daemons = arranged+1, len(all) }
+	var records []port.KeyedRecord
+	for i := range fleet {
+		value := fmt.Sprintf(`{"address":"10.0.%d.%d:1","data_centre":"dc%d"}`, i/200, i%200, i%7)
+		records = append(records, port.KeyedRecord{Key: fmt.Sprintf("d%03d", i), Value: []byte(value)})
+	}
+	g.peers.found(records)
+	g.peers.found(records)
+	if arranged != 1 || daemons != fleet+1 {
+		t.Errorf("%d daemons were arranged %d times, want %d once", daemons, arranged, fleet+1)
+	}
+}
--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -56,12 +56,17 @@
 func Partners(self Daemon, daemons []Daemon) []string {
 	own := cellsOf(self, daemons)
 	var out []string
-	for _, d := range daemons {
-		if d.Name == self.Name {
-			continue
+	if own.count == 0 {
+		for _, d := range daemons {
+			if d.Name != self.Name {
+				out = append(out, d.Name)
+			}
 		}
-		if own.count == 0 || d.DataCentre == self.DataCentre && cellsOf(d, daemons).own == own.own {
-			out = append(out, d.Name)
+		return out
+	}
+	for i, name := range namesIn(daemons, self.DataCentre) {
+		if name != self.Name && i%own.count == own.own {
+			out = append(out, name)
 		}
 	}
 	return out
@@ -71,7 +76,11 @@
 func (f *Fleet) SetDaemons(daemons []Daemon) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cells = cellsOf(Daemon{Name: f.daemon, DataCentre: f.dataCentre}, daemons)
+	division := cellsOf(Daemon{Name: f.daemon, DataCentre: f.dataCentre}, daemons)
+	if division == f.cells {
+		return
+	}
+	f.cells = division
 	f.assignCells()
 }
 
