--- a/internal/gateway/guard_test.go
+++ b/internal/gateway/guard_test.go
@@ -23,8 +23,7 @@
 		runs := 0
 		g.supervise(ctx, "test", func(context.Context) {
 			if runs++; runs < 4 {
-				var m map[string]int
-				m["x"] = runs
+				panic("malformed record")
 			}
 			cancel()
 		})
