--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -18,6 +18,8 @@
 	Leaving bool           `json:"leaving,omitempty"`
 }
 
+// runnerShare is a placement.RunnerLoad on its way: First, For and Pause are BegunUrgency, the
+// time since BegunAt and AllowedPause of its Load, the others are named as there.
 type runnerShare struct {
 	ID      string                     `json:"id"`
 	Begun   int64                      `json:"begun"`
