Keep the bound of the gap model when most gaps are idle

Hypothesis: streams pause beside long prompts because daemons believe that such prompts are harmless. Of 4,872 gaps that count as prefill throughout, the quantile 0.75 is 83 ms: most are idle gaps that are misclassified because reports are old. Each lowered the bound.

Change: a gap below the bound lowers it with weight 0.002 in place of 0.02.

--- a/internal/placement/gap.go
+++ b/internal/placement/gap.go
@@ -9,9 +9,10 @@
 	// gapWeight is the weight of a new measurement in the moving average of the idle gap.
 	gapWeight = 0.05
 	// raiseWeight and lowerWeight are the weights of a new measurement that is above or below
-	// gapModel.maxAdded: the estimated bound rises fast and falls slowly.
+	// gapModel.maxAdded: the estimated bound rises fast and falls slowly. Most measurements are
+	// below it, because load reports are old: the engine often finished the prefill earlier.
 	raiseWeight = 0.3
-	lowerWeight = 0.02
+	lowerWeight = 0.002
 	// lateFromShare and lateToShare are the ratios of a predicted gap to the allowed gap from
 	// which the gap may be late, and from which it is certainly late.
 	lateFromShare = 0.8
