Keep long prompts off decode engines while a prefill engine is usable

Hypothesis: most late streams of the urgent ranks are paused by long prompts that are read at the same decode engine. The penalty for late streams does not prevent this: it counts only the streams that run now, and in overload any decode engine is cheaper than the queue of a prefill engine.

Change: a decode engine at which a prompt is predicted to interrupt streams is no candidate while a prefill engine is usable, also if it is idle now.

The case 'long prompt, stream already late' of TestPrefillAvoidsDelayingStreams expected the decode engine; streams that start there during the prefill would be late, so that it now expects the prefill engine, and a case with a short prompt keeps the other direction.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -93,13 +93,15 @@
 	return best.firstEvent, best.wait, best.member != nil
 }
 
-// best returns the usable runner with the lowest cost. If none is usable, it falls back to
-// the suspect or unreachable runner whose suspect time ends first, unless that is a prefill
-// engine. The member of the result is nil if there is no such runner either. The caller holds
-// f.mu.
+// best returns the usable runner with the lowest cost. A decode engine at which the prompt would
+// interrupt streams is chosen only if no prefill engine is usable. If no runner is usable, best
+// falls back to the suspect or unreachable runner whose suspect time ends first, unless that is a
+// prefill engine. The member of the result is nil if there is no such runner either. The caller
+// holds f.mu.
 func (f *Fleet) best(now time.Time, q Query) option {
-	var best option
+	var best, interrupting option
 	var fallback *member
+	prefillUsable := false
 	h := f.holders(now, q)
 	for _, m := range f.services[q.Service] {
 		if q.Excluded[m.runner.ID] || q.NoPrefill && m.runner.Role == port.RolePrefill {
@@ -111,9 +113,18 @@
 			}
 			continue
 		}
-		if o := f.evaluate(now, m, q, h); o.better(&best) {
-			best = o
+		prefillUsable = prefillUsable || m.runner.Role == port.RolePrefill
+		o := f.evaluate(now, m, q, h)
+		chosen := &best
+		if o.interruptsStreams(q) {
+			chosen = &interrupting
 		}
+		if o.better(chosen) {
+			*chosen = o
+		}
+	}
+	if !prefillUsable && interrupting.member != nil && interrupting.better(&best) {
+		best = interrupting
 	}
 	if best.member == nil && fallback != nil && (q.Prompt == nil || fallback.runner.Role != port.RolePrefill) {
 		return f.evaluate(now, fallback, q, h)
@@ -121,6 +132,23 @@
 	return best
 }
 
+// maxInterruptionProbability is the probability of late events from which a prefill counts as an
+// interruption of the streams at a decode engine.
+const maxInterruptionProbability = 0.5
+
+// interruptsStreams reports whether the prefill of the prompt at a decode engine is so long that
+// streams there exceed the allowed gap. It holds for an idle engine too: streams that are placed
+// there during the prefill, by any daemon, would be late. The rule handles overload by long
+// prompts: otherwise each of them makes several shorter requests late.
+func (o *option) interruptsStreams(q Query) bool {
+	m := o.member
+	if q.Prompt == nil || m.runner.Role == port.RolePrefill {
+		return false
+	}
+	gap := m.models.gaps.predict(m.prefillTime(o.uncached, q.Prompt.InputTokens))
+	return lateProbability(gap, q.AllowedGap) > maxInterruptionProbability
+}
+
 // evaluate predicts the times and the cost of a request at a member.
 func (f *Fleet) evaluate(now time.Time, m *member, q Query, h holders) option {
 	if q.Prompt == nil {
--- a/internal/placement/gap_test.go
+++ b/internal/placement/gap_test.go
@@ -38,7 +38,8 @@
 		{"long prompt", 6_000, 150 * time.Millisecond, false, true},
 		{"short prompt", 300, 150 * time.Millisecond, false, false},
 		{"long prompt, long gaps allowed", 6_000, time.Second, false, false},
-		{"long prompt, stream already late", 6_000, 150 * time.Millisecond, true, false},
+		{"long prompt, stream already late", 6_000, 150 * time.Millisecond, true, true},
+		{"short prompt, stream already late", 300, 150 * time.Millisecond, true, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -60,6 +61,39 @@
 	}
 }
 
+// Guards against long prompts that occupy decode engines during overload: the streams of other
+// daemons that are placed there meanwhile would be late. The prefill engine has three seconds of
+// prompts queued, the decode engine is idle.
+func TestLongPromptsStayOffDecodeEngines(t *testing.T) {
+	cases := []struct {
+		name       string
+		tokens     int
+		allowedGap time.Duration
+		excluded   map[string]bool
+		prefill    bool
+	}{
+		{"long prompt", 6_000, 150 * time.Millisecond, nil, true},
+		{"short prompt", 1_000, 150 * time.Millisecond, nil, false},
+		{"long prompt, long gaps allowed", 6_000, 2 * time.Second, nil, false},
+		{"long prompt, no usable prefill engine", 6_000, 150 * time.Millisecond, map[string]bool{"engine-0": true}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(port.RolePrefill, port.RoleDecode)
+			for range 10 {
+				place(t, f, start, placement.Query{Prompt: prompt(12_000), Excluded: map[string]bool{"engine-1": true}})
+			}
+			plan, _ := place(t, f, start, placement.Query{
+				Prompt: prompt(c.tokens), AllowedGap: c.allowedGap, RemainingTarget: 400 * time.Millisecond,
+				ClientTimeout: 10 * time.Second, Excluded: c.excluded,
+			})
+			if got := plan.Prefill != nil; got != c.prefill {
+				t.Errorf("placed on a prefill engine: %t, want %t", got, c.prefill)
+			}
+		})
+	}
+}
+
 // Guards against continuing a stream on a decode engine whose prefill of another prompt
 // delays it. The prompt of the stream was prefilled elsewhere, and one of two decode engines
 // prefills a long prompt.
