Try a second prefill engine before a decode engine prefills the prompt

Hypothesis: prompts whose prefill call failed or stalled do most harm where they go next.

Change: the failed engine is excluded and one more prefill engine is tried; a call that the retry limit refuses goes to a decode engine at once. Before, such a refusal was counted as another retry, which used up the limit further.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,6 +26,9 @@
 	// gapFactor limits a gap between events, as a multiple of the allowed gap; the limit is at
 	// least minStallTimeout.
 	gapFactor = 3
+	// maxPrefillAttempts is the number of prefill engines that are tried before the decode engine
+	// prefills the prompt itself.
+	maxPrefillAttempts = 2
 	// freeCacheTimeout bounds the call that frees a KV cache.
 	freeCacheTimeout = 500 * time.Millisecond
 )
@@ -76,9 +79,9 @@
 // otherwise the handle is empty.
 func (c *call) placeStream(ctx context.Context) (*placement.InFlightRequest, port.KVCacheHandle, error) {
 	q := c.placementQuery()
-	for {
-		// A resumed stream has few events left, and its prompt is in no known cache.
-		q.NoPrefill = q.NoPrefill || c.headerWritten
+	// A resumed stream has few events left, and its prompt is in no known cache.
+	q.NoPrefill = c.headerWritten
+	for failed := 0; ; {
 		plan, ok := c.gateway.fleet.Place(time.Now(), q)
 		if !ok {
 			return nil, port.KVCacheHandle{}, errNoRunner
@@ -95,10 +98,14 @@
 		if ctx.Err() != nil {
 			return nil, port.KVCacheHandle{}, err
 		}
+		if errors.Is(err, errRetryLimit) {
+			q.NoPrefill = true
+			continue
+		}
 		c.countPrefillFailure(err)
-		// The decode engine now prefills the prompt itself: after a failed prefill at another
-		// engine, no second one is tried for this attempt.
-		q.NoPrefill = true
+		c.exclude(plan.Prefill.Runner())
+		failed++
+		q.NoPrefill = failed >= maxPrefillAttempts
 	}
 }
 
