End a prefill as stalled only if its engine completes no others

Hypothesis: in overload the limit of 250 ms ends prefills that only queue, so that prompts move between queues, connections are lost and prompts are read in vain.

Change: a prefill continues while the engine is known to have completed another one, of any daemon, within the last 250 ms.

--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -18,6 +18,9 @@
 	maxGap time.Duration
 	// runner is the id of the runner of the attempt.
 	runner string
+	// queued reports whether the attempt waits behind others that make progress; nil if that is
+	// unknown.
+	queued func() bool
 
 	// mu guards timer and ended.
 	mu    sync.Mutex
@@ -29,24 +32,25 @@
 // startStallMonitor returns a monitor that ends an attempt through cancel with the cause
 // errStalled if the first progress takes longer than firstTimeout, or later progress longer than
 // maxGap; see expire.
-// Ending an attempt reserves the retry that replaces it. The caller must call stop.
-func (c *call) startStallMonitor(cancel context.CancelCauseFunc, runner string, firstTimeout time.Duration) *stallMonitor {
-	m := &stallMonitor{maxGap: max(minStallTimeout, gapFactor*c.route.GapTarget), runner: runner}
+// Ending an attempt reserves the retry that replaces it. The caller must call stop. queued may be
+// nil.
+func (c *call) startStallMonitor(cancel context.CancelCauseFunc, runner string, firstTimeout time.Duration, queued func() bool) *stallMonitor {
+	m := &stallMonitor{maxGap: max(minStallTimeout, gapFactor*c.route.GapTarget), runner: runner, queued: queued}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.timer = time.AfterFunc(firstTimeout, func() { m.expire(c, cancel) })
 	return m
 }
 
-// expire ends the attempt if another runner and a retry are available; otherwise it restarts the
-// timer with stallRecheckInterval.
+// expire ends the attempt if it is not merely queued and if another runner and a retry are
+// available; otherwise it restarts the timer with stallRecheckInterval.
 func (m *stallMonitor) expire(c *call, cancel context.CancelCauseFunc) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.ended {
 		return
 	}
-	if !c.hasAlternative(m.runner) || !c.reserveRetry() {
+	if m.queued != nil && m.queued() || !c.hasAlternative(m.runner) || !c.reserveRetry() {
 		m.timer.Reset(stallRecheckInterval)
 		return
 	}
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -39,17 +39,20 @@
 }
 
 // Guards against ending attempts as stalled although the retry limit does not allow another
-// one, which exceeded the limit, or although no other runner is available.
+// one, which exceeded the limit, although no other runner is available, or although the runner works
+// on the attempts before it.
 func TestStalledAttemptEndsOnlyIfAnotherMayFollow(t *testing.T) {
 	cases := []struct {
 		name     string
 		slack    int
 		excluded []string
+		queued   bool
 		ends     bool
 	}{
-		{"retry allowed", 100, nil, true},
-		{"retry limit reached", 0, nil, false},
-		{"no other runner", 100, []string{"b"}, false},
+		{"retry allowed", 100, nil, false, true},
+		{"retry limit reached", 0, nil, false, false},
+		{"no other runner", 100, []string{"b"}, false, false},
+		{"queued behind others", 100, nil, true, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -57,7 +60,7 @@
 			call := newTestCall(g, c.excluded...)
 			ctx, cancel := context.WithCancelCause(context.Background())
 			defer cancel(nil)
-			w := call.startStallMonitor(cancel, "a", time.Hour)
+			w := call.startStallMonitor(cancel, "a", time.Hour, func() bool { return c.queued })
 			w.expire(call, cancel)
 			if ended := errors.Is(context.Cause(ctx), errStalled); ended != c.ends {
 				t.Errorf("the attempt ended: %t, want %t", ended, c.ends)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -19,9 +19,10 @@
 	// minStallTimeout.
 	stallFactor     = 3
 	minStallTimeout = 700 * time.Millisecond
-	// minPrefillStallTimeout is the same limit for a prefill, which any engine can replace. It
-	// is short, so that a prompt that unexpectedly waits behind a long one can still meet its
-	// objective at another engine.
+	// minPrefillStallTimeout is the same limit for a prefill, which any engine can replace. It is
+	// short, so that a prompt at an engine that stopped working can still meet its objective at
+	// another one. A prefill continues while the engine completes others within this time: in
+	// overload, moving it would only lengthen another queue.
 	minPrefillStallTimeout = 250 * time.Millisecond
 	// gapFactor limits a gap between events, as a multiple of the allowed gap; the limit is at
 	// least minStallTimeout.
@@ -131,7 +132,9 @@
 		plan.Wait.Round(time.Millisecond), plan.Prefill.FetchFrom())
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	monitor := c.startStallMonitor(cancel, source.ID, max(minPrefillStallTimeout, stallFactor*plan.FirstEvent))
+	monitor := c.startStallMonitor(cancel, source.ID, max(minPrefillStallTimeout, stallFactor*plan.FirstEvent), func() bool {
+		return plan.Prefill.EngineProgressedWithin(time.Now(), minPrefillStallTimeout)
+	})
 	defer monitor.stop()
 	cache, err := c.gateway.runners.Prefill(attemptCtx, source, c.request, port.RunOptions{
 		Remaining: c.remaining(), Urgency: enginePriority(c.urgency), MaxIdle: maxIdleRepeatable,
@@ -182,7 +185,7 @@
 	defer cancel(nil)
 	monitor := &stallMonitor{}
 	if c.canRetryAfterExecution() {
-		monitor = c.startStallMonitor(cancel, runner.ID, max(minStallTimeout, stallFactor*c.predictedFirstEvent))
+		monitor = c.startStallMonitor(cancel, runner.ID, max(minStallTimeout, stallFactor*c.predictedFirstEvent), nil)
 	}
 	defer monitor.stop()
 	response, err := c.gateway.runners.Run(attemptCtx, runner, c.request, port.RunOptions{
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -197,6 +197,15 @@
 	return false
 }
 
+// EngineProgressedWithin reports whether the runner is known to have completed a prefill of any
+// daemon within the given time before now.
+func (r *InFlightRequest) EngineProgressedWithin(now time.Time, age time.Duration) bool {
+	f := r.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(r.member.lastProgress) <= age
+}
+
 // RecordEvent records that events of a stream arrived. The first one also marks the
 // prompt as prefilled.
 func (r *InFlightRequest) RecordEvent(now time.Time) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -265,3 +265,26 @@
 		t.Errorf("parts already cached in the data centre are reported again: %+v", updates)
 	}
 }
+
+// Guards against an engine that works for other daemons but counts as stalled, and against one that
+// stopped working but counts as busy because prompts are queued there.
+func TestEngineProgressIsSeenFromAllDaemons(t *testing.T) {
+	const age = 250 * time.Millisecond
+	f, peer := newFleet(port.RolePrefill), newFleet(port.RolePrefill)
+	_, own := place(t, f, start, placement.Query{Prompt: prompt(4_000)})
+	_, first := place(t, peer, start, placement.Query{Prompt: prompt(4_000)})
+	place(t, peer, start, placement.Query{Prompt: prompt(4_000)})
+	f.ApplyPeerLoads(start, "peer", peer.LoadUpdates(start, false))
+	now := start.Add(time.Second)
+	if own.EngineProgressedWithin(now, age) {
+		t.Error("the engine counts as working although it completed no prefill")
+	}
+	first.MarkPrefilled(now)
+	f.ApplyPeerLoads(now, "peer", peer.LoadUpdates(now, false))
+	if !own.EngineProgressedWithin(now.Add(age), age) {
+		t.Error("the engine does not count as working although it completed a prefill of the peer")
+	}
+	if own.EngineProgressedWithin(now.Add(age+1), age) {
+		t.Error("the engine counts as working after the time has passed")
+	}
+}
