Refuse late requests that more urgent ones will overtake

Change: a request of the last class is accepted only if its first event is predicted within half of the client timeout; else it is refused at once.

--- a/internal/placement/classify.go
+++ b/internal/placement/classify.go
@@ -7,14 +7,19 @@
 // the objective, because it hardly delays others.
 const shortRequestShare = 1.0 / 3
 
+// lateTimeoutShare is the share of the client timeout within which the first event of a request of
+// UrgencyLate must be predicted. All requests that arrive while it waits run before it, so that it
+// waits longer than predicted.
+const lateTimeoutShare = 0.5
+
 // Class is the urgency of a stream and the decision whether to accept it.
 type Class struct {
 	// Urgency is the class in which the stream queues at an engine; see UrgencyCount.
 	Urgency int
 	// FirstEvent is the predicted time to the first event.
 	FirstEvent time.Duration
-	// Accepted is false if the first event is predicted after the client timeout. It is true
-	// if no runner is usable.
+	// Accepted is false if the first event is predicted after the client timeout, or after
+	// lateTimeoutShare of it for UrgencyLate. It is true if no runner is usable.
 	Accepted bool
 }
 
@@ -24,10 +29,12 @@
 // event are refused. RemainingTarget and ClientTimeout of the query must be set.
 func (f *Fleet) Classify(now time.Time, q Query, rank int) Class {
 	q.Urgency = min(rank, UrgencyLate-1)
+	latest := q.ClientTimeout
 	firstEvent, wait, ok := f.Predict(now, q)
 	if ok && firstEvent > q.RemainingTarget && float64(firstEvent-wait) > shortRequestShare*float64(q.Objective) {
 		q.Urgency = UrgencyLate
+		latest = time.Duration(lateTimeoutShare * float64(latest))
 		firstEvent, _, ok = f.Predict(now, q)
 	}
-	return Class{Urgency: q.Urgency, FirstEvent: firstEvent, Accepted: !ok || firstEvent < q.ClientTimeout}
+	return Class{Urgency: q.Urgency, FirstEvent: firstEvent, Accepted: !ok || firstEvent < latest}
 }
--- a/internal/placement/classify_test.go
+++ b/internal/placement/classify_test.go
@@ -23,6 +23,7 @@
 		{"long", 30_000, 20 * time.Second, placement.UrgencyLate, true},
 		{"short, client times out first", 1_000, time.Second, 0, false},
 		{"long, client times out first", 30_000, 2 * time.Second, placement.UrgencyLate, false},
+		{"long, more urgent requests take the rest of the time", 30_000, 5 * time.Second, placement.UrgencyLate, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
