Treat the bound of gaps as unknown until 20 measurements

The bound was set by the first gap that was attributed to prefill; if that was an idle one, no prompt appeared to interrupt streams.

Change: the largest of the first 20 measurements sets the bound, and until then a prefill is assumed to lengthen a gap by its whole time.

--- a/internal/placement/gap.go
+++ b/internal/placement/gap.go
@@ -13,6 +13,9 @@
 	// below it, because load reports are old: the engine often finished the prefill earlier.
 	raiseWeight = 0.3
 	lowerWeight = 0.002
+	// minBoundSamples is the number of measurements after which gapModel.maxAdded is known. Until
+	// then, prefill is assumed to lengthen a gap by its whole time.
+	minBoundSamples = 20
 	// lateFromShare and lateToShare are the ratios of a predicted gap to the allowed gap from
 	// which the gap may be late, and from which it is certainly late.
 	lateFromShare = 0.8
@@ -25,15 +28,18 @@
 type gapModel struct {
 	// idleGap is the time between events while the engine does not prefill.
 	idleGap time.Duration
-	// maxAdded is the longest time that prefill adds to a gap; 0 while it is unknown.
+	// maxAdded is the longest time that prefill adds to a gap. It is unknown until boundSamples
+	// has reached minBoundSamples.
 	maxAdded time.Duration
+	// boundSamples counts the measurements of maxAdded, up to minBoundSamples.
+	boundSamples int
 }
 
 func newGapModel() *gapModel { return &gapModel{idleGap: defaultIdleGap} }
 
 // predict returns the gap expected for an engine with the given outstanding prefill time.
 func (g *gapModel) predict(prefill time.Duration) time.Duration {
-	if g.maxAdded > 0 {
+	if g.boundSamples >= minBoundSamples {
 		prefill = min(prefill, g.maxAdded)
 	}
 	return g.idleGap + prefill
@@ -55,14 +61,15 @@
 		g.idleGap += time.Duration(gapWeight * float64(min(gap, 4*g.idleGap)-g.idleGap))
 	case prefillThroughout:
 		added := gap - g.idleGap
+		if g.boundSamples < minBoundSamples {
+			g.boundSamples++
+			g.maxAdded = max(g.maxAdded, added)
+			return
+		}
 		weight := lowerWeight
 		if added > g.maxAdded {
 			weight = raiseWeight
 		}
-		if g.maxAdded == 0 {
-			g.maxAdded = max(1, added)
-			return
-		}
 		g.maxAdded = max(1, g.maxAdded+time.Duration(weight*float64(added-g.maxAdded)))
 	}
 }
