--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -5,8 +5,8 @@
 const (
 	// cacheCapacityShare is the share of an engine's KV cache that new tokens may fill
 	// before a part that is not used in the meantime is assumed to be evicted. The rest is
-	// occupied by parts that are used repeatedly.
-	cacheCapacityShare = 0.6
+	// occupied by running requests.
+	cacheCapacityShare = 0.9
 	// minSweepSize is the smallest number of parts at which evicted parts are removed.
 	minSweepSize = 256
 )
--- a/internal/placement/cache_test.go
+++ b/internal/placement/cache_test.go
@@ -10,7 +10,7 @@
 
 // Guards against assuming that parts of prompts are still cached after requests of other
 // daemons have evicted them. Prompts with 500 tokens predicted to prefill then took as
-// long as prompts of 10,000.
+// long as prompts of 10,000. Also guards against prefilling parts again that are still cached.
 func TestCachedPartsAreEvictedByRequestsOfPeers(t *testing.T) {
 	history := port.PromptPart{ID: "history", Tokens: 5_000}
 	cases := []struct {
@@ -19,6 +19,7 @@
 		uncached int
 	}{
 		{"few prompts", 4, 500},
+		{"three quarters of the engine's KV cache", 29, 500},
 		{"more than the engine's KV cache", 50, 5_500},
 	}
 	for _, c := range cases {
