Allow long prompts at decode engines where links are too slow

Change: a decode engine may be interrupted if a prefill engine would miss the objective even without load and the decode engine is faster without load.

--- a/internal/bench/disagg_test.go
+++ b/internal/bench/disagg_test.go
@@ -54,6 +54,22 @@
 	})
 }
 
+// Guards against requests that are refused although the fleet is idle, because the links between its
+// engines are too slow to prefill their prompts elsewhere.
+func TestSlowLinksLeaveNoClassUnserved(t *testing.T) {
+	seedtest.Run(t, func(t *testing.T, seed uint64) {
+		o := floodOptions(seed)
+		o.speeds.transferPerToken = 150 * time.Microsecond
+		o.classes[1].perSecond, o.classes[1].burst = 2, 1
+		for name, r := range runDisagg(o).results() {
+			t.Logf("%s: %+v", name, r)
+			if r.Refused+r.Abandoned > r.Asked/20 {
+				t.Errorf("of %d requests of class %s, %d were refused and %d abandoned", r.Asked, name, r.Refused, r.Abandoned)
+			}
+		}
+	})
+}
+
 // Guards against results that depend on anything but the seed.
 func TestDisaggRunsRepeat(t *testing.T) {
 	first, second := runDisagg(floodOptions(1)).results(), runDisagg(floodOptions(1)).results()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -94,14 +94,13 @@
 }
 
 // best returns the usable runner with the lowest cost. A decode engine at which the prompt would
-// interrupt streams is chosen only if no prefill engine is usable. If no runner is usable, best
-// falls back to the suspect or unreachable runner whose suspect time ends first, unless that is a
-// prefill engine. The member of the result is nil if there is no such runner either. The caller
-// holds f.mu.
+// interrupt streams is chosen only if prefill engines cannot replace it; see mayInterrupt. If no
+// runner is usable, best falls back to the suspect or unreachable runner whose suspect time ends
+// first, unless that is a prefill engine. The member of the result is nil if there is no such runner
+// either. The caller holds f.mu.
 func (f *Fleet) best(now time.Time, q Query) option {
-	var best, interrupting option
+	var best, interrupting, fastestPrefill option
 	var fallback *member
-	prefillUsable := false
 	h := f.holders(now, q)
 	for _, m := range f.services[q.Service] {
 		if q.Excluded[m.runner.ID] || q.NoPrefill && m.runner.Role == port.RolePrefill {
@@ -113,8 +112,10 @@
 			}
 			continue
 		}
-		prefillUsable = prefillUsable || m.runner.Role == port.RolePrefill
 		o := f.evaluate(now, m, q, h)
+		if m.runner.Role == port.RolePrefill && (fastestPrefill.member == nil || o.withoutWait() < fastestPrefill.withoutWait()) {
+			fastestPrefill = o
+		}
 		chosen := &best
 		if o.interruptsStreams(q) {
 			chosen = &interrupting
@@ -123,7 +124,7 @@
 			*chosen = o
 		}
 	}
-	if !prefillUsable && interrupting.member != nil && interrupting.better(&best) {
+	if interrupting.member != nil && interrupting.mayInterrupt(&fastestPrefill, q) && interrupting.better(&best) {
 		best = interrupting
 	}
 	if best.member == nil && fallback != nil && (q.Prompt == nil || fallback.runner.Role != port.RolePrefill) {
@@ -149,6 +150,20 @@
 	return lateProbability(gap, q.AllowedGap) > maxInterruptionProbability
 }
 
+// mayInterrupt reports whether an option that interrupts streams is allowed: if no prefill engine
+// is usable, or if a prefill engine would miss the objective even without load and the option is
+// faster, as over slow links. A queue at the prefill engines is no reason.
+func (o *option) mayInterrupt(fastestPrefill *option, q Query) bool {
+	if fastestPrefill.member == nil {
+		return true
+	}
+	unloaded := fastestPrefill.withoutWait()
+	return q.Objective > 0 && unloaded > q.Objective && o.withoutWait() < unloaded
+}
+
+// withoutWait returns the predicted time to the first event if no request were queued.
+func (o *option) withoutWait() time.Duration { return o.firstEvent - o.wait }
+
 // evaluate predicts the times and the cost of a request at a member.
 func (f *Fleet) evaluate(now time.Time, m *member, q Query, h holders) option {
 	if q.Prompt == nil {
--- a/internal/placement/gap_test.go
+++ b/internal/placement/gap_test.go
@@ -62,30 +62,37 @@
 }
 
 // Guards against long prompts that occupy decode engines during overload: the streams of other
-// daemons that are placed there meanwhile would be late. The prefill engine has three seconds of
-// prompts queued, the decode engine is idle.
+// daemons that are placed there meanwhile would be late. Also guards against long prompts that are
+// refused or late because the link from the prefill engine is too slow for them. The prefill engine
+// has three seconds of prompts queued, the decode engine is idle.
 func TestLongPromptsStayOffDecodeEngines(t *testing.T) {
 	cases := []struct {
 		name       string
 		tokens     int
 		allowedGap time.Duration
 		excluded   map[string]bool
+		linkMbps   float64
 		prefill    bool
 	}{
-		{"long prompt", 6_000, 150 * time.Millisecond, nil, true},
-		{"short prompt", 1_000, 150 * time.Millisecond, nil, false},
-		{"long prompt, long gaps allowed", 6_000, 2 * time.Second, nil, false},
-		{"long prompt, no usable prefill engine", 6_000, 150 * time.Millisecond, map[string]bool{"engine-0": true}, false},
+		{"long prompt", 6_000, 150 * time.Millisecond, nil, limits.LinkMbps, true},
+		{"short prompt", 1_000, 150 * time.Millisecond, nil, limits.LinkMbps, false},
+		{"long prompt, long gaps allowed", 6_000, 2 * time.Second, nil, limits.LinkMbps, false},
+		{"long prompt, no usable prefill engine", 6_000, 150 * time.Millisecond, map[string]bool{"engine-0": true}, limits.LinkMbps, false},
+		{"long prompt, link too slow for the objective", 6_000, 150 * time.Millisecond, nil, 1_000, false},
+		{"prompt that always misses the objective", 60_000, 150 * time.Millisecond, nil, limits.LinkMbps, true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFleet(port.RolePrefill, port.RoleDecode)
+			linked := limits
+			linked.LinkMbps = c.linkMbps
+			f.SetServices(map[string]port.ForwardService{service: {Name: service, Engine: &linked}})
 			for range 10 {
 				place(t, f, start, placement.Query{Prompt: prompt(12_000), Excluded: map[string]bool{"engine-1": true}})
 			}
 			plan, _ := place(t, f, start, placement.Query{
 				Prompt: prompt(c.tokens), AllowedGap: c.allowedGap, RemainingTarget: 400 * time.Millisecond,
-				ClientTimeout: 10 * time.Second, Excluded: c.excluded,
+				Objective: 400 * time.Millisecond, ClientTimeout: 10 * time.Second, Excluded: c.excluded,
 			})
 			if got := plan.Prefill != nil; got != c.prefill {
 				t.Errorf("placed on a prefill engine: %t, want %t", got, c.prefill)
