--- a/internal/bench/disagg.go
+++ b/internal/bench/disagg.go
@@ -50,9 +50,9 @@
 	return r.finished && r.firstEvent <= r.class.objective && r.longestGap <= r.class.allowedGap
 }
 
-// DisaggResult counts the requests of one class by what their callers got. Abandoned requests were
+// disaggResult counts the requests of one class by what their callers got. Abandoned requests were
 // accepted, but their client disconnected before the first event.
-type DisaggResult struct {
+type disaggResult struct {
 	Asked, OnTime, Late, Paused, Refused, Abandoned int
 }
 
@@ -251,14 +251,14 @@
 	s.clock.after(r.arrival+r.class.timeout-s.clock.now, func() {
 		if r.firstEvent == 0 {
 			j.cancelled = true
-			inFlight.End(s.clock.Time(), outcomeOf(j))
+			inFlight.End(s.clock.Time(), placement.Abandoned)
 		}
 	})
 }
 
 // results returns the results by class. Requests that arrived too late to end are left out.
-func (s *disaggSimulation) results() map[string]DisaggResult {
-	out := map[string]DisaggResult{}
+func (s *disaggSimulation) results() map[string]disaggResult {
+	out := map[string]disaggResult{}
 	for _, r := range s.requests {
 		if r.arrival > s.options.length-2*r.class.timeout {
 			continue
@@ -284,4 +284,4 @@
 }
 
 // onTimeShare returns the share of the requests whose callers got the whole answer on time.
-func (r DisaggResult) onTimeShare() float64 { return float64(r.OnTime) / float64(max(1, r.Asked)) }
+func (r disaggResult) onTimeShare() float64 { return float64(r.OnTime) / float64(max(1, r.Asked)) }
--- a/internal/bench/disagg_engine.go
+++ b/internal/bench/disagg_engine.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -36,7 +35,10 @@
 	// of tokens to generate; it is 0 at a prefill engine.
 	prefillLeft int
 	tokensLeft  int
-	sinceEvent  int
+	// sinceEvent is the number of tokens generated since the last event.
+	sinceEvent int
+	// started is set once the engine has begun to prefill the prompt. cancelled attempts are
+	// dropped with the next step.
 	started     bool
 	cancelled   bool
 	onPrefilled func()
@@ -44,30 +46,33 @@
 	onEnd       func()
 }
 
-// disaggEngine is a simulated engine of a fleet that separates prefill and decode. It prefills one
-// prompt at a time, by urgency and then in the order of arrival.
+// disaggEngine is a simulated engine of a fleet with disaggregated prefill and decode. It prefills
+// one prompt at a time, by urgency and then in the order of arrival.
 type disaggEngine struct {
 	clock  *clock
 	id     string
 	role   port.Role
 	speeds disaggSpeeds
 
-	queue    []*disaggJob
-	streams  []*disaggJob
+	// queue holds the prompts that are not prefilled, streams the attempts that generate tokens.
+	queue   []*disaggJob
+	streams []*disaggJob
+	// stepping is set while a step is scheduled.
 	stepping bool
 
-	// cache lists the cached parts, the most recently used first.
-	cache       *list.List
-	cachedParts map[string]*list.Element
-	cached      int
+	// cache lists the cached parts, the most recently used first. cachedParts maps the id of a part
+	// to its element of cache.
+	cache        *list.List
+	cachedParts  map[string]*list.Element
+	cachedTokens int
 }
 
 func newDisaggEngine(c *clock, id string, role port.Role, s disaggSpeeds) *disaggEngine {
 	return &disaggEngine{clock: c, id: id, role: role, speeds: s, cache: list.New(), cachedParts: map[string]*list.Element{}}
 }
 
-// submit queues an attempt. tokens is the number of tokens to generate; 0 requests only the
-// prefill. prefilled is set if the KV cache of the prompt was transferred from another engine.
+// submit queues an attempt. prefilled is set if the KV cache of the prompt was transferred from
+// another engine.
 func (e *disaggEngine) submit(j *disaggJob, prefilled bool) {
 	if prefilled {
 		e.streams = append(e.streams, j)
@@ -189,12 +194,12 @@
 			continue
 		}
 		e.cachedParts[p.ID] = e.cache.PushFront(p)
-		e.cached += p.Tokens
+		e.cachedTokens += p.Tokens
 	}
-	for e.cached > e.speeds.cacheTokens {
+	for e.cachedTokens > e.speeds.cacheTokens {
 		last := e.cache.Remove(e.cache.Back()).(port.PromptPart)
 		delete(e.cachedParts, last.ID)
-		e.cached -= last.Tokens
+		e.cachedTokens -= last.Tokens
 	}
 }
 
@@ -218,11 +223,3 @@
 func (s disaggSpeeds) transfer(tokens int) time.Duration {
 	return time.Duration(tokens) * s.transferPerToken
 }
-
-// outcomeOf maps the end of an attempt to the outcome for the placement model.
-func outcomeOf(j *disaggJob) placement.Outcome {
-	if j.cancelled {
-		return placement.Abandoned
-	}
-	return placement.Completed
-}
