--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -93,13 +93,12 @@
 	return best.firstEvent, best.wait, best.member != nil
 }
 
-// best returns the usable runner with the lowest cost. A decode engine at which the prompt would
-// interrupt streams is chosen only if prefill engines cannot replace it; see mayInterrupt. If no
+// best returns the usable runner with the lowest cost; see candidates for the exception. If no
 // runner is usable, best falls back to the suspect or unreachable runner whose suspect time ends
 // first, unless that is a prefill engine. The member of the result is nil if there is no such runner
 // either. The caller holds f.mu.
 func (f *Fleet) best(now time.Time, q Query) option {
-	var best, interrupting, fastestPrefill option
+	var c candidates
 	var fallback *member
 	h := f.holders(now, q)
 	for _, m := range f.services[q.Service] {
@@ -112,58 +111,15 @@
 			}
 			continue
 		}
-		o := f.evaluate(now, m, q, h)
-		if m.runner.Role == port.RolePrefill && (fastestPrefill.member == nil || o.withoutWait() < fastestPrefill.withoutWait()) {
-			fastestPrefill = o
-		}
-		chosen := &best
-		if o.interruptsStreams(q) {
-			chosen = &interrupting
-		}
-		if o.better(chosen) {
-			*chosen = o
-		}
-	}
-	if interrupting.member != nil && interrupting.mayInterrupt(&fastestPrefill, q) && interrupting.better(&best) {
-		best = interrupting
+		c.add(f.evaluate(now, m, q, h), q)
 	}
+	best := c.best(q)
 	if best.member == nil && fallback != nil && (q.Prompt == nil || fallback.runner.Role != port.RolePrefill) {
 		return f.evaluate(now, fallback, q, h)
 	}
 	return best
 }
 
-// maxInterruptionProbability is the probability of late events from which a prefill counts as an
-// interruption of the streams at a decode engine.
-const maxInterruptionProbability = 0.5
-
-// interruptsStreams reports whether the prefill of the prompt at a decode engine is so long that
-// streams there exceed the allowed gap. It holds for an idle engine too: streams that are placed
-// there during the prefill, by any daemon, would be late. The rule handles overload by long
-// prompts: otherwise each of them makes several shorter requests late.
-func (o *option) interruptsStreams(q Query) bool {
-	m := o.member
-	if q.Prompt == nil || m.runner.Role == port.RolePrefill {
-		return false
-	}
-	gap := m.models.gaps.predict(m.prefillTime(o.uncached, q.Prompt.InputTokens))
-	return lateProbability(gap, q.AllowedGap) > maxInterruptionProbability
-}
-
-// mayInterrupt reports whether an option that interrupts streams is allowed: if no prefill engine
-// is usable, or if a prefill engine would miss the objective even without load and the option is
-// faster, as over slow links. A queue at the prefill engines is no reason.
-func (o *option) mayInterrupt(fastestPrefill *option, q Query) bool {
-	if fastestPrefill.member == nil {
-		return true
-	}
-	unloaded := fastestPrefill.withoutWait()
-	return q.Objective > 0 && unloaded > q.Objective && o.withoutWait() < unloaded
-}
-
-// withoutWait returns the predicted time to the first event if no request were queued.
-func (o *option) withoutWait() time.Duration { return o.firstEvent - o.wait }
-
 // evaluate predicts the times and the cost of a request at a member.
 func (f *Fleet) evaluate(now time.Time, m *member, q Query, h holders) option {
 	if q.Prompt == nil {
