Share one prefix cache between the two simulated engines

The emulator of disaggregated engines had its own copy of the LRU cache of engine.go. Both use prefixCache now; the unread id of an engine is removed.

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -60,8 +60,8 @@
 		}
 		for c.now < time.Hour && ended < len(requests) {
 			c.runUntil(c.now + time.Second)
-			if e.reservedTokens > engineKVTokens || e.cachedTokens > cacheTokens || len(e.decoding)+len(e.prefilling) > maxBatch {
-				t.Fatalf("seed %d: %d tokens reserved, %d cached, %d in the batch", seed, e.reservedTokens, e.cachedTokens, len(e.decoding)+len(e.prefilling))
+			if e.reservedTokens > engineKVTokens || e.prefixes.tokens > cacheTokens || len(e.decoding)+len(e.prefilling) > maxBatch {
+				t.Fatalf("seed %d: %d tokens reserved, %d cached, %d in the batch", seed, e.reservedTokens, e.prefixes.tokens, len(e.decoding)+len(e.prefilling))
 			}
 		}
 		var work time.Duration
--- a/internal/bench/disagg.go
+++ b/internal/bench/disagg.go
@@ -90,7 +90,7 @@
 			role = port.RoleDecode
 		}
 		id := fmt.Sprintf("engine-%d", i)
-		sim.engines[id] = newDisaggEngine(&sim.clock, id, role, o.speeds)
+		sim.engines[id] = newDisaggEngine(&sim.clock, role, o.speeds)
 		runners = append(runners, port.Runner{ID: id, Service: disaggService, Address: id, DataCentre: disaggDataCentre, Role: role, Slots: disaggSlots})
 	}
 	for i := range o.daemons {
@@ -201,11 +201,7 @@
 		engine.submit(j, false)
 		return
 	}
-	parts := source.cachedPrefix(j.request.prompt.Parts)
-	tokens := 0
-	for _, p := range parts {
-		tokens += p.Tokens
-	}
+	parts, tokens := source.cachedPrefix(j.request.prompt.Parts)
 	s.clock.after(s.options.speeds.transfer(tokens), func() {
 		engine.store(parts)
 		engine.submit(j, false)
--- a/internal/bench/disagg_engine.go
+++ b/internal/bench/disagg_engine.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"container/list"
 	"slices"
 	"time"
 
@@ -50,7 +49,6 @@
 // one prompt at a time, by urgency and then in the order of arrival.
 type disaggEngine struct {
 	clock  *clock
-	id     string
 	role   port.Role
 	speeds disaggSpeeds
 
@@ -60,15 +58,11 @@
 	// stepping is set while a step is scheduled.
 	stepping bool
 
-	// cache lists the cached parts, the most recently used first. cachedParts maps the id of a part
-	// to its element of cache.
-	cache        *list.List
-	cachedParts  map[string]*list.Element
-	cachedTokens int
+	cache *prefixCache[string]
 }
 
-func newDisaggEngine(c *clock, id string, role port.Role, s disaggSpeeds) *disaggEngine {
-	return &disaggEngine{clock: c, id: id, role: role, speeds: s, cache: list.New(), cachedParts: map[string]*list.Element{}}
+func newDisaggEngine(c *clock, role port.Role, s disaggSpeeds) *disaggEngine {
+	return &disaggEngine{clock: c, role: role, speeds: s, cache: newPrefixCache[string](s.cacheTokens)}
 }
 
 // submit queues an attempt. prefilled is set if the KV cache of the prompt was transferred from
@@ -166,40 +160,33 @@
 	}
 }
 
-// cachedPrefix returns the cached parts at the start of a prompt.
-func (e *disaggEngine) cachedPrefix(parts []port.PromptPart) []port.PromptPart {
+// cachedPrefix returns the cached parts at the start of a prompt and their tokens.
+func (e *disaggEngine) cachedPrefix(parts []port.PromptPart) ([]port.PromptPart, int) {
+	tokens := 0
 	for i, p := range parts {
-		if _, ok := e.cachedParts[p.ID]; !ok {
-			return parts[:i]
+		if !e.cache.contains(p.ID) {
+			return parts[:i], tokens
 		}
+		tokens += p.Tokens
 	}
-	return parts
+	return parts, tokens
 }
 
 // useCached returns the number of cached tokens at the start of a prompt and marks them as used.
 func (e *disaggEngine) useCached(parts []port.PromptPart) int {
-	tokens := 0
-	for _, p := range e.cachedPrefix(parts) {
-		e.cache.MoveToFront(e.cachedParts[p.ID])
-		tokens += p.Tokens
+	cached, tokens := e.cachedPrefix(parts)
+	for _, p := range cached {
+		e.cache.use(p.ID)
 	}
 	return tokens
 }
 
-// store caches the parts of a prompt and evicts the least recently used ones.
+// store caches the parts of a prompt.
 func (e *disaggEngine) store(parts []port.PromptPart) {
 	for _, p := range parts {
-		if element, ok := e.cachedParts[p.ID]; ok {
-			e.cache.MoveToFront(element)
-			continue
+		if !e.cache.use(p.ID) {
+			e.cache.add(p.ID, p.Tokens)
 		}
-		e.cachedParts[p.ID] = e.cache.PushFront(p)
-		e.cachedTokens += p.Tokens
-	}
-	for e.cachedTokens > e.speeds.cacheTokens {
-		last := e.cache.Remove(e.cache.Back()).(port.PromptPart)
-		delete(e.cachedParts, last.ID)
-		e.cachedTokens -= last.Tokens
 	}
 }
 
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -1,7 +1,6 @@
 package bench
 
 import (
-	"container/list"
 	"slices"
 	"time"
 
@@ -78,22 +77,13 @@
 	prefilling     []*job
 	decoding       []*job
 	reservedTokens int
-	// cache lists the cached prefixes, the most recently used first. cached maps the id
-	// of a prefix to its element of cache.
-	cache        *list.List
-	cached       map[int]*list.Element
-	cachedTokens int
-}
-
-type cacheEntry struct {
-	prefix int
-	tokens int
+	prefixes       *prefixCache[int]
 }
 
 func newEngine(c *clock, id string, dc int) *engine {
 	return &engine{
 		clock: c, id: id, dc: dc, role: port.RoleMixed, phase: port.PhaseServing,
-		cache: list.New(), cached: map[int]*list.Element{},
+		prefixes: newPrefixCache[int](cacheTokens),
 	}
 }
 
@@ -176,8 +166,7 @@
 	j.reservedTokens, j.started = need, true
 	e.reservedTokens += need
 	j.prefillLeft = j.request.prompt + j.generated
-	if element, ok := e.cached[j.request.prefix]; ok && j.request.prefix > 0 {
-		e.cache.MoveToFront(element)
+	if e.prefixes.use(j.request.prefix) {
 		j.prefillLeft = max(1, j.prefillLeft-j.request.prefixTokens)
 	}
 	e.prefilling = append(e.prefilling, j)
@@ -236,22 +225,10 @@
 	e.decoding = append(e.decoding, j)
 }
 
-// cachePrefix stores the prefix of a prefilled prompt and evicts the least recently
-// used prefixes beyond cacheTokens.
+// cachePrefix stores the prefix of a prefilled prompt. Prefix 0 means that there is none.
 func (e *engine) cachePrefix(r *request) {
-	if r.prefix == 0 {
-		return
-	}
-	if _, ok := e.cached[r.prefix]; ok {
-		return
-	}
-	e.cached[r.prefix] = e.cache.PushFront(cacheEntry{r.prefix, r.prefixTokens})
-	e.cachedTokens += r.prefixTokens
-	for e.cachedTokens > cacheTokens {
-		oldest := e.cache.Back()
-		entry := e.cache.Remove(oldest).(cacheEntry)
-		delete(e.cached, entry.prefix)
-		e.cachedTokens -= entry.tokens
+	if r.prefix > 0 {
+		e.prefixes.add(r.prefix, r.prefixTokens)
 	}
 }
 
@@ -288,7 +265,7 @@
 }
 
 func (e *engine) clearCache() {
-	e.cache, e.cached, e.cachedTokens = list.New(), map[int]*list.Element{}, 0
+	e.prefixes = newPrefixCache[int](cacheTokens)
 }
 
 // replace replaces a drained engine with a new one, whose prefix cache is empty.
