Predict the prefill time of an option once

evaluate and interruptsStreams computed it for each engine of each placement. No change of behaviour: TestFloodOfLongPrompts gives the same counts.

--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -59,11 +59,10 @@
 // streams there exceed the allowed gap. It holds for an idle engine too: streams that are placed
 // there during the prefill, by any daemon, would be late.
 func (o *option) interruptsStreams(q Query) bool {
-	m := o.member
-	if q.Prompt == nil || m.runner.Role == port.RolePrefill {
+	if q.Prompt == nil || o.member.runner.Role == port.RolePrefill {
 		return false
 	}
-	gap := m.models.gaps.predict(m.prefillTime(o.uncached, q.Prompt.InputTokens))
+	gap := o.member.models.gaps.predict(o.prefill)
 	return lateProbability(gap, q.AllowedGap) > maxInterruptionProbability
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -48,8 +48,10 @@
 // option is one possible placement of a request with its predicted times and its cost.
 type option struct {
 	member *member
-	// uncached is the number of prompt tokens to prefill.
+	// uncached is the number of prompt tokens to prefill, prefill the predicted time for it without
+	// queueing.
 	uncached int
+	prefill  time.Duration
 	// source is the engine from which cached parts are fetched before the prefill, or nil.
 	source     *member
 	firstEvent time.Duration
@@ -136,15 +138,15 @@
 		cached += more
 	}
 	o.uncached = q.Prompt.InputTokens - cached
-	prefill := m.prefillTime(o.uncached, q.Prompt.InputTokens)
-	o.firstEvent += o.wait + prefill + firstEventDelay
-	o.cost += time.Duration(queueDelayFactor * float64(prefill))
+	o.prefill = m.prefillTime(o.uncached, q.Prompt.InputTokens)
+	o.firstEvent += o.wait + o.prefill + firstEventDelay
+	o.cost += time.Duration(queueDelayFactor * float64(o.prefill))
 	if m.runner.Role == port.RolePrefill {
 		transfer, penalty := transferTime(m.limits, q.Prompt.InputTokens, false)
 		o.firstEvent += prefillRoundTrip + transfer
 		o.cost += penalty
 	} else {
-		o.cost += time.Duration(l.Running)*streamPenalty + m.gapPenalty(&l, prefill, q)
+		o.cost += time.Duration(l.Running)*streamPenalty + m.gapPenalty(&l, o.prefill, q)
 	}
 	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
 		o.cost += fullPenalty
