--- a/internal/gateway/prefill_retry_test.go
+++ b/internal/gateway/prefill_retry_test.go
@@ -6,8 +6,6 @@
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -27,7 +25,7 @@
 // newEngineGateway returns a gateway without listeners and with three prefill engines and one
 // decode engine.
 func newEngineGateway(runners port.Runners, retries RetryLimits) *Gateway {
-	g := New(Settings{Name: "d", DataCentre: "north", DrainNotice: 2 * time.Second, Retries: retries}, Dependencies{Logger: zap.NewNop(), Registry: jsonRegistry{}, Runners: runners})
+	g := newGatewayWith(runners, retries)
 	g.fleet.SetServices(map[string]port.ForwardService{"s": {Name: "s", Engine: &port.EngineLimits{Slots: 64, KVTokens: 500_000}}})
 	var engines []port.Runner
 	for _, id := range []string{"prefill-1", "prefill-2", "prefill-3", "decode"} {
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -16,9 +16,14 @@
 
 func (noRunners) Retain(func(string) bool) {}
 
+// newGatewayWith returns a gateway without listeners that sends requests through runners.
+func newGatewayWith(runners port.Runners, retries RetryLimits) *Gateway {
+	return New(Settings{Name: "d", DataCentre: "north", DrainNotice: 2 * time.Second, Retries: retries}, Dependencies{Logger: zap.NewNop(), Registry: jsonRegistry{}, Runners: runners})
+}
+
 // newTestGateway returns a gateway without listeners and with two runners.
 func newTestGateway(retries RetryLimits) *Gateway {
-	g := New(Settings{Name: "d", DataCentre: "north", DrainNotice: 2 * time.Second, Retries: retries}, Dependencies{Logger: zap.NewNop(), Registry: jsonRegistry{}, Runners: noRunners{}})
+	g := newGatewayWith(noRunners{}, retries)
 	g.fleet.SetRunners([]port.Runner{
 		{ID: "a", Service: "s", Address: "10.0.0.1:80", DataCentre: "north", Slots: 4},
 		{ID: "b", Service: "s", Address: "10.0.0.2:80", DataCentre: "north", Slots: 4},
