Show on what the retry limit decides, in metrics and request lines

The lines of refused requests said 'retry limit reached' without the counts behind it, so that a limit that is reached because of traffic could not be told from one that a restart or a wrong number of daemons made. The steps now hold the retries, the allowed retries and the requests of the window; /debug/vars has the same as retry_limits. No decision changes.

go test ./internal/gateway ./internal/retry ./platform passes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -103,6 +103,12 @@
 	c.stepLog = append(c.stepLog, strconv.FormatInt(at, 10)+"ms "+fmt.Sprintf(format, args...))
 }
 
+// logRetryLimit appends a step that says on which counts the retry limit refused a send.
+func (c *call) logRetryLimit() {
+	u := c.gateway.retryWindow(c.service).Usage(time.Now())
+	c.logStep("%v: %d retries of %.1f allowed for %d requests", errRetryLimit, u.Retries, u.Allowed, u.Requests)
+}
+
 // remaining returns the time left until the deadline.
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
@@ -135,6 +141,7 @@
 // exceeds the shared retry limit, beginSend returns false and counts nothing.
 func (c *call) beginSend() bool {
 	if c.sends > 0 && !c.useReservedRetry() && !c.gateway.retryWindow(c.service).TryRetry(time.Now()) {
+		c.logRetryLimit()
 		return false
 	}
 	if c.sends == 0 && c.connectFailures == 0 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -161,6 +162,17 @@
 	return w
 }
 
+// retryUsage returns the state of the retry limit of each service that had requests.
+func (g *Gateway) retryUsage() any {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	usage := make(map[string]retry.Usage, len(g.retryWindows))
+	for service, w := range g.retryWindows {
+		usage[service] = w.Usage(time.Now())
+	}
+	return usage
+}
+
 // retrySlack returns this daemon's part of the retries that are allowed regardless of the
 // number of requests. g.mu must be held.
 func (g *Gateway) retrySlack() float64 {
@@ -268,7 +280,13 @@
 
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := goji.NewMux()
-	mux.HandleFunc(pat.Get("/debug/vars"), g.metrics.serve)
+	mux.HandleFunc(pat.Get("/debug/vars"), func(w http.ResponseWriter, _ *http.Request) {
+		vars := g.metrics.vars()
+		vars.Set("retry_limits", expvar.Func(g.retryUsage))
+		w.Header().Set("Content-Type", "application/json; charset=utf-8")
+		// A failed write means that the client disconnected.
+		_, _ = w.Write([]byte(vars.String()))
+	})
 	return mux
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"net/http"
 	"sync"
 	"time"
 
@@ -96,10 +95,3 @@
 		return summary(byRank)
 	}
 }
-
-// serve writes the metrics as JSON.
-func (m *metrics) serve(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json; charset=utf-8")
-	// A failed write means that the client disconnected.
-	_, _ = w.Write([]byte(m.vars().String()))
-}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -95,14 +95,14 @@
 		if err == nil {
 			return inFlight, cache, nil
 		}
+		if errors.Is(err, errRetryLimit) && ctx.Err() == nil {
+			q.NoPrefill = true
+			continue
+		}
 		c.logStep("%v", err)
 		if ctx.Err() != nil {
 			return nil, port.KVCacheHandle{}, err
 		}
-		if errors.Is(err, errRetryLimit) {
-			q.NoPrefill = true
-			continue
-		}
 		c.countPrefillFailure(err)
 		c.exclude(plan.Prefill.Runner())
 		failed++
@@ -124,6 +124,7 @@
 func (c *call) prefill(ctx context.Context, plan placement.Plan) (*placement.InFlightRequest, port.KVCacheHandle, error) {
 	if c.prefillAttempts > 0 && !c.gateway.retryWindow(c.service).TryRetry(time.Now()) {
 		plan.Prefill.End(time.Now(), placement.Abandoned)
+		c.logRetryLimit()
 		return nil, port.KVCacheHandle{}, errRetryLimit
 	}
 	c.prefillAttempts++
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -92,6 +92,24 @@
 	w.slotAt(now).retries++
 }
 
+// Usage is the state of a Window at one moment.
+type Usage struct {
+	// Requests and Retries are the first attempts and the retries in the window.
+	Requests int `json:"requests"`
+	Retries  int `json:"retries"`
+	// Allowed is the number of retries that the limit allows for Requests.
+	Allowed float64 `json:"allowed"`
+}
+
+// Usage returns the counts of the window and its limit at now.
+func (w *Window) Usage(now time.Time) Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slotAt(now)
+	firstAttempts, retries := w.totals()
+	return Usage{Requests: firstAttempts, Retries: retries, Allowed: w.ratio*float64(firstAttempts) + w.slack}
+}
+
 // totals returns the counts of all slots. Window.mu must be held.
 func (w *Window) totals() (firstAttempts, retries int) {
 	for _, s := range w.slots {
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -65,3 +65,18 @@
 		t.Error("a retry is allowed under a limit of 0")
 	}
 }
+
+func TestUsageShowsTheCountsOfTheWindow(t *testing.T) {
+	w := retry.NewWindow(0.5, 2, 10*time.Second)
+	now := time.Unix(1_000_000, 0)
+	for range 4 {
+		w.RecordFirstAttempt(now)
+	}
+	w.TryRetry(now)
+	if got, want := w.Usage(now), (retry.Usage{Requests: 4, Retries: 1, Allowed: 4}); got != want {
+		t.Errorf("usage %+v, want %+v", got, want)
+	}
+	if got, want := w.Usage(now.Add(20*time.Second)), (retry.Usage{Allowed: 2}); got != want {
+		t.Errorf("usage after the window %+v, want %+v", got, want)
+	}
+}
