Count server errors of streams against the engine

Callers saw: engines that answer part of their streams with status 500 kept receiving requests, and more than others, because they end each of them at once and look idle. Cause: an error that is delivered to the caller, because the route allows no further attempt, ended the request as completed. Calls to plain services end as failed in the same case.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -203,7 +203,12 @@
 	if err != nil && errors.Is(context.Cause(attemptCtx), errStalled) {
 		err = errors.Join(errStalled, err)
 	}
-	inFlight.End(time.Now(), placementOutcome(ctx, err))
+	outcome := placementOutcome(ctx, err)
+	if err == nil && response.Status >= http.StatusInternalServerError {
+		// The client received the error, but it counts against the engine.
+		outcome = placement.Failed
+	}
+	inFlight.End(time.Now(), outcome)
 	if err != nil && provesNotExecuted(err) {
 		c.freeCache(cache)
 	}
