Estimate how often a runner fails, from the outcomes of all daemons

Callers saw: runners that fail part of their requests kept most of their share of them. Cause: a runner was avoided for 0.3 s to 4 s after a failure, and three successes in a row erased it, so that one that fails every fourth request is avoided for 0.3 s at a time. Each daemon learnt it from its own requests only. Where all engines fail some requests, avoiding each for up to 4 s took the capacity of the whole pool. Change: a failure rate per runner, from recent outcomes of this daemon and of the daemons that report loads to it, is a cost in the choice. A runner that responds with an error or a refusal is avoided for 0.3 s only; one that does not respond still for up to 4 s.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -131,6 +131,8 @@
 		return placement.Abandoned
 	case errors.Is(err, port.ErrNotRun):
 		return placement.Refused
+	case errors.Is(err, errRunnerFailed) || errors.Is(err, port.ErrErrorStatus):
+		return placement.Erred
 	case ctx.Err() != nil && !errors.Is(err, errStalled):
 		return placement.Abandoned
 	}
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -26,7 +26,8 @@
 // those of the sender, CurrentUrgency its urgency and CurrentElapsed the time since it became the
 // first. QueuedPrefill is the predicted prefill time of the queued prompts, by urgency.
 // TotalPrefill, the finished prefill work, and TotalKVStored, the tokens stored in the KV cache,
-// are totals since the start of the sender. AllowedGap is the smallest limit for gaps among the
+// are totals since the start of the sender, like TotalEnded and TotalFailed, the requests that ended
+// at the runner and those of them that failed. AllowedGap is the smallest limit for gaps among the
 // OnTimeStreams, and RecentPrefill the finished prefill time that may lengthen a current gap. Parts
 // holds the tokens of prompt parts by id.
 type runnerLoad struct {
@@ -37,6 +38,8 @@
 	TotalPrefill   int64                         `json:"read,omitempty"`
 	TotalKVStored  int64                         `json:"written,omitempty"`
 	QueuedPrefill  [placement.UrgencyCount]int64 `json:"reading"`
+	TotalEnded     int64                         `json:"ended,omitempty"`
+	TotalFailed    int64                         `json:"failed,omitempty"`
 	Running        int                           `json:"running"`
 	KVTokens       int                           `json:"kv"`
 	OnTimeStreams  int                           `json:"on_time,omitempty"`
@@ -159,6 +162,7 @@
 		if l.Load.CurrentPrefill > 0 {
 			s.CurrentElapsed = time.Since(l.Load.CurrentSince).Microseconds()
 		}
+		s.TotalEnded, s.TotalFailed = l.Load.TotalEnded, l.Load.TotalFailed
 		s.OnTimeStreams, s.AllowedGap, s.RecentPrefill = l.Load.OnTimeStreams, l.Load.AllowedGap.Microseconds(), l.Load.RecentPrefill.Microseconds()
 		for i, d := range l.Load.QueuedPrefill {
 			s.QueuedPrefill[i] = d.Microseconds()
@@ -183,6 +187,7 @@
 		l.Load.CurrentUrgency = min(max(0, s.CurrentUrgency), placement.UrgencyCount-1)
 		l.Load.CurrentSince = time.Now().Add(-time.Duration(s.CurrentElapsed) * time.Microsecond)
 		l.Load.TotalPrefill, l.Load.TotalKVStored = time.Duration(s.TotalPrefill)*time.Microsecond, s.TotalKVStored
+		l.Load.TotalEnded, l.Load.TotalFailed = s.TotalEnded, s.TotalFailed
 		l.PendingRole, l.ChangeTimeLeft = s.PendingRole, time.Duration(s.ChangeTimeLeft)*time.Microsecond
 		l.Load.OnTimeStreams = s.OnTimeStreams
 		l.Load.AllowedGap = time.Duration(s.AllowedGap) * time.Microsecond
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -84,7 +84,7 @@
 	failed := err == nil && response.Status >= http.StatusInternalServerError
 	if failed {
 		c.logStep("status %d", response.Status)
-		inFlight.End(time.Now(), placement.Failed)
+		inFlight.End(time.Now(), placement.Erred)
 		if c.canRetryAfterExecution() {
 			return nil, nil, errRunnerFailed
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -206,7 +206,7 @@
 	outcome := placementOutcome(ctx, err)
 	if err == nil && response.Status >= http.StatusInternalServerError {
 		// The client received the error, but it counts against the engine.
-		outcome = placement.Failed
+		outcome = placement.Erred
 	}
 	inFlight.End(time.Now(), outcome)
 	if err != nil && provesNotExecuted(err) {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -152,7 +152,7 @@
 		o.cost += fullPenalty
 	}
 	f.addDistance(&o, q)
-	o.cost += o.firstEvent + deadlinePenalty(o.firstEvent, q) + m.affinityPenalty()
+	o.cost += o.firstEvent + deadlinePenalty(o.firstEvent, q) + m.affinityPenalty() + m.failurePenalty(now)
 	return o
 }
 
@@ -214,7 +214,7 @@
 	wait := time.Duration(waiting) * assumedServiceTime / time.Duration(m.runner.Slots)
 	o := option{member: m, wait: wait, firstEvent: wait + assumedServiceTime}
 	f.addDistance(&o, q)
-	o.cost += o.firstEvent + busy
+	o.cost += o.firstEvent + busy + m.failurePenalty(now)
 	if waiting > m.runner.Slots {
 		o.cost += fullPenalty
 	}
@@ -258,6 +258,6 @@
 		o.cost += fullPenalty
 	}
 	f.addDistance(&o, q)
-	o.cost += o.firstEvent + m.affinityPenalty()
+	o.cost += o.firstEvent + m.affinityPenalty() + m.failurePenalty(now)
 	return o
 }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -63,6 +63,9 @@
 	// first event.
 	latePenalty      = 500 * time.Millisecond
 	abandonedPenalty = 5 * time.Second
+	// failurePenalty applies to a request that is certain to fail at the runner, and in proportion
+	// to one that may fail there.
+	failurePenalty = 2 * time.Second
 	// kvCacheLimit is the share of an engine's KV cache that running requests may occupy
 	// before other engines are preferred.
 	kvCacheLimit = 0.85
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -45,6 +45,10 @@
 	// TotalKVStored is the number of tokens that a daemon's requests have stored in the
 	// engine's KV cache since the daemon started.
 	TotalKVStored int64
+	// TotalEnded is the number of requests of a daemon that ended at the runner since the daemon
+	// started, TotalFailed those of them that failed or were refused.
+	TotalEnded  int64
+	TotalFailed int64
 	// Running is the number of requests in flight, KVTokens the KV cache space that they
 	// occupy, in tokens.
 	Running  int
@@ -131,6 +135,10 @@
 	// peers holds the last load report of each peer, by daemon name.
 	peers map[string]peerLoad
 
+	// totalEnded and totalFailed count outcomes of this daemon's requests; see Load. failureRate
+	// follows from those of all daemons.
+	totalEnded, totalFailed int64
+	failureRate             failureRate
 	// failures counts the failures since the last reset, successes the successes since the
 	// last failure. The runner is avoided until suspectUntil.
 	failures     int
@@ -208,6 +216,7 @@
 	if restarted {
 		m.cache.clear()
 		m.failures, m.successes = 0, 0
+		m.failureRate = failureRate{}
 		m.suspectUntil = time.Time{}
 		m.leaving = false
 	}
@@ -237,6 +246,7 @@
 	}
 	l.RecentPrefill = m.recentPrefill(now)
 	l.TotalPrefill, l.TotalKVStored = m.totalPrefill, m.cache.storedLocally
+	l.TotalEnded, l.TotalFailed = m.totalEnded, m.totalFailed
 	return l
 }
 
@@ -312,6 +322,9 @@
 			m.totalPrefillOfAll += reported.TotalPrefill - old.load.TotalPrefill
 		}
 		m.cache.stored += max(0, reported.TotalKVStored-old.load.TotalKVStored)
+		if ended := reported.TotalEnded - old.load.TotalEnded; ended > 0 {
+			m.failureRate.observe(now, max(0, reported.TotalFailed-old.load.TotalFailed), ended)
+		}
 	}
 	m.peers[peer] = peerLoad{load: reported, receivedAt: now}
 }
@@ -344,14 +357,37 @@
 	return m.pendingRole != "" && now.Before(m.changeDeadline)
 }
 
+// recordOutcome counts the end of a request of this daemon.
+func (m *member) recordOutcome(now time.Time, failed int64) {
+	m.totalEnded++
+	m.totalFailed += failed
+	m.failureRate.observe(now, failed, 1)
+}
+
+// failurePenalty is the cost of the requests that fail at the runner.
+func (m *member) failurePenalty(now time.Time) time.Duration {
+	return time.Duration(m.failureRate.probability(now) * float64(failurePenalty))
+}
+
 func (m *member) recordFailure(now time.Time) {
+	m.recordOutcome(now, 1)
 	m.failures++
 	m.successes = 0
 	avoidance := minSuspectTime << min(m.failures-1, 8)
 	m.suspectUntil = now.Add(min(avoidance, maxSuspectTime))
 }
 
-func (m *member) recordSuccess() {
+// recordError records an answer that is no success. The runner responds, so that it is avoided only
+// briefly; failureRate says how often it is to be used.
+func (m *member) recordError(now time.Time) {
+	m.recordOutcome(now, 1)
+	if until := now.Add(minSuspectTime); until.After(m.suspectUntil) {
+		m.suspectUntil = until
+	}
+}
+
+func (m *member) recordSuccess(now time.Time) {
+	m.recordOutcome(now, 0)
 	m.successes++
 	if m.successes >= resetAfterSuccesses {
 		m.failures = 0
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -269,6 +269,8 @@
 	Failed
 	// Refused requests were not run.
 	Refused
+	// Erred requests received a complete response that reports a server error.
+	Erred
 	// Misdirected requests reached a different runner instance.
 	Misdirected
 )
@@ -291,12 +293,12 @@
 	}
 	switch outcome {
 	case Completed:
-		m.recordSuccess()
+		m.recordSuccess(now)
 	case Failed:
 		m.recordFailure(now)
 		f.pathFailed(m.runner.DataCentre, now)
-	case Refused:
-		m.recordFailure(now)
+	case Refused, Erred:
+		m.recordError(now)
 	case Misdirected:
 		m.leaving = true
 	}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -16,6 +16,9 @@
 	// ErrInvalidResponse reports a response that violates the protocol or was not
 	// sent by the runner. The request may have run.
 	ErrInvalidResponse = errors.New("invalid response to the request")
+	// ErrErrorStatus reports a complete response with an error status. The request may
+	// have run.
+	ErrErrorStatus = errors.New("runner responded with an error status")
 	// ErrKVCacheUnavailable reports that the KV cache named by a request cannot be
 	// fetched. The request did not run.
 	ErrKVCacheUnavailable = errors.New("KV cache cannot be fetched")
@@ -218,7 +221,7 @@
 	Fencing int64
 }
 
-// Runners sends requests to runners. Its errors are ErrNotSent, ErrNotRun,
+// Runners sends requests to runners. Its errors are ErrNotSent, ErrNotRun, ErrErrorStatus,
 // ErrWrongInstance, ErrKVCacheUnavailable and ErrInvalidResponse. After any other error
 // the request may have run.
 type Runners interface {
