Reserve a place of the retry limit before a prompt is prefilled elsewhere

Cause: a prefill that fails is an arrival, and the send that replaces it another one. It was recorded after the fact, whatever the limit said, so that each request could add one. A reverted retry was also subtracted from the slot of the revert in place of its own. Class of fault: a limit that is checked for one kind of send and only counted for another. Change: a prefill holds a place of the limit while it is in flight, and returns it if the engine accepts it. The share of the limit that the daemons leave unused is now 15% in place of 40%, because it no longer has to cover failed first prefills.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -16,6 +16,7 @@
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/quarantine"
+	"bergamotsill.example/bergamotsill/internal/retry"
 )
 
 const (
@@ -66,10 +67,17 @@
 	sends           int
 	executions      int
 	connectFailures int
-	// retryReserved is set while a retry is reserved from the shared limit but not yet sent.
-	retryReserved atomic.Bool
-	// prefillAttempts counts attempts to prefill the prompt at another engine.
-	prefillAttempts int
+	// counted is set once the request is counted for the shared retry limit.
+	counted bool
+	// reservedRetry is a retry that the stall monitor has reserved from the shared limit and that
+	// is not sent yet; nil if there is none. lastRetry is the one that the current attempt uses;
+	// the zero value for a first attempt.
+	reservedRetry atomic.Pointer[retry.Reservation]
+	lastRetry     retry.Reservation
+	// prefilled is set once an engine has prefilled the prompt for another one, arrived once a
+	// runner may have received the request otherwise.
+	prefilled bool
+	arrived   bool
 	// headerWritten is set once a response header was written to the client; status is its
 	// status code.
 	headerWritten bool
@@ -139,17 +147,40 @@
 	return placement.Failed
 }
 
+// countRequest counts the request for the shared retry limit when it is sent for the first time.
+func (c *call) countRequest() {
+	if !c.counted {
+		c.counted = true
+		c.gateway.retryWindow(c.service).RecordFirstAttempt(time.Now())
+	}
+}
+
+// reserveRetry reserves a retry from the shared limit. If the limit allows none, it logs the state
+// of the limit as a step and returns false.
+func (c *call) reserveRetry() (retry.Reservation, bool) {
+	reservation, ok := c.gateway.retryWindow(c.service).Reserve(time.Now())
+	if !ok {
+		c.logRetryLimit()
+	}
+	return reservation, ok
+}
+
 // beginSend counts an attempt that is about to be sent. If the attempt would be a retry that
 // exceeds the shared retry limit, beginSend returns false and counts nothing.
 func (c *call) beginSend() bool {
-	if c.sends > 0 && !c.useReservedRetry() && !c.gateway.retryWindow(c.service).TryRetry(time.Now()) {
-		c.logRetryLimit()
-		return false
-	}
-	if c.sends == 0 && c.connectFailures == 0 {
-		c.gateway.retryWindow(c.service).RecordFirstAttempt(time.Now())
+	c.lastRetry = retry.Reservation{}
+	if c.sends > 0 {
+		if reserved := c.reservedRetry.Swap(nil); reserved != nil {
+			c.lastRetry = *reserved
+		} else if reservation, ok := c.reserveRetry(); ok {
+			c.lastRetry = reservation
+		} else {
+			return false
+		}
 	}
+	c.countRequest()
 	c.sends++
+	c.arrived = true
 	return true
 }
 
@@ -158,9 +189,7 @@
 func (c *call) revertSend() {
 	c.sends--
 	c.connectFailures++
-	if c.sends > 0 {
-		c.gateway.retryWindow(c.service).Refund(time.Now())
-	}
+	c.lastRetry.Cancel()
 }
 
 // mayRetry reports whether the request may be sent again after err, and counts the failed
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,7 @@
 	responseShare = 0.25
 	// retryShare is the share of the global retry limit that is used; the rest covers daemons
 	// that do not have each other's addresses yet.
-	retryShare = 0.6
+	retryShare = 0.85
 	// minDaemons is the smallest number of daemons that is assumed when the constant part of the
 	// retry limit is divided among all daemons.
 	minDaemons = 4
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -66,7 +66,7 @@
 	defer cancel(nil)
 	monitor := &stallMonitor{}
 	if c.sends == 1 && c.canRetryAfterExecution() {
-		monitor = c.startStallMonitor(cancel, runner.ID, time.Duration(firstAttemptShare*float64(c.route.Target)), nil)
+		monitor = c.startStallMonitor(cancel, stallLimits{runner: runner.ID, firstTimeout: time.Duration(firstAttemptShare * float64(c.route.Target))})
 	}
 	defer monitor.stop()
 	c.logStep("run at %s", runner.ID)
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -11,16 +11,26 @@
 // allow another one, before the limit is checked again.
 const stallRecheckInterval = 200 * time.Millisecond
 
-// stallMonitor ends an attempt without progress once the retry limit allows another one. The zero
-// value never ends an attempt.
-type stallMonitor struct {
-	// maxGap is the longest time without progress after the first progress.
-	maxGap time.Duration
+// stallLimits say when an attempt is stalled.
+type stallLimits struct {
 	// runner is the id of the runner of the attempt.
 	runner string
+	// firstTimeout is the longest time until the first progress.
+	firstTimeout time.Duration
 	// queued reports whether the attempt waits behind others that make progress; nil if that is
 	// unknown.
 	queued func() bool
+	// replaceable is set if the attempt holds the place of the retry limit that the next attempt
+	// uses. Otherwise ending the attempt reserves a place.
+	replaceable bool
+}
+
+// stallMonitor ends an attempt without progress once the retry limit allows another one. The zero
+// value never ends an attempt.
+type stallMonitor struct {
+	limits stallLimits
+	// maxGap is the longest time without progress after the first progress.
+	maxGap time.Duration
 
 	// mu guards timer and ended.
 	mu    sync.Mutex
@@ -30,15 +40,13 @@
 }
 
 // startStallMonitor returns a monitor that ends an attempt through cancel with the cause
-// errStalled if the first progress takes longer than firstTimeout, or later progress longer than
-// maxGap; see expire.
-// Ending an attempt reserves the retry that replaces it. The caller must call stop. queued may be
-// nil.
-func (c *call) startStallMonitor(cancel context.CancelCauseFunc, runner string, firstTimeout time.Duration, queued func() bool) *stallMonitor {
-	m := &stallMonitor{maxGap: max(minStallTimeout, gapFactor*c.route.GapTarget), runner: runner, queued: queued}
+// errStalled if the first progress takes longer than limits.firstTimeout, or later progress longer
+// than maxGap; see expire. The caller must call stop.
+func (c *call) startStallMonitor(cancel context.CancelCauseFunc, limits stallLimits) *stallMonitor {
+	m := &stallMonitor{limits: limits, maxGap: max(minStallTimeout, gapFactor*c.route.GapTarget)}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.timer = time.AfterFunc(firstTimeout, func() { m.expire(c, cancel) })
+	m.timer = time.AfterFunc(limits.firstTimeout, func() { m.expire(c, cancel) })
 	return m
 }
 
@@ -50,7 +58,8 @@
 	if m.ended {
 		return
 	}
-	if m.queued != nil && m.queued() || !c.hasAlternative(m.runner) || !c.reserveRetry() {
+	queued := m.limits.queued != nil && m.limits.queued()
+	if queued || !c.hasAlternative(m.limits.runner) || !m.limits.replaceable && !c.reserveReplacement() {
 		m.timer.Reset(stallRecheckInterval)
 		return
 	}
@@ -88,14 +97,11 @@
 	return ok && firstEvent < q.ClientTimeout
 }
 
-// reserveRetry reserves a retry from the shared limit.
-func (c *call) reserveRetry() bool {
-	if !c.gateway.retryWindow(c.service).TryRetry(time.Now()) {
-		return false
+// reserveReplacement reserves the retry that replaces the current attempt.
+func (c *call) reserveReplacement() bool {
+	reservation, ok := c.gateway.retryWindow(c.service).Reserve(time.Now())
+	if ok {
+		c.reservedRetry.Store(&reservation)
 	}
-	c.retryReserved.Store(true)
-	return true
+	return ok
 }
-
-// useReservedRetry consumes a reserved retry and reports whether there was one.
-func (c *call) useReservedRetry() bool { return c.retryReserved.Swap(false) }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -75,6 +75,11 @@
 	return class.Accepted
 }
 
+// predictedLate reports whether q would be refused if it arrived now.
+func (c *call) predictedLate(q placement.Query) bool {
+	return !c.gateway.fleet.Classify(time.Now(), q, c.route.Priority).Accepted
+}
+
 // placeStream selects the engine that executes the request. If that is predicted to be faster, it
 // first has the prompt prefilled at another engine and returns a handle of the KV cache there;
 // otherwise the handle is empty.
@@ -96,45 +101,39 @@
 			return inFlight, cache, nil
 		}
 		if errors.Is(err, errRetryLimit) && ctx.Err() == nil {
-			q.NoPrefill = true
+			if q.NoPrefill = true; c.predictedLate(q) {
+				return nil, port.KVCacheHandle{}, errPredictedLate
+			}
 			continue
 		}
 		c.logStep("%v", err)
 		if ctx.Err() != nil {
 			return nil, port.KVCacheHandle{}, err
 		}
-		c.countPrefillFailure(err)
 		c.exclude(plan.Prefill.Runner())
 		failed++
 		q.NoPrefill = failed >= maxPrefillAttempts
 	}
 }
 
-// countPrefillFailure counts a failed prefill against the retry limit, unless its connection could
-// not be opened; a successful one does not count. A prefill that was ended as stalled has already
-// reserved its retry.
-func (c *call) countPrefillFailure(err error) {
-	if c.useReservedRetry() || errors.Is(err, port.ErrNotSent) {
-		return
-	}
-	c.gateway.retryWindow(c.service).RecordRetry(time.Now())
-}
-
-// prefill has the prompt prefilled and selects the engine that continues from it.
+// prefill has the prompt prefilled and selects the engine that continues from it. It returns
+// errRetryLimit if the prefill may fail and the shared retry limit has no place for the send that
+// would replace it.
 func (c *call) prefill(ctx context.Context, plan placement.Plan) (*placement.InFlightRequest, port.KVCacheHandle, error) {
-	if c.prefillAttempts > 0 && !c.gateway.retryWindow(c.service).TryRetry(time.Now()) {
+	c.countRequest()
+	place, ok := c.takePrefillPlace(plan.Prefill)
+	if !ok {
 		plan.Prefill.End(time.Now(), placement.Abandoned)
-		c.logRetryLimit()
 		return nil, port.KVCacheHandle{}, errRetryLimit
 	}
-	c.prefillAttempts++
 	source := plan.Prefill.Runner()
 	c.logStep("prefill at %s, %d tokens to prefill, predicted wait %s, parts from %q", source.ID, plan.Prefill.UncachedTokens(),
 		plan.Wait.Round(time.Millisecond), plan.Prefill.FetchFrom())
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	monitor := c.startStallMonitor(cancel, source.ID, max(minPrefillStallTimeout, stallFactor*plan.FirstEvent), func() bool {
-		return plan.Prefill.EngineProgressedWithin(time.Now(), minPrefillStallTimeout)
+	monitor := c.startStallMonitor(cancel, stallLimits{
+		runner: source.ID, firstTimeout: max(minPrefillStallTimeout, stallFactor*plan.FirstEvent), replaceable: true,
+		queued: func() bool { return plan.Prefill.EngineProgressedWithin(time.Now(), minPrefillStallTimeout) },
 	})
 	defer monitor.stop()
 	cache, err := c.gateway.runners.Prefill(attemptCtx, source, c.request, port.RunOptions{
@@ -146,9 +145,16 @@
 		if errors.Is(context.Cause(attemptCtx), errStalled) {
 			err = errors.Join(errStalled, err)
 		}
+		sent := !errors.Is(err, port.ErrNotSent)
+		// Nothing replaces a prefill that ends together with its request.
+		place.settle(sent && (ctx.Err() == nil || c.arrived))
+		c.arrived = c.arrived || sent
 		plan.Prefill.End(now, placementOutcome(ctx, err))
 		return nil, port.KVCacheHandle{}, err
 	}
+	// Only the first prefill that an engine accepts is no arrival of its own.
+	place.settle(c.prefilled)
+	c.prefilled = true
 	plan.Prefill.MarkPrefilled(now)
 	plan.Prefill.End(now, placement.Completed)
 	inFlight, ok := c.gateway.fleet.PlaceDecode(now, c.placementQuery(), source)
@@ -186,7 +192,7 @@
 	defer cancel(nil)
 	monitor := &stallMonitor{}
 	if c.canRetryAfterExecution() {
-		monitor = c.startStallMonitor(cancel, runner.ID, max(minStallTimeout, stallFactor*c.predictedFirstEvent), nil)
+		monitor = c.startStallMonitor(cancel, stallLimits{runner: runner.ID, firstTimeout: max(minStallTimeout, stallFactor*c.predictedFirstEvent)})
 	}
 	defer monitor.stop()
 	response, err := c.gateway.runners.Run(attemptCtx, runner, c.request, port.RunOptions{
--- a/internal/placement/failures.go
+++ b/internal/placement/failures.go
@@ -41,3 +41,11 @@
 func (r *failureRate) remaining(now time.Time) float64 {
 	return math.Exp2(-max(0, now.Sub(r.at).Seconds()) / failureHalfLife.Seconds())
 }
+
+// FailureProbability returns the probability that a request fails at the runner, from 0 to 1.
+func (r *InFlightRequest) FailureProbability(now time.Time) float64 {
+	f := r.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return r.member.failureRate.probability(now)
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -62,31 +62,40 @@
 	w.slotAt(now).firstAttempts++
 }
 
-// TryRetry records a retry if the limit allows one, and reports whether it does.
-func (w *Window) TryRetry(now time.Time) bool {
+// Reservation is a retry that a Window counts. The zero value is none.
+type Reservation struct {
+	window *Window
+	slot   int64
+}
+
+// Cancel removes the retry from the window, for a retry that did not reach a runner. It has no
+// effect on the zero value, or once the window has passed.
+func (r Reservation) Cancel() {
+	if r.window == nil {
+		return
+	}
+	r.window.mu.Lock()
+	defer r.window.mu.Unlock()
+	if r.window.newestSlot-r.slot <= windowSlots {
+		r.window.slots[r.slot%int64(len(r.window.slots))].retries--
+	}
+}
+
+// Reserve counts a retry if the limit allows one, and reports whether it does.
+func (w *Window) Reserve(now time.Time) (Reservation, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	slot := w.slotAt(now)
 	firstAttempts, retries := w.totals()
 	if float64(retries+1) > w.ratio*float64(firstAttempts)+w.slack {
-		return false
+		return Reservation{}, false
 	}
 	slot.retries++
-	return true
-}
-
-// Refund cancels a recorded retry that was not sent. It subtracts from the current slot and
-// has no effect if no retry is recorded there.
-func (w *Window) Refund(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if slot := w.slotAt(now); slot.retries > 0 {
-		slot.retries--
-	}
+	return Reservation{window: w, slot: w.newestSlot}, true
 }
 
-// RecordRetry records a retry that has already been sent, regardless of the limit.
-func (w *Window) RecordRetry(now time.Time) {
+// Record counts a retry regardless of the limit, for one that has already been sent.
+func (w *Window) Record(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.slotAt(now).retries++
