Give a restarted daemon no share of the constant retry limit for one window

Cause: the constant part of the limit was divided by the number of daemons that a daemon knows, and at least 4. A new process knows only itself, and nothing of the retries of the process before it: each start handed out up to a quarter of the constant again, by each daemon. Class of fault: a shared quantity that is divided by a count on which the holders don't agree, and whose use is forgotten at a restart. Change: retry.Share. A daemon has no share until it has read the registry of daemons, and for a window after its start unless the settings say that the system starts for the first time; the ratio of its own requests remains. A smaller number of daemons takes effect a window later. The floor of 4 is gone.

Tests that need a retry now say that the system starts for the first time, and build limits without the floor.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,12 +40,6 @@
 	// fully buffered responses may occupy.
 	bodyShare     = 0.25
 	responseShare = 0.25
-	// retryShare is the share of the global retry limit that is used; the rest covers daemons
-	// that do not have each other's addresses yet.
-	retryShare = 0.85
-	// minDaemons is the smallest number of daemons that is assumed when the constant part of the
-	// retry limit is divided among all daemons.
-	minDaemons = 4
 )
 
 // Dependencies are the external systems of a gateway.
@@ -82,11 +75,7 @@
 	// responseBytes counts the bytes of buffered responses in memory.
 	responseBytes atomic.Int64
 
-	// mu guards retryWindows, which are keyed by service, and daemonCount, the number of daemons
-	// including this one.
-	mu           sync.Mutex
-	retryWindows map[string]*retry.Window
-	daemonCount  int
+	retries *retryLimits
 
 	clientServer  *http.Server
 	probeServer   *http.Server
@@ -102,7 +91,7 @@
 	g := &Gateway{
 		deps: deps, metrics: newMetrics(), runners: deps.Runners,
 		fleet: placement.NewFleet(s.DataCentre, s.Name), crashes: newCrashGuard(),
-		retryWindows: map[string]*retry.Window{}, daemonCount: 1,
+		retries: newRetryLimits(s.Retries, time.Now(), s.FirstStart),
 	}
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
@@ -112,7 +101,8 @@
 	g.discovery = newDiscovery(g.log, deps.Store, deps.Registry, s.DrainNotice/discoveryDivisor, g.setRunners)
 	g.peers = &peers{
 		log: g.log, name: s.Name, address: s.Listen.Peers, dataCentre: s.DataCentre, store: deps.Store, dial: deps.Peers,
-		fleet: g.fleet, config: g.config, crashes: g.crashes, onDaemonsChanged: g.setDaemons, links: map[string]*peerLink{},
+		fleet: g.fleet, config: g.config, crashes: g.crashes, onDaemonsChanged: g.setDaemons, onRegistryRead: g.retries.share.RegistryRead,
+		links:        map[string]*peerLink{},
 		runRecovered: g.runRecovered,
 	}
 	r := &registryRelay{
@@ -132,11 +122,7 @@
 // Reload applies changed settings. Addresses and names keep their values from the start.
 func (g *Gateway) Reload(s Settings) {
 	g.settings.Store(&s)
-	g.mu.Lock()
-	for _, w := range g.retryWindows {
-		w.SetLimits(s.Retries.Ratio*retryShare, g.retrySlack())
-	}
-	g.mu.Unlock()
+	g.retries.set(s.Retries)
 	g.log.Info("settings reloaded", zap.Float64("retry-ratio", s.Retries.Ratio), zap.Int("retry-slack", s.Retries.Slack),
 		zap.Duration("stop-grace", s.StopGrace), zap.Int64("memory-bytes", s.MemoryBytes))
 }
@@ -149,46 +135,15 @@
 	g.runners.Retain(func(address string) bool { return addresses[address] })
 }
 
-// retryWindow returns the retry limit of a service and creates it if necessary.
+// retryWindow returns the current retry limit of a service.
 func (g *Gateway) retryWindow(service string) *retry.Window {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	w, ok := g.retryWindows[service]
-	if !ok {
-		limits := g.settings.Load().Retries
-		w = retry.NewWindow(limits.Ratio*retryShare, g.retrySlack(), limits.Window)
-		g.retryWindows[service] = w
-	}
-	return w
-}
-
-// retryUsage returns the state of the retry limit of each service that had requests.
-func (g *Gateway) retryUsage() any {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	usage := make(map[string]retry.Usage, len(g.retryWindows))
-	for service, w := range g.retryWindows {
-		usage[service] = w.Usage(time.Now())
-	}
-	return usage
-}
-
-// retrySlack returns this daemon's part of the retries that are allowed regardless of the
-// number of requests. g.mu must be held.
-func (g *Gateway) retrySlack() float64 {
-	return retryShare * float64(g.settings.Load().Retries.Slack) / float64(max(minDaemons, g.daemonCount))
+	return g.retries.window(service, time.Now())
 }
 
 // setDaemons divides the engines and the retry limit among the given daemons, this one included.
 func (g *Gateway) setDaemons(daemons []placement.Daemon) {
 	g.fleet.SetDaemons(daemons)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.daemonCount = len(daemons)
-	ratio := g.settings.Load().Retries.Ratio * retryShare
-	for _, w := range g.retryWindows {
-		w.SetLimits(ratio, g.retrySlack())
-	}
+	g.retries.share.SetDaemons(time.Now(), len(daemons))
 }
 
 // random returns a random number in [0, 1).
@@ -220,7 +175,8 @@
 		g.background(task, func(ctx context.Context) { g.supervise(ctx, task, run) })
 	}
 	l := g.settings.Load().Listen
-	g.log.Info("daemon started", zap.String("caller-address", l.Clients), zap.String("peer-address", l.Peers))
+	g.log.Info("daemon started", zap.String("caller-address", l.Clients), zap.String("peer-address", l.Peers),
+		zap.Bool("first-start", g.settings.Load().FirstStart))
 	return nil
 }
 
@@ -282,7 +238,7 @@
 	mux := goji.NewMux()
 	mux.HandleFunc(pat.Get("/debug/vars"), func(w http.ResponseWriter, _ *http.Request) {
 		vars := g.metrics.vars()
-		vars.Set("retry_limits", expvar.Func(g.retryUsage))
+		vars.Set("retry_limits", expvar.Func(g.retries.usage))
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		// A failed write means that the client disconnected.
 		_, _ = w.Write([]byte(vars.String()))
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -93,6 +93,8 @@
 	runRecovered func(task string, f func()) bool
 	// onDaemonsChanged is called with all daemons when the set of daemons changes.
 	onDaemonsChanged func(daemons []placement.Daemon)
+	// onRegistryRead is called each time after the registry of daemons was read.
+	onRegistryRead func()
 
 	// mu guards the fields below and the changing fields of each peerLink.
 	mu sync.Mutex
@@ -140,6 +142,7 @@
 		}
 		backoff.succeeded()
 		p.applyMembers(records)
+		p.onRegistryRead()
 		clock.Sleep(ctx, membershipInterval)
 	}
 }
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"testing"
+	"time"
 
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -29,8 +30,8 @@
 		}
 	}
 	g.peers.removePeer("e")
-	if g.daemonCount != 1 {
-		t.Errorf("%d daemons share the retry limit after one left, want 1", g.daemonCount)
+	if got := g.retries.share.Of(time.Now().Add(time.Minute), 1); got != 1 {
+		t.Errorf("this daemon has %.2f of the retry limit a while after the other one left, want all", got)
 	}
 }
 
--- a/internal/gateway/prefill_retry_test.go
+++ b/internal/gateway/prefill_retry_test.go
@@ -56,7 +56,7 @@
 		prefills int
 	}{
 		{"retries allowed", 100, maxPrefillAttempts},
-		{"one retry allowed", minDaemons * 2, 1},
+		{"one retry allowed", 2, 1},
 		{"retry limit reached", 0, 1},
 	}
 	for _, c := range cases {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,6 +20,8 @@
 	// OrderLease is the shortest time between orders of two daemons to one engine.
 	OrderLease time.Duration
 	Retries    RetryLimits
+	// FirstStart is set if no daemon of the system has run before.
+	FirstStart bool
 }
 
 // Listen holds the addresses on which a daemon listens, as host:port.
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -18,7 +18,10 @@
 
 // newGatewayWith returns a gateway without listeners that sends requests through runners.
 func newGatewayWith(runners port.Runners, retries RetryLimits) *Gateway {
-	return New(Settings{Name: "d", DataCentre: "north", DrainNotice: 2 * time.Second, Retries: retries}, Dependencies{Logger: zap.NewNop(), Registry: jsonRegistry{}, Runners: runners})
+	settings := Settings{Name: "d", DataCentre: "north", DrainNotice: 2 * time.Second, Retries: retries, FirstStart: true}
+	g := New(settings, Dependencies{Logger: zap.NewNop(), Registry: jsonRegistry{}, Runners: runners})
+	g.retries.share.RegistryRead()
+	return g
 }
 
 // newTestGateway returns a gateway without listeners and with two runners.
@@ -79,7 +82,7 @@
 
 // Guards against runners that accept no connection and thereby use up the retry limit.
 func TestFailedConnectionsDoNotUseRetries(t *testing.T) {
-	g := newTestGateway(RetryLimits{Window: 10 * time.Second, Slack: minDaemons * 2})
+	g := newTestGateway(RetryLimits{Window: 10 * time.Second, Slack: 2})
 	c := newTestCall(g)
 	if !c.beginSend() {
 		t.Fatal("the first attempt is not allowed")
