Log which requests a runner held when it terminated

The line names the parts of the prompt and whether the attempt had received an event, so that a part that crashes engines shows: it is in a request without an event at each of them, and in none with one. No decision changes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -86,7 +86,9 @@
 	// connection that the request resumes.
 	lastEventID string
 	eventCount  int
-	urgency     int
+	// attemptEvents is the number of times that the current attempt received events.
+	attemptEvents int
+	urgency       int
 	// predictedFirstEvent is the time to the first event that was predicted at the last
 	// placement; 0 for plain services. firstEventLatency is the measured time from the receipt
 	// of the request to the first event or, for plain services, to the whole response.
@@ -181,6 +183,7 @@
 	c.countRequest()
 	c.sends++
 	c.arrived = true
+	c.attemptEvents = 0
 	return true
 }
 
@@ -225,10 +228,25 @@
 		c.gateway.crashes.confirmRefused(r.ID, time.Now())
 	case provesNotExecuted(err) || errors.Is(err, port.ErrInvalidResponse) || errors.Is(err, errStalled) || errors.Is(err, errResponseMemory):
 	default:
-		c.gateway.crashes.recordLoss(c.digest, r, time.Now())
+		c.gateway.crashes.recordLoss(connectionLoss{
+			digest: c.digest, requestID: c.request.ID, promptParts: partIDs(c.request.Prompt), firstEvent: c.attemptEvents > 0,
+			runner: r, at: time.Now(),
+		})
 	}
 }
 
+// partIDs returns the ids of the parts of a prompt.
+func partIDs(p *port.Prompt) []string {
+	if p == nil {
+		return nil
+	}
+	ids := make([]string, 0, len(p.Parts))
+	for _, part := range p.Parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // fail ends the call without a response of a runner. It sends 503 only if the request was not
 // executed and will not be.
 func (c *call) fail(ctx context.Context, err error) {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -6,6 +6,9 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/quarantine"
 )
@@ -38,6 +41,8 @@
 // can be refused. Clients retry a request that crashes its runner; it would crash one runner after
 // another. A crashGuard is safe for concurrent use.
 type crashGuard struct {
+	log *zap.Logger
+
 	mu      sync.Mutex
 	entries map[quarantine.Digest]*crashEntry
 	// unsentReports holds the reports that were not sent to peers yet.
@@ -50,8 +55,13 @@
 
 type connectionLoss struct {
 	digest quarantine.Digest
-	runner port.Runner
-	at     time.Time
+	// requestID, promptParts and firstEvent describe the request for the log: firstEvent is set if
+	// the attempt had received an event.
+	requestID   string
+	promptParts []string
+	firstEvent  bool
+	runner      port.Runner
+	at          time.Time
 }
 
 type crashEntry struct {
@@ -65,8 +75,8 @@
 // with it.
 const maxCrashes = 2
 
-func newCrashGuard() *crashGuard {
-	return &crashGuard{entries: map[quarantine.Digest]*crashEntry{}}
+func newCrashGuard(log *zap.Logger) *crashGuard {
+	return &crashGuard{log: log, entries: map[quarantine.Digest]*crashEntry{}}
 }
 
 // digestOf identifies a request by its content, not by its id, which changes with each attempt
@@ -88,8 +98,8 @@
 }
 
 // recordLoss records that a connection was lost while a runner executed a request.
-func (g *crashGuard) recordLoss(d quarantine.Digest, r port.Runner, now time.Time) {
-	if d == "" {
+func (g *crashGuard) recordLoss(l connectionLoss) {
+	if l.digest == "" {
 		return
 	}
 	g.mu.Lock()
@@ -97,7 +107,7 @@
 	if len(g.pendingLosses) >= maxPendingLosses {
 		g.pendingLosses = g.pendingLosses[1:]
 	}
-	g.pendingLosses = append(g.pendingLosses, connectionLoss{digest: d, runner: r, at: now})
+	g.pendingLosses = append(g.pendingLosses, l)
 }
 
 // confirmFromRunners confirms losses at runners that have disappeared or restarted since. The
@@ -130,6 +140,9 @@
 		if !confirmed(l) {
 			return false
 		}
+		g.log.Warn("runner terminated during a request", zap.String("runner", l.runner.ID), zap.Int64("started-ms", l.runner.StartedMS),
+			zap.String(jsonlog.FieldRequestID, l.requestID), zap.Bool("first-event-received", l.firstEvent),
+			zap.Strings("prompt-parts", l.promptParts), zap.Duration("lost-before", now.Sub(l.at)))
 		m := crashReport{Digest: l.digest, Runner: l.runner.ID, Start: l.runner.StartedMS}
 		g.addCrash(m, now)
 		g.unsentReports = append(g.unsentReports, m)
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/quarantine"
 )
@@ -32,13 +34,13 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			g := newCrashGuard()
+			g := newCrashGuard(zap.NewNop())
 			now := epoch
 			for i := range maxCrashes {
 				if g.blocked(testDigest, now) {
 					t.Fatalf("blocked after %d runners", i)
 				}
-				g.recordLoss(testDigest, runnerAt(i, 1), now)
+				g.recordLoss(connectionLoss{digest: testDigest, runner: runnerAt(i, 1), at: now})
 				c.observe(g, i, now.Add(time.Second))
 				now = now.Add(2 * time.Second)
 			}
@@ -52,9 +54,9 @@
 // Guards against a request that crashes further runners through each other daemon, and against
 // one that stays blocked although a runner has completed it.
 func TestCrashesAreSharedAndCleared(t *testing.T) {
-	a, b := newCrashGuard(), newCrashGuard()
+	a, b := newCrashGuard(zap.NewNop()), newCrashGuard(zap.NewNop())
 	for i := range maxCrashes {
-		a.recordLoss(testDigest, runnerAt(i, 1), epoch)
+		a.recordLoss(connectionLoss{digest: testDigest, runner: runnerAt(i, 1), at: epoch})
 	}
 	a.confirmFromRunners(nil, epoch)
 	b.applyReports(epoch, a.takeReports())
@@ -71,10 +73,10 @@
 // Guards against identical requests of many clients that are all refused because two of them
 // were in flight at runners that terminated.
 func TestRequestsWithoutABodyAreNotBlocked(t *testing.T) {
-	g := newCrashGuard()
+	g := newCrashGuard(zap.NewNop())
 	d := digestOf(&port.ForwardRequest{Method: "GET", Host: "h", Target: "/slots/7"})
 	for i := range maxCrashes {
-		g.recordLoss(d, runnerAt(i, 1), epoch)
+		g.recordLoss(connectionLoss{digest: d, runner: runnerAt(i, 1), at: epoch})
 	}
 	g.confirmFromRunners(nil, epoch)
 	if g.blocked(d, epoch) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,11 +90,12 @@
 func New(s Settings, deps Dependencies) *Gateway {
 	g := &Gateway{
 		deps: deps, metrics: newMetrics(), runners: deps.Runners,
-		fleet: placement.NewFleet(s.DataCentre, s.Name), crashes: newCrashGuard(),
+		fleet:   placement.NewFleet(s.DataCentre, s.Name),
 		retries: newRetryLimits(s.Retries, time.Now(), s.FirstStart),
 	}
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
+	g.crashes = newCrashGuard(g.log)
 	g.config = &configFollower{log: g.log, store: deps.Store, codec: deps.Registry, apply: func(c *port.RouteConfig) {
 		g.fleet.SetServices(c.Services)
 	}}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -93,6 +93,7 @@
 		c.longestGap = max(c.longestGap, now.Sub(c.lastEventAt))
 	}
 	c.lastEventAt = now
+	c.attemptEvents++
 	inFlight.RecordEvent(now)
 }
 
