Block prompt parts that crash engines, not only whole requests

Cause: the crash guard identified a request by its whole content. Requests that share only a part are each new to it. Class of fault: learning by the single request what its members have in common. A daemon also forgot all of it at a restart. Change: the guard counts by traits, the content of a request and each shared part of its prompt. Requests are checked again before each send. Daemons send recorded crashes to a peer that has just started.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,7 +15,6 @@
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
-	"bergamotsill.example/bergamotsill/internal/quarantine"
 	"bergamotsill.example/bergamotsill/internal/retry"
 )
 
@@ -56,7 +55,7 @@
 	route         *port.ForwardRoute
 	service       string
 	configVersion int64
-	digest        quarantine.Digest
+	traits        crashTraits
 	// deadline is the end of the client's or of the route's time limit, whichever is earlier.
 	deadline time.Time
 	// excluded holds the ids of the runners that already failed the request.
@@ -229,7 +228,7 @@
 	case provesNotExecuted(err) || errors.Is(err, port.ErrInvalidResponse) || errors.Is(err, errStalled) || errors.Is(err, errResponseMemory):
 	default:
 		c.gateway.crashes.recordLoss(connectionLoss{
-			digest: c.digest, requestID: c.request.ID, promptParts: partIDs(c.request.Prompt), firstEvent: c.attemptEvents > 0,
+			traits: c.traits, requestID: c.request.ID, promptParts: partIDs(c.request.Prompt), firstEvent: c.attemptEvents > 0,
 			runner: r, at: time.Now(),
 		})
 	}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -8,10 +8,9 @@
 	"go.uber.org/zap"
 
 	"bergamotsill.example/bergamotsill/internal/port"
-	"bergamotsill.example/bergamotsill/internal/quarantine"
 )
 
-const testDigest = quarantine.Digest("d")
+var testTraits = crashTraits{content: "d"}
 
 func runnerAt(i int, started int64) port.Runner {
 	return port.Runner{ID: fmt.Sprintf("r%d", i), StartedMS: started}
@@ -37,14 +36,14 @@
 			g := newCrashGuard(zap.NewNop())
 			now := epoch
 			for i := range maxCrashes {
-				if g.blocked(testDigest, now) {
+				if g.blocked(testTraits, now) {
 					t.Fatalf("blocked after %d runners", i)
 				}
-				g.recordLoss(connectionLoss{digest: testDigest, runner: runnerAt(i, 1), at: now})
+				g.recordLoss(connectionLoss{traits: testTraits, runner: runnerAt(i, 1), at: now})
 				c.observe(g, i, now.Add(time.Second))
 				now = now.Add(2 * time.Second)
 			}
-			if got := g.blocked(testDigest, now); got != c.blocked {
+			if got := g.blocked(testTraits, now); got != c.blocked {
 				t.Errorf("blocked is %t, want %t", got, c.blocked)
 			}
 		})
@@ -56,16 +55,16 @@
 func TestCrashesAreSharedAndCleared(t *testing.T) {
 	a, b := newCrashGuard(zap.NewNop()), newCrashGuard(zap.NewNop())
 	for i := range maxCrashes {
-		a.recordLoss(connectionLoss{digest: testDigest, runner: runnerAt(i, 1), at: epoch})
+		a.recordLoss(connectionLoss{traits: testTraits, runner: runnerAt(i, 1), at: epoch})
 	}
 	a.confirmFromRunners(nil, epoch)
 	b.applyReports(epoch, a.takeReports())
-	if !b.blocked(testDigest, epoch) {
+	if !b.blocked(testTraits, epoch) {
 		t.Error("a daemon that received the crash reports does not block the request")
 	}
-	b.clearRequest(testDigest)
+	b.recordCompletion(testTraits, epoch)
 	a.applyReports(epoch, b.takeReports())
-	if a.blocked(testDigest, epoch) || b.blocked(testDigest, epoch) {
+	if a.blocked(testTraits, epoch) || b.blocked(testTraits, epoch) {
 		t.Error("the request is blocked after a runner completed it")
 	}
 }
@@ -74,9 +73,9 @@
 // were in flight at runners that terminated.
 func TestRequestsWithoutABodyAreNotBlocked(t *testing.T) {
 	g := newCrashGuard(zap.NewNop())
-	d := digestOf(&port.ForwardRequest{Method: "GET", Host: "h", Target: "/slots/7"})
+	d := traitsOf(&port.ForwardRequest{Method: "GET", Host: "h", Target: "/slots/7"})
 	for i := range maxCrashes {
-		g.recordLoss(connectionLoss{digest: d, runner: runnerAt(i, 1), at: epoch})
+		g.recordLoss(connectionLoss{traits: d, runner: runnerAt(i, 1), at: epoch})
 	}
 	g.confirmFromRunners(nil, epoch)
 	if g.blocked(d, epoch) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,7 @@
 	}}
 	g.discovery = newDiscovery(g.log, deps.Store, deps.Registry, s.DrainNotice/discoveryDivisor, g.setRunners)
 	g.peers = &peers{
-		log: g.log, name: s.Name, address: s.Listen.Peers, dataCentre: s.DataCentre, store: deps.Store, dial: deps.Peers,
+		log: g.log, started: time.Now().UnixMilli(), name: s.Name, address: s.Listen.Peers, dataCentre: s.DataCentre, store: deps.Store, dial: deps.Peers,
 		fleet: g.fleet, config: g.config, crashes: g.crashes, onDaemonsChanged: g.setDaemons, onRegistryRead: g.retries.share.RegistryRead,
 		links:        map[string]*peerLink{},
 		runRecovered: g.runRecovered,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -57,6 +57,8 @@
 	// peer was added.
 	dataCentre string
 	client     port.Peer
+	// started is when the peer's process started, as it reported; 0 if it is unknown.
+	started int64
 	// pendingLoads holds the newest load of each runner that was not sent to the peer yet.
 	pendingLoads   map[string]runnerLoad
 	pendingCrashes []crashReport
@@ -79,7 +81,9 @@
 
 // peers exchanges load reports with the other daemons.
 type peers struct {
-	log        *zap.Logger
+	log *zap.Logger
+	// started is when this process started, in Unix milliseconds.
+	started    int64
 	name       string
 	address    string
 	dataCentre string
@@ -289,7 +293,7 @@
 
 // send sends the pending loads and crash reports to a peer. p.mu must be held.
 func (p *peers) send(ctx context.Context, l *peerLink) {
-	m := loadMessage{From: p.name, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Crashes: l.pendingCrashes}
+	m := loadMessage{From: p.name, Started: p.started, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Crashes: l.pendingCrashes}
 	for _, load := range l.pendingLoads {
 		m.Runners = append(m.Runners, load)
 	}
@@ -353,6 +357,11 @@
 		return nil, nil
 	}
 	p.addPeers(map[string]daemonEntry{m.From: {Address: m.Address, DataCentre: m.DataCentre}}, true)
+	p.mu.Lock()
+	if l, ok := p.links[m.From]; ok {
+		p.noteStart(l, m.Started)
+	}
+	p.mu.Unlock()
 	newParts := p.fleet.ApplyPeerLoads(time.Now(), m.From, decodeLoads(m.Runners))
 	if m.DataCentre != p.dataCentre {
 		p.forwardParts(newParts)
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -9,9 +9,11 @@
 
 // loadMessage reports the in-flight load of a daemon to its peers. From, DataCentre and Address
 // are those of the sender, and Config is the version of its configuration. Leaving is set in the
-// last message of a daemon that stops.
+// last message of a daemon that stops. Started is when the sender's process started, in Unix
+// milliseconds; 0 from daemons of earlier versions.
 type loadMessage struct {
 	From       string        `json:"from"`
+	Started    int64         `json:"started,omitempty"`
 	DataCentre string        `json:"data_centre"`
 	Address    string        `json:"address"`
 	Config     int64         `json:"config"`
@@ -100,6 +102,16 @@
 	}
 }
 
+// noteStart queues reports of all recorded crashes for a peer that has just started, because it has
+// forgotten them. peers.mu must be held.
+func (p *peers) noteStart(l *peerLink, started int64) {
+	if l.started == started {
+		return
+	}
+	l.started = started
+	l.queueCrashReports(p.crashes.allReports(time.Now()))
+}
+
 // queueCrashReports queues crash reports and drops the oldest ones beyond maxPendingCrashReports.
 // peers.mu must be held.
 func (l *peerLink) queueCrashReports(crashes []crashReport) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -27,6 +27,10 @@
 // forwards it, so that an incomplete response never looks complete.
 func (c *call) servePlain(ctx context.Context) {
 	for {
+		if c.crashSuspect() {
+			c.fail(ctx, errCrashSuspect)
+			return
+		}
 		plan, ok := c.gateway.fleet.Place(time.Now(), c.placementQuery())
 		if !ok {
 			c.fail(ctx, errNoRunner)
@@ -39,7 +43,7 @@
 		}
 		response, body, err := c.attemptPlain(ctx, plan.Run)
 		if err == nil {
-			c.gateway.crashes.clearRequest(c.digest)
+			c.gateway.crashes.recordCompletion(c.traits, time.Now())
 			c.deliverPlain(response, body)
 			return
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -79,7 +79,7 @@
 	}
 	c := &call{
 		gateway: g, writer: w, request: r, route: route, configVersion: t.config.Version,
-		service: destination(route), digest: digestOf(r), deadline: r.Received.Add(limit),
+		service: destination(route), traits: traitsOf(r), deadline: r.Received.Add(limit),
 		excluded: map[string]bool{}, lastEventID: r.ResumeAfter,
 	}
 	// Only the writers of tests do not support deadlines.
@@ -87,13 +87,8 @@
 	return c
 }
 
-// serve forwards the request and finishes the call. It refuses requests that the crash guard
-// blocks.
+// serve forwards the request and finishes the call.
 func (c *call) serve(ctx context.Context) {
-	if c.gateway.crashes.blocked(c.digest, time.Now()) {
-		c.fail(ctx, errCrashSuspect)
-		return
-	}
 	if c.route.Repeat == port.RepeatStream {
 		c.serveStream(ctx)
 		return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,19 +41,28 @@
 		return
 	}
 	for {
+		if c.crashSuspect() {
+			c.fail(ctx, errCrashSuspect)
+			return
+		}
 		inFlight, cache, err := c.placeStream(ctx)
 		if err != nil {
 			c.fail(ctx, err)
 			return
 		}
-		if !c.beginSend() {
+		// A prefill takes time in which other requests may have crashed further engines.
+		suspect := c.crashSuspect()
+		if suspect || !c.beginSend() {
 			inFlight.End(time.Now(), placement.Abandoned)
 			c.freeCache(cache)
-			c.fail(ctx, errRetryLimit)
+			if err = errRetryLimit; suspect {
+				err = errCrashSuspect
+			}
+			c.fail(ctx, err)
 			return
 		}
 		if err = c.runStream(ctx, inFlight, cache); err == nil {
-			c.gateway.crashes.clearRequest(c.digest)
+			c.gateway.crashes.recordCompletion(c.traits, time.Now())
 			c.finish("answered", c.status, nil)
 			return
 		}
@@ -67,6 +76,9 @@
 	}
 }
 
+// crashSuspect reports whether the crash guard blocks the request.
+func (c *call) crashSuspect() bool { return c.gateway.crashes.blocked(c.traits, time.Now()) }
+
 // classify predicts the first event and sets the urgency. It returns false if the first event
 // is predicted after the client disconnects.
 func (c *call) classify() bool {
