Prefill a prompt again only if that can help

Cause: after a prefill, no decode engine may be usable, or the chosen one may refuse the connection. The prompt was then prefilled again at another engine, which changes nothing and costs an arrival. A prefill that succeeded was also not noted as sent, so that the next one passed without a place of the limit. Change: without a usable decode engine no other prefill engine is tried. A KV cache that a decode engine has not taken, because it refused the connection, is offered to the next decode engine.

Evidence: TestPromptIsNotPrefilledAgainWithoutNeed failed before: 'the prompt was prefilled 2 times although no decode engine is usable, want once', '1 retries are counted, want 0'.

--- a/internal/gateway/prefill_retry_test.go
+++ b/internal/gateway/prefill_retry_test.go
@@ -64,7 +64,7 @@
 			runners := &brokenPrefill{}
 			g := newEngineGateway(runners, RetryLimits{Window: 10 * time.Second, Slack: c.retries}, 3)
 			call := newLongPromptCall(g)
-			inFlight, _, err := call.placeStream(context.Background())
+			inFlight, _, err := call.placeStream(context.Background(), port.KVCacheHandle{})
 			if err != nil || inFlight.Runner().ID != "decode" {
 				t.Fatalf("the request was not placed at the decode engine: %v", err)
 			}
@@ -173,7 +173,7 @@
 		g := newEngineGateway(runners, limits, 30)
 		for range requests {
 			call := newLongPromptCall(g)
-			inFlight, _, err := call.placeStream(context.Background())
+			inFlight, _, err := call.placeStream(context.Background(), port.KVCacheHandle{})
 			if err != nil || !call.beginSend() {
 				t.Fatalf("the first run of a request is refused: %v", err)
 			}
@@ -189,3 +189,27 @@
 		}
 	})
 }
+
+// Guards against prefills that are repeated, beyond the retry limit, because no decode engine is
+// usable or because the decode engine refused the connection.
+func TestPromptIsNotPrefilledAgainWithoutNeed(t *testing.T) {
+	results := &prefillResults{results: []error{nil, nil, nil, nil}}
+	g := newEngineGateway(results, RetryLimits{Window: 10 * time.Second}, 3)
+	call := newLongPromptCall(g)
+	call.excluded["decode"] = true
+	if _, _, err := call.placeStream(context.Background(), port.KVCacheHandle{}); !errors.Is(err, errNoRunner) {
+		t.Errorf("%v, want %v", err, errNoRunner)
+	}
+	if got := 4 - len(results.results); got != 1 {
+		t.Errorf("the prompt was prefilled %d times although no decode engine is usable, want once", got)
+	}
+	if got := g.retryWindow("s").Usage(time.Now()).Retries; got != 0 {
+		t.Errorf("%d retries are counted, want 0", got)
+	}
+	delete(call.excluded, "decode")
+	unused := port.KVCacheHandle{Runner: port.Runner{ID: "prefill-1", DataCentre: "north"}, ID: "h"}
+	_, cache, err := call.placeStream(context.Background(), unused)
+	if err != nil || cache != unused {
+		t.Errorf("continues from %+v, %v, want the KV cache that was not used", cache, err)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -40,12 +40,15 @@
 		c.fail(ctx, errPredictedLate)
 		return
 	}
+	// unused is a KV cache that no decode engine has taken yet.
+	var unused port.KVCacheHandle
 	for {
 		if c.crashSuspect() {
+			c.freeCache(unused)
 			c.fail(ctx, errCrashSuspect)
 			return
 		}
-		inFlight, cache, err := c.placeStream(ctx)
+		inFlight, cache, err := c.placeStream(ctx, unused)
 		if err != nil {
 			c.fail(ctx, err)
 			return
@@ -69,7 +72,11 @@
 		c.logStep("%v", err)
 		c.recordConnectionLoss(err, inFlight.Runner())
 		c.exclude(inFlight.Runner())
+		if unused = cache; !errors.Is(err, port.ErrNotSent) {
+			unused = port.KVCacheHandle{}
+		}
 		if !c.mayRetry(ctx, err) {
+			c.freeCache(unused)
 			c.fail(ctx, err)
 			return
 		}
@@ -94,9 +101,16 @@
 
 // placeStream selects the engine that executes the request. If that is predicted to be faster, it
 // first has the prompt prefilled at another engine and returns a handle of the KV cache there;
-// otherwise the handle is empty.
-func (c *call) placeStream(ctx context.Context) (*placement.InFlightRequest, port.KVCacheHandle, error) {
+// otherwise the handle is empty. If a decode engine can continue from the KV cache of unused, the
+// prompt is not prefilled again.
+func (c *call) placeStream(ctx context.Context, unused port.KVCacheHandle) (*placement.InFlightRequest, port.KVCacheHandle, error) {
 	q := c.placementQuery()
+	if !unused.Empty() {
+		if inFlight, ok := c.gateway.fleet.PlaceDecode(time.Now(), q, unused.Runner); ok {
+			return inFlight, unused, nil
+		}
+		c.freeCache(unused)
+	}
 	// A resumed stream has few events left, and its prompt is in no known cache.
 	q.NoPrefill = c.headerWritten
 	for failed := 0; ; {
@@ -122,6 +136,11 @@
 		if ctx.Err() != nil {
 			return nil, port.KVCacheHandle{}, err
 		}
+		if errors.Is(err, errNoRunner) {
+			// No decode engine is usable, which a prefill at another engine does not change.
+			q.NoPrefill = true
+			continue
+		}
 		c.exclude(plan.Prefill.Runner())
 		failed++
 		q.NoPrefill = failed >= maxPrefillAttempts
@@ -166,7 +185,7 @@
 	}
 	// Only the first prefill that an engine accepts is no arrival of its own.
 	place.settle(c.prefilled)
-	c.prefilled = true
+	c.prefilled, c.arrived = true, true
 	plan.Prefill.MarkPrefilled(now)
 	plan.Prefill.End(now, placement.Completed)
 	inFlight, ok := c.gateway.fleet.PlaceDecode(now, c.placementQuery(), source)
@@ -196,7 +215,8 @@
 }
 
 // runStream executes the request at one engine, forwards its events and ends inFlight. It returns
-// nil once the whole response was written to the client.
+// nil once the whole response was written to the client. After port.ErrNotSent the KV cache can still
+// be used.
 func (c *call) runStream(ctx context.Context, inFlight *placement.InFlightRequest, cache port.KVCacheHandle) error {
 	runner := inFlight.Runner()
 	c.logStep("run at %s, %d tokens to prefill, parts from %q", runner.ID, inFlight.UncachedTokens(), inFlight.FetchFrom())
@@ -227,7 +247,7 @@
 		outcome = placement.Erred
 	}
 	inFlight.End(time.Now(), outcome)
-	if err != nil && provesNotExecuted(err) {
+	if err != nil && provesNotExecuted(err) && !errors.Is(err, port.ErrNotSent) {
 		c.freeCache(cache)
 	}
 	return err
