Continue a begun stream only with an event stream

Cause: the resumed answer was taken for a stream by its status alone. Change: it must be an event stream, or have the content type of the answer that began the stream.

TestBegunStreamShowsNoErrorOfTheNextRunner failed before in one of eight cases, 'success, no event': the client received 'error text of the runner' and a complete stream. Errors with another status, refusals and unsigned answers were kept out before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -81,6 +81,8 @@
 	// status code.
 	headerWritten bool
 	status        int
+	// contentType is the content type of that response.
+	contentType string
 	// lastEventID is the id of the last event that the client received, also on an earlier
 	// connection that the request resumes.
 	lastEventID string
@@ -387,6 +389,6 @@
 	}
 	c.gateway.markClosing(h)
 	c.headerWritten = true
-	c.status = response.Status
+	c.status, c.contentType = response.Status, response.Header.Get("Content-Type")
 	c.writer.WriteHeader(response.Status)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -253,11 +254,11 @@
 	return err
 }
 
-// deliverResponse forwards a response: the events of a stream, or the whole body if the status is
-// not 200. It returns errRunnerFailed for such a body if the client has already received events of
-// another runner, or if the status is a server error and another attempt is allowed.
+// deliverResponse forwards a response: the events of a stream, or the whole body if it is none. It
+// returns errRunnerFailed for such a body if the client has already received events of another
+// runner, or if the status is a server error and another attempt is allowed.
 func (c *call) deliverResponse(inFlight *placement.InFlightRequest, response *port.ForwardResponse, monitor *stallMonitor) error {
-	if response.Status == http.StatusOK {
+	if response.Status == http.StatusOK && c.continuesStream(response) {
 		return c.relayStream(inFlight, response, monitor)
 	}
 	body, err := c.readResponse(response)
@@ -272,6 +273,16 @@
 	return nil
 }
 
+// eventStreamType is the content type of event streams.
+const eventStreamType = "text/event-stream"
+
+// continuesStream reports whether a response may follow the events that the client has received: it
+// is an event stream, or has the same content type as the response in which they came.
+func (c *call) continuesStream(response *port.ForwardResponse) bool {
+	contentType := response.Header.Get("Content-Type")
+	return !c.headerWritten || contentType == c.contentType || strings.HasPrefix(contentType, eventStreamType)
+}
+
 // deliverNonStream forwards a runner's response that is not a stream.
 func (c *call) deliverNonStream(response *port.ForwardResponse, body []byte) {
 	c.executions++
