Take a stream that ends with its connection before its first event for broken

Callers could see: an empty but complete stream, if a runner sends the head of an answer with neither a length nor chunks and its connection ends. Cause: the end of such an answer cannot be told from a lost connection, and no event says that the stream had begun. Change: it counts as broken off before the first event, and is sent again where the route allows it. An answer that states its length may be empty, as when a client resumes after the last event.

TestAnswersThatEndWithTheirConnection failed before in one of six cases, 'stream without an event': status 200, want 502. Calls and streams that end with their connection were forwarded in full before, and those that are reset or end inside an event were not complete.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -67,6 +67,9 @@
 	// Body returns io.EOF only at the end of a complete body. Closing it early closes
 	// the connection.
 	Body io.ReadCloser
+	// Framed is set if the response has a length or is sent in chunks. Otherwise the body
+	// ends with its connection.
+	Framed bool
 }
 
 // Client sends requests and pools connections by address. It is safe for concurrent
@@ -226,7 +229,7 @@
 		return nil, err
 	}
 	b := &body{transfer: x, response: response, reusable: x.reusable(response)}
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: b}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: b, Framed: framed(response)}, nil
 }
 
 // write writes the request. A request with a long body is written in the background,
@@ -273,7 +276,7 @@
 			return response, nil
 		}
 		x.skippedStray = true
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if !framed(response) {
 			return nil, port.ErrInvalidResponse
 		}
 		x.conn.limitReads(maxStrayBytes)
@@ -301,10 +304,12 @@
 	default:
 		return false
 	}
-	framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return x.writeErr == nil && !x.skippedStray && !response.Close && framed
+	return x.writeErr == nil && !x.skippedStray && !response.Close && framed(response)
 }
 
+// framed reports whether a response states where its body ends.
+func framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+
 // abort closes the connection.
 func (x *transfer) abort() {
 	x.stopContextWatch()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -115,10 +115,10 @@
 	return http.NewResponseController(c.writer).Flush()
 }
 
-// finishStream ends a complete stream.
+// finishStream ends a complete stream. It returns errInterrupted if the response ended inside an
+// event, or with its connection before the first one.
 func (c *call) finishStream(inFlight *placement.InFlightRequest, response *port.ForwardResponse, rest []byte) error {
-	if len(rest) > 0 {
-		// The response ended inside an event.
+	if len(rest) > 0 || !response.Framed && c.attemptEvents == 0 {
 		return errInterrupted
 	}
 	if !c.headerWritten {
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -210,6 +210,9 @@
 	// Body returns io.EOF only after the whole body; any other error means that the
 	// response is incomplete. Closing it early cancels the request at the runner.
 	Body io.ReadCloser
+	// Framed is set if the response states where its body ends. Otherwise the body ends
+	// with its connection.
+	Framed bool
 }
 
 // RoleOrder asks an engine to change its role.
