--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -31,7 +31,8 @@
 	// relayCheckInterval is how often a daemon checks whether another daemon still forwards the
 	// registry.
 	relayCheckInterval = 50 * time.Millisecond
-	// maxTombstones bounds the removed runners that are kept to detect late entries.
+	// maxTombstones bounds the removed runners that are kept to detect late entries, and the
+	// unreadable entries that are kept to log each once.
 	maxTombstones = 4096
 )
 
@@ -166,6 +167,9 @@
 	runner, err := d.codec.Runner(r.Key, r.Value)
 	if err != nil {
 		if !d.unreadable[r.Key] {
+			if len(d.unreadable) >= maxTombstones {
+				clear(d.unreadable)
+			}
 			d.unreadable[r.Key] = true
 			d.log.Warn("registry entry of a runner cannot be decoded", zap.String("runner", r.Key), zap.Error(err))
 		}
