Count only lost connections as evidence of crashes

Cause: every error of an attempt that proves nothing was taken for a lost connection. Change: attempts that the client or the daemon ended, and complete answers, are no evidence.

TestOnlyLostConnectionsAreEvidenceOfCrashes failed before for 'client left', 'client left while events were written', 'deadline' and 'server error'.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -227,8 +227,7 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		c.gateway.crashes.confirmRefused(r.ID, time.Now())
-	case provesNotExecuted(err) || errors.Is(err, port.ErrInvalidResponse) || errors.Is(err, errStalled) || errors.Is(err, errResponseMemory):
-	default:
+	case mayBeConnectionLoss(err):
 		c.gateway.crashes.recordLoss(connectionLoss{
 			traits: c.traits, requestID: c.request.ID, promptParts: partIDs(c.request.Prompt), firstEvent: c.attemptEvents > 0,
 			runner: r, at: time.Now(),
@@ -236,6 +235,14 @@
 	}
 }
 
+// mayBeConnectionLoss reports whether an attempt may have ended because its runner terminated. It
+// did not if the runner responded, or if this daemon or the client ended the attempt.
+func mayBeConnectionLoss(err error) bool {
+	responded := errors.Is(err, port.ErrInvalidResponse) || errors.Is(err, errRunnerFailed) || errors.Is(err, errResponseMemory)
+	ended := errors.Is(err, errStalled) || errors.Is(err, errClientDisconnected) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+	return !provesNotExecuted(err) && !responded && !ended
+}
+
 // partIDs returns the ids of the parts of a prompt.
 func partIDs(p *port.Prompt) []string {
 	if p == nil {
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -1,7 +1,11 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"io"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,3 +86,33 @@
 		t.Error("a request without a body is blocked")
 	}
 }
+
+// Guards against requests that are blocked because their clients left, or because a runner answered
+// with an error, shortly before the runner terminated.
+func TestOnlyLostConnectionsAreEvidenceOfCrashes(t *testing.T) {
+	cases := []struct {
+		name string
+		err  error
+		loss bool
+	}{
+		{"lost before the response", io.ErrUnexpectedEOF, true},
+		{"reset before the response", syscall.ECONNRESET, true},
+		{"lost in the response", errors.Join(errInterrupted, io.ErrUnexpectedEOF), true},
+		{"client left", errors.Join(io.ErrUnexpectedEOF, context.Canceled), false},
+		{"client left while events were written", errors.Join(errClientDisconnected, syscall.EPIPE), false},
+		{"deadline", errors.Join(io.ErrUnexpectedEOF, context.DeadlineExceeded), false},
+		{"stalled", errors.Join(errStalled, io.ErrUnexpectedEOF), false},
+		{"server error", errRunnerFailed, false},
+		{"refused", port.ErrNotRun, false},
+		{"invalid response", port.ErrInvalidResponse, false},
+	}
+	for _, c := range cases {
+		g := newTestGateway(RetryLimits{})
+		call := newTestCall(g)
+		call.traits = testTraits
+		call.recordConnectionLoss(c.err, runnerAt(0, 1))
+		if got := len(g.crashes.pendingLosses) > 0; got != c.loss {
+			t.Errorf("%s: counts as a loss: %t, want %t", c.name, got, c.loss)
+		}
+	}
+}
