Obey runners that announce their leaving or ask for quiet in responses

A runner that announced its leaving gets no further request, prefill or order of this daemon, whatever the registry says, until it starts again; peers are told with the loads. If all runners of a service are quiet, requests are refused at once with the time until the first returns.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -308,6 +308,9 @@
 	_, wait, ok := c.gateway.fleet.Predict(time.Now(), c.placementQuery())
 	if !ok {
 		wait = c.route.Target
+		if quiet := c.gateway.fleet.QuietFor(time.Now(), c.service); quiet > 0 {
+			wait = quiet
+		}
 	}
 	wait = max(minRetryAfter, wait)
 	wait += time.Duration(c.gateway.random() * float64(wait) / 2)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,9 @@
 	g.peers.relay = r
 	g.discovery.relayFresh, g.discovery.forward = r.fresh, r.forward
 	g.config.relayFresh, g.config.onInstalled = r.fresh, func() { r.forward(nil) }
+	if source, ok := deps.Runners.(port.NoticeSource); ok {
+		source.Watch(g.applyNotice)
+	}
 	g.planner = &rolePlanner{
 		log: g.log, fleet: g.fleet, runners: g.runners, isPlanner: r.isFirstResponsive, demands: map[string]*poolDemand{},
 		lease: newOrderLease(deps.Store, deps.Clock, s.DataCentre, s.Name+"@"+s.Listen.Peers, s.OrderLease),
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,9 @@
 	bodyBytes *expvar.Int
 	// panics counts tasks and peer calls that panicked.
 	panics *expvar.Int
+	// leavingRunners counts runners that announced that they leave, quietNotices responses that
+	// asked for no requests.
+	leavingRunners, quietNotices *expvar.Int
 
 	mu sync.Mutex
 	// firstEventLatency and totalLatency are in milliseconds, by rank. Guarded by mu.
@@ -33,7 +36,7 @@
 
 func newMetrics() *metrics {
 	return &metrics{
-		requests: new(expvar.Map).Init(), inFlight: new(expvar.Int), bodyBytes: new(expvar.Int), panics: new(expvar.Int),
+		requests: new(expvar.Map).Init(), inFlight: new(expvar.Int), bodyBytes: new(expvar.Int), panics: new(expvar.Int), leavingRunners: new(expvar.Int), quietNotices: new(expvar.Int),
 		firstEventLatency: map[int]*hdrhistogram.Histogram{}, totalLatency: map[int]*hdrhistogram.Histogram{},
 	}
 }
@@ -83,6 +86,8 @@
 	v.Set("requests_in_flight", m.inFlight)
 	v.Set("body_bytes_in_flight", m.bodyBytes)
 	v.Set("panics", m.panics)
+	v.Set("leaving_runners", m.leavingRunners)
+	v.Set("quiet_notices", m.quietNotices)
 	v.Set("first_event_ms_by_rank", m.latencies(m.firstEventLatency))
 	v.Set("answer_ms_by_rank", m.latencies(m.totalLatency))
 	return v
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -52,6 +52,10 @@
 	// for the change.
 	PendingRole    port.Role `json:"change,omitempty"`
 	ChangeTimeLeft int64     `json:"change_left,omitempty"`
+	// Leaving is set if the runner announced that it leaves, in the start that Started names, in
+	// Unix milliseconds.
+	Leaving bool  `json:"leaving,omitempty"`
+	Started int64 `json:"started,omitempty"`
 	// PartsOnly is set if the message contains no load, because the receiver does not exchange
 	// loads with the daemon whose requests are concerned.
 	PartsOnly bool `json:"parts_only,omitempty"`
@@ -60,26 +64,30 @@
 // maxPendingCrashReports bounds the crash reports that are queued for a peer.
 const maxPendingCrashReports = 64
 
-// partsOnly reduces changes to the prompt parts that runners have prefilled and to role changes,
-// for the daemons of this data centre that do not exchange loads with this one.
+// partsOnly reduces changes to the prompt parts that runners have prefilled, role changes and leaving
+// runners, for the daemons of this data centre that do not exchange loads with this one.
 func partsOnly(changes []runnerLoad) []runnerLoad {
 	var out []runnerLoad
 	for _, c := range changes {
-		if len(c.Parts) > 0 || c.PendingRole != "" {
-			out = append(out, runnerLoad{ID: c.ID, Parts: c.Parts, PendingRole: c.PendingRole, ChangeTimeLeft: c.ChangeTimeLeft, PartsOnly: true})
+		if len(c.Parts) > 0 || c.PendingRole != "" || c.Leaving {
+			out = append(out, runnerLoad{
+				ID: c.ID, Parts: c.Parts, PendingRole: c.PendingRole, ChangeTimeLeft: c.ChangeTimeLeft, Leaving: c.Leaving, Started: c.Started,
+				PartsOnly: true,
+			})
 		}
 	}
 	return out
 }
 
-// newPartsOnly reduces loads to role changes and to the prompt parts that are new in this data
+// newPartsOnly reduces loads to role changes, leaving runners and the prompt parts that are new in this data
 // centre. Remote engines fetch such parts from here instead of prefilling them again.
 func newPartsOnly(loads []placement.RunnerLoad) []placement.RunnerLoad {
 	var out []placement.RunnerLoad
 	for _, l := range loads {
-		if len(l.PartsNewInDataCentre) > 0 || l.PendingRole != "" {
+		if len(l.PartsNewInDataCentre) > 0 || l.PendingRole != "" || l.Leaving {
 			out = append(out, placement.RunnerLoad{
 				ID: l.ID, Parts: l.PartsNewInDataCentre, PartsOnly: true, PendingRole: l.PendingRole, ChangeTimeLeft: l.ChangeTimeLeft,
+				Leaving: l.Leaving, StartedMS: l.StartedMS,
 			})
 		}
 	}
@@ -92,7 +100,11 @@
 	for _, c := range changes {
 		if old, ok := l.pendingLoads[c.ID]; ok {
 			parts := mergeParts(old.Parts, c.Parts)
+			if old.Leaving && !c.Leaving {
+				c.Leaving, c.Started = true, old.Started
+			}
 			if c.PartsOnly {
+				old.Leaving, old.Started = c.Leaving, c.Started
 				old.PendingRole, old.ChangeTimeLeft = c.PendingRole, c.ChangeTimeLeft
 				c = old
 			}
@@ -170,7 +182,7 @@
 	out := make([]runnerLoad, 0, len(loads))
 	for _, l := range loads {
 		s := runnerLoad{ID: l.ID, PartsOnly: l.PartsOnly, Running: l.Load.Running, KVTokens: l.Load.KVTokens, CurrentPrefill: l.Load.CurrentPrefill.Microseconds(), CurrentUrgency: l.Load.CurrentUrgency, TotalPrefill: l.Load.TotalPrefill.Microseconds(), TotalKVStored: l.Load.TotalKVStored,
-			PendingRole: l.PendingRole, ChangeTimeLeft: l.ChangeTimeLeft.Microseconds()}
+			PendingRole: l.PendingRole, ChangeTimeLeft: l.ChangeTimeLeft.Microseconds(), Leaving: l.Leaving, Started: l.StartedMS}
 		if l.Load.CurrentPrefill > 0 {
 			s.CurrentElapsed = time.Since(l.Load.CurrentSince).Microseconds()
 		}
@@ -193,7 +205,7 @@
 func decodeLoads(messages []runnerLoad) []placement.RunnerLoad {
 	out := make([]placement.RunnerLoad, 0, len(messages))
 	for _, s := range messages {
-		l := placement.RunnerLoad{ID: s.ID, PartsOnly: s.PartsOnly}
+		l := placement.RunnerLoad{ID: s.ID, PartsOnly: s.PartsOnly, Leaving: s.Leaving, StartedMS: s.Started}
 		l.Load.Running, l.Load.KVTokens = s.Running, s.KVTokens
 		l.Load.CurrentPrefill = time.Duration(s.CurrentPrefill) * time.Microsecond
 		l.Load.CurrentUrgency = min(max(0, s.CurrentUrgency), placement.UrgencyCount-1)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -108,7 +108,7 @@
 			continue
 		}
 		if !m.usable(now) || f.unreachable(m.runner.DataCentre, now) {
-			if !m.runner.Draining && !m.leaving && !m.changingRole(now) && (fallback == nil || m.suspectUntil.Before(fallback.suspectUntil)) {
+			if m.acceptsRequests(now) && (fallback == nil || m.suspectUntil.Before(fallback.suspectUntil)) {
 				fallback = m
 			}
 			continue
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -144,8 +144,12 @@
 	failures     int
 	successes    int
 	suspectUntil time.Time
-	// leaving is set if the runner refused a request because it is a different instance.
-	leaving bool
+	// leaving is set if the runner announced that it leaves, or refused a request because it is a
+	// different instance. leavingUnreported is set until the announcement is reported to peers.
+	leaving           bool
+	leavingUnreported bool
+	// quietUntil is the time until which the runner asked for no requests of this daemon.
+	quietUntil time.Time
 	// pendingRole is the role that the runner was ordered to take, or empty. The runner
 	// receives no requests until it reports the role or changeDeadline has passed.
 	pendingRole    port.Role
@@ -218,7 +222,8 @@
 		m.failures, m.successes = 0, 0
 		m.failureRate = failureRate{}
 		m.suspectUntil = time.Time{}
-		m.leaving = false
+		m.leaving, m.leavingUnreported = false, false
+		m.quietUntil = time.Time{}
 	}
 	if roleChanged || restarted {
 		m.speed = 1
@@ -347,9 +352,14 @@
 	return m.limits != nil && float64(l.KVTokens+tokens) > kvCacheLimit*float64(m.limits.KVTokens)
 }
 
+// acceptsRequests reports whether the runner may receive requests at all, also if it is suspect.
+func (m *member) acceptsRequests(now time.Time) bool {
+	return !m.runner.Draining && !m.leaving && !now.Before(m.quietUntil) && !m.changingRole(now)
+}
+
 // usable reports whether the runner may receive new requests.
 func (m *member) usable(now time.Time) bool {
-	return !m.runner.Draining && !m.leaving && !now.Before(m.suspectUntil) && !m.changingRole(now)
+	return m.acceptsRequests(now) && !now.Before(m.suspectUntil)
 }
 
 // changingRole reports whether the runner is changing its role.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -25,13 +25,15 @@
 	// meanLoad is the mean load of the engines of the local cell, by service and role.
 	meanLoad     map[poolKey]Load
 	lastSequence int64
+	// leaving holds the start times of the runners that announced that they leave, by id.
+	leaving map[string]int64
 	// paths holds the reachability of data centres by name.
 	paths map[string]*pathState
 }
 
 // NewFleet returns an empty fleet for the given daemon and its data centre.
 func NewFleet(dataCentre, daemon string) *Fleet {
-	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, models: map[string]models{}, paths: map[string]*pathState{}}
+	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, models: map[string]models{}, leaving: map[string]int64{}, paths: map[string]*pathState{}}
 }
 
 // SetServices replaces the engine limits of all services.
@@ -64,6 +66,7 @@
 		} else {
 			m = newMember(f.daemon, r, f.limits[r.Service], f.modelsOf(r.Service))
 		}
+		m.leaving = m.leaving || f.announcedLeaving(r.ID, r.StartedMS)
 		members[r.ID] = m
 		services[r.Service] = append(services[r.Service], m)
 	}
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -22,6 +22,9 @@
 	// the role after ChangeTimeLeft at the latest.
 	PendingRole    port.Role
 	ChangeTimeLeft time.Duration
+	// Leaving is set if the runner announced that it leaves, in the start that StartedMS names.
+	Leaving   bool
+	StartedMS int64
 }
 
 // LoadUpdates returns the loads that changed since they were last reported, and marks them as
@@ -43,8 +46,11 @@
 		if m.changingRole(now) && m.orderedLocally {
 			l.PendingRole, l.ChangeTimeLeft = m.pendingRole, m.changeDeadline.Sub(now)
 		}
+		if m.leavingUnreported {
+			l.Leaving, l.StartedMS = true, m.runner.StartedMS
+		}
 		out = append(out, l)
-		m.dirty = false
+		m.dirty, m.leavingUnreported = false, false
 		m.newParts, m.partsNewInDataCentre = nil, nil
 	}
 	return out
@@ -90,11 +96,16 @@
 		if l.PendingRole != "" && l.PendingRole != m.runner.Role {
 			m.pendingRole, m.changeDeadline = l.PendingRole, now.Add(l.ChangeTimeLeft)
 		}
+		// The announcement reaches the daemons that do not exchange loads with the sender.
+		learnt := l.Leaving && f.markLeaving(l.ID, l.StartedMS)
 		if !l.PartsOnly {
 			m.applyPeerLoad(peer, l.Load, now)
 		}
-		if missing := m.cache.missing(l.Parts); len(missing) > 0 || l.PendingRole != "" {
-			toForward = append(toForward, RunnerLoad{ID: l.ID, Parts: missing, PartsOnly: true, PendingRole: l.PendingRole, ChangeTimeLeft: l.ChangeTimeLeft})
+		if missing := m.cache.missing(l.Parts); len(missing) > 0 || l.PendingRole != "" || learnt {
+			toForward = append(toForward, RunnerLoad{
+				ID: l.ID, Parts: missing, PartsOnly: true, PendingRole: l.PendingRole, ChangeTimeLeft: l.ChangeTimeLeft,
+				Leaving: learnt, StartedMS: l.StartedMS,
+			})
 		}
 		m.cache.touch(l.Parts)
 	}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -241,6 +241,24 @@
 	Retain(keep func(address string) bool)
 }
 
+// RunnerNotice is what a runner says of itself in a response.
+type RunnerNotice struct {
+	// RequestID and Status identify the response.
+	RequestID string
+	Status    int
+	// Leaving is set if the runner announces that it leaves.
+	Leaving bool
+	// Quiet is for how long the runner wants no requests of this daemon; 0 if it does not say.
+	Quiet time.Duration
+}
+
+// NoticeSource is a Runners that reads notices.
+type NoticeSource interface {
+	// Watch sets the function that is called with each notice, before the response in which it
+	// stands is returned. It must be called before the first request.
+	Watch(func(Runner, RunnerNotice))
+}
+
 // KeyedRecord is the newest record of a key.
 type KeyedRecord struct {
 	Key string
