Weigh failures by what they cost, and less at plain services

Cause: one penalty for all failures. At a plain service with three instances it outweighs any queue, so that all daemons moved their calls to the instance that had failed least and overloaded it. At prefill engines it moved prompts to decode engines, although a failed prefill can be repeated. With three assumed successes, single failures weighed as much as series. Change: penalties for a run, a prefill and a call of their own, and eight assumed successes.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -63,9 +63,13 @@
 	// first event.
 	latePenalty      = 500 * time.Millisecond
 	abandonedPenalty = 5 * time.Second
-	// failurePenalty applies to a request that is certain to fail at the runner, and in proportion
-	// to one that may fail there.
-	failurePenalty = 2 * time.Second
+	// runFailurePenalty applies to a request that is certain to fail at a decode engine, and in
+	// proportion to one that may fail there. prefillFailurePenalty is the same for a prefill, which
+	// another engine can repeat, and serviceFailurePenalty for a call to a plain service, whose
+	// instances are few: a higher one would overload those that have not failed lately.
+	runFailurePenalty     = 2 * time.Second
+	prefillFailurePenalty = latePenalty
+	serviceFailurePenalty = 5 * assumedServiceTime
 	// kvCacheLimit is the share of an engine's KV cache that running requests may occupy
 	// before other engines are preferred.
 	kvCacheLimit = 0.85
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -374,9 +374,16 @@
 	m.failureRate.observe(now, failed, 1)
 }
 
-// failurePenalty is the cost of the requests that fail at the runner.
+// failurePenalty is the expected cost of a failure at the runner.
 func (m *member) failurePenalty(now time.Time) time.Duration {
-	return time.Duration(m.failureRate.probability(now) * float64(failurePenalty))
+	penalty := serviceFailurePenalty
+	switch m.runner.Role {
+	case port.RolePrefill:
+		penalty = prefillFailurePenalty
+	case port.RoleDecode:
+		penalty = runFailurePenalty
+	}
+	return time.Duration(m.failureRate.probability(now) * float64(penalty))
 }
 
 func (m *member) recordFailure(now time.Time) {
--- a/internal/placement/failures.go
+++ b/internal/placement/failures.go
@@ -10,7 +10,7 @@
 	failureHalfLife = 3 * time.Second
 	// assumedSuccesses is the number of successes that are assumed in addition to the observed
 	// outcomes, so that a single failure does not condemn a runner.
-	assumedSuccesses = 3
+	assumedSuccesses = 8
 )
 
 // failureRate estimates the probability that a request fails at a runner from the recent outcomes
