Let peers remember what the previous process of a daemon used of the retry limit

Cause: a daemon took no share of the constant for a window after any restart, although its peers could tell how much of it was used. Change: daemons report the part of the constant that they have used with their loads and when they leave. A peer that has just started learns it from the first message of each peer, and uses the rest of its share. If all daemons are killed together nobody remembers, and the share stays unused for a window.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,8 +101,9 @@
 	}}
 	g.discovery = newDiscovery(g.log, deps.Store, deps.Registry, s.DrainNotice/discoveryDivisor, g.setRunners)
 	g.peers = &peers{
-		log: g.log, started: time.Now().UnixMilli(), name: s.Name, address: s.Listen.Peers, dataCentre: s.DataCentre, store: deps.Store, dial: deps.Peers,
-		fleet: g.fleet, config: g.config, crashes: g.crashes, onDaemonsChanged: g.setDaemons, onRegistryRead: g.retries.share.RegistryRead,
+		log: g.log, started: time.Now().UnixMilli(), departed: map[string]peerProcess{}, name: s.Name, address: s.Listen.Peers, dataCentre: s.DataCentre, store: deps.Store, dial: deps.Peers,
+		fleet: g.fleet, config: g.config, crashes: g.crashes, retries: g.retries,
+		onDaemonsChanged: g.setDaemons, onRegistryRead: g.retries.share.RegistryRead,
 		links:        map[string]*peerLink{},
 		runRecovered: g.runRecovered,
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -57,8 +58,9 @@
 	// peer was added.
 	dataCentre string
 	client     port.Peer
-	// started is when the peer's process started, as it reported; 0 if it is unknown.
-	started int64
+	peerProcess
+	// previous is what the peer's previous process reported last, until it is sent to the peer.
+	previous *previousSlack
 	// pendingLoads holds the newest load of each runner that was not sent to the peer yet.
 	pendingLoads   map[string]runnerLoad
 	pendingCrashes []crashReport
@@ -79,6 +81,19 @@
 	relaysParts bool
 }
 
+// peerProcess is what a process of a peer reported of itself last.
+type peerProcess struct {
+	// started is when the process started, in Unix milliseconds; 0 if it is unknown.
+	started int64
+	// usedSlack is the part of the constant retry limit that it had used at usedSlackAt.
+	usedSlack   float64
+	usedSlackAt time.Time
+}
+
+// departedMemory is how long a peer that left is remembered, so that its next process learns what
+// it used. It is longer than any window of the retry limit.
+const departedMemory = time.Minute
+
 // peers exchanges load reports with the other daemons.
 type peers struct {
 	log *zap.Logger
@@ -92,6 +107,7 @@
 	fleet      *placement.Fleet
 	config     *configFollower
 	crashes    *crashGuard
+	retries    *retryLimits
 	relay      *registryRelay
 	// runRecovered runs a function whose panic must not end the process.
 	runRecovered func(task string, f func()) bool
@@ -104,6 +120,8 @@
 	mu sync.Mutex
 	// links holds the links to the peers by daemon name.
 	links map[string]*peerLink
+	// departed holds the last process of each peer that left within departedMemory, by name.
+	departed map[string]peerProcess
 	// lastFullReport is when all loads were last reported.
 	lastFullReport time.Time
 	// fetchingConfig is set while the configuration is fetched from a peer.
@@ -200,11 +218,17 @@
 // addPeer adds a peer or replaces the link of one whose address changed. It returns false if
 // the peer is already known at this address. p.mu must be held.
 func (p *peers) addPeer(name string, entry daemonEntry) bool {
-	if l, ok := p.links[name]; ok && l.address == entry.Address {
+	l, ok := p.links[name]
+	if ok && l.address == entry.Address {
 		return false
 	}
+	process := p.departed[name]
+	delete(p.departed, name)
+	if ok {
+		process = l.peerProcess
+	}
 	p.links[name] = &peerLink{
-		name: name, address: entry.Address, dataCentre: entry.DataCentre, client: p.dial(entry.Address),
+		peerProcess: process, name: name, address: entry.Address, dataCentre: entry.DataCentre, client: p.dial(entry.Address),
 		pendingLoads: map[string]runnerLoad{}, lastContact: time.Now(),
 	}
 	return true
@@ -268,7 +292,7 @@
 		}
 		l.queueCrashReports(crashes)
 		watched := full && (l.cellPeer || l.probe)
-		due := !now.Before(l.nextSend) && (watched || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0)
+		due := !now.Before(l.nextSend) && (watched || l.previous != nil || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0)
 		if due && !l.callInFlight {
 			p.send(ctx, l)
 		}
@@ -294,11 +318,13 @@
 // send sends the pending loads and crash reports to a peer. p.mu must be held.
 func (p *peers) send(ctx context.Context, l *peerLink) {
 	m := loadMessage{From: p.name, Started: p.started, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Crashes: l.pendingCrashes}
+	m.UsedSlack, m.Previous = p.retries.usedSlack(time.Now()), l.previous
 	for _, load := range l.pendingLoads {
 		m.Runners = append(m.Runners, load)
 	}
 	l.pendingLoads = map[string]runnerLoad{}
 	l.pendingCrashes = nil
+	l.previous = nil
 	l.callInFlight = true
 	if !l.cellPeer {
 		l.nextSend = time.Now().Add(partsInterval)
@@ -353,15 +379,18 @@
 		return nil, err
 	}
 	if m.Leaving {
-		p.removePeer(m.From)
+		p.removePeer(m.From, m.UsedSlack)
 		return nil, nil
 	}
 	p.addPeers(map[string]daemonEntry{m.From: {Address: m.Address, DataCentre: m.DataCentre}}, true)
 	p.mu.Lock()
 	if l, ok := p.links[m.From]; ok {
-		p.noteStart(l, m.Started)
+		p.noteSender(l, &m, time.Now())
 	}
 	p.mu.Unlock()
+	if m.Previous != nil {
+		p.retries.share.PreviousUsed(m.Previous.Used, time.Duration(m.Previous.AgeMS)*time.Millisecond)
+	}
 	newParts := p.fleet.ApplyPeerLoads(time.Now(), m.From, decodeLoads(m.Runners))
 	if m.DataCentre != p.dataCentre {
 		p.forwardParts(newParts)
@@ -373,9 +402,15 @@
 	return nil, nil
 }
 
-// removePeer removes a daemon that announced that it stops.
-func (p *peers) removePeer(name string) {
+// removePeer removes a daemon that announced that it stops, and remembers the part of the constant
+// retry limit that it has used.
+func (p *peers) removePeer(name string, usedSlack float64) {
+	now := time.Now()
 	p.mu.Lock()
+	maps.DeleteFunc(p.departed, func(_ string, d peerProcess) bool { return now.Sub(d.usedSlackAt) > departedMemory })
+	if l, ok := p.links[name]; ok {
+		p.departed[name] = peerProcess{started: l.started, usedSlack: usedSlack, usedSlackAt: now}
+	}
 	delete(p.links, name)
 	daemons := p.assignCellPeersAndProbes()
 	p.mu.Unlock()
@@ -428,7 +463,7 @@
 	for _, l := range links {
 		group.Go(func() {
 			// A peer that misses the message detects that this daemon is unresponsive.
-			_ = l.client.Call(ctx, methodLoad, loadMessage{From: p.name, Leaving: true}, nil)
+			_ = l.client.Call(ctx, methodLoad, loadMessage{From: p.name, Leaving: true, UsedSlack: p.retries.usedSlack(time.Now())}, nil)
 		})
 	}
 	if err := p.store.Put(ctx, port.TopicDaemons, []port.KeyedRecord{{Key: p.name}}); err != nil {
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -20,6 +20,17 @@
 	Runners    []runnerLoad  `json:"runners,omitempty"`
 	Crashes    []crashReport `json:"crashes,omitempty"`
 	Leaving    bool          `json:"leaving,omitempty"`
+	// UsedSlack is the part of the constant retry limit that the sender has used; see
+	// retryLimits.usedSlack. Previous is what the previous process of the receiver last reported
+	// of it, in the first message after its start.
+	UsedSlack float64        `json:"used_slack,omitempty"`
+	Previous  *previousSlack `json:"previous,omitempty"`
+}
+
+// previousSlack is the UsedSlack that a process reported last, AgeMS milliseconds ago.
+type previousSlack struct {
+	Used  float64 `json:"used"`
+	AgeMS int64   `json:"age"`
 }
 
 // runnerLoad is the wire form of a placement.RunnerLoad. Times are in microseconds.
@@ -114,14 +125,18 @@
 	}
 }
 
-// noteStart queues reports of all recorded crashes for a peer that has just started, because it has
-// forgotten them. peers.mu must be held.
-func (p *peers) noteStart(l *peerLink, started int64) {
-	if l.started == started {
-		return
+// noteSender records the state that a peer reports. For a peer that has just started it queues what
+// its previous process knew: the crashes of runners and the retries that it had used. peers.mu must
+// be held.
+func (p *peers) noteSender(l *peerLink, m *loadMessage, now time.Time) {
+	if l.started != m.Started {
+		l.queueCrashReports(p.crashes.allReports(now))
+		if l.started != 0 {
+			l.previous = &previousSlack{Used: l.usedSlack, AgeMS: now.Sub(l.usedSlackAt).Milliseconds()}
+		}
+		l.started = m.Started
 	}
-	l.started = started
-	l.queueCrashReports(p.crashes.allReports(time.Now()))
+	l.usedSlack, l.usedSlackAt = m.UsedSlack, now
 }
 
 // queueCrashReports queues crash reports and drops the oldest ones beyond maxPendingCrashReports.
--- a/internal/gateway/peers_test.go
+++ b/internal/gateway/peers_test.go
@@ -29,7 +29,7 @@
 			t.Errorf("at %s: address %s, cell peer %t, want a cell peer", address, l.address, l.cellPeer)
 		}
 	}
-	g.peers.removePeer("e")
+	g.peers.removePeer("e", 0)
 	if got := g.retries.share.Of(time.Now().Add(time.Minute), 1); got != 1 {
 		t.Errorf("this daemon has %.2f of the retry limit a while after the other one left, want all", got)
 	}
--- a/internal/gateway/retry_limits.go
+++ b/internal/gateway/retry_limits.go
@@ -49,6 +49,18 @@
 	return w
 }
 
+// usedSlack returns the largest part of the constant of a service's limit that this daemon, or its
+// previous process, has used in the current window.
+func (l *retryLimits) usedSlack(now time.Time) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	used := 0.0
+	for _, w := range l.windows {
+		used = max(used, w.UsedSlack(now))
+	}
+	return used + l.share.PreviousCounted(now)
+}
+
 // usage returns the state of the limit of each service that had requests.
 func (l *retryLimits) usage() any {
 	now := time.Now()
--- a/internal/retry/share_test.go
+++ b/internal/retry/share_test.go
@@ -24,6 +24,18 @@
 		{"first start", true, func(s *retry.Share) { s.RegistryRead(); s.SetDaemons(begin, 8) }, map[float64]float64{0: 5}},
 		{"alone", true, func(s *retry.Share) { s.RegistryRead() }, map[float64]float64{0: 40}},
 		{"registry not read", false, func(s *retry.Share) { s.SetDaemons(begin, 1) }, map[float64]float64{0: 0, 60: 0}},
+		{"restarted, a peer knows what was used", false, func(s *retry.Share) {
+			s.RegistryRead()
+			s.SetDaemons(begin, 8)
+			s.PreviousUsed(1, 3*time.Second)
+			s.PreviousUsed(2, time.Second)
+			s.PreviousUsed(0, 2*time.Second)
+		}, map[float64]float64{0: 3, 9.9: 3, 10: 5}},
+		{"restarted, a peer knows that all was used", false, func(s *retry.Share) {
+			s.RegistryRead()
+			s.SetDaemons(begin, 8)
+			s.PreviousUsed(7, 0)
+		}, map[float64]float64{0: 0, 9.9: 0, 10: 5}},
 		{"daemons left", true, func(s *retry.Share) {
 			s.RegistryRead()
 			s.SetDaemons(begin, 8)
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -119,6 +119,15 @@
 	return Usage{Requests: firstAttempts, Retries: retries, Allowed: w.ratio*float64(firstAttempts) + w.slack}
 }
 
+// UsedSlack returns how many of the retries in the window the ratio alone would not have allowed.
+func (w *Window) UsedSlack(now time.Time) float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slotAt(now)
+	firstAttempts, retries := w.totals()
+	return max(0, float64(retries)-w.ratio*float64(firstAttempts))
+}
+
 // totals returns the counts of all slots. Window.mu must be held.
 func (w *Window) totals() (firstAttempts, retries int) {
 	for _, s := range w.slots {
