Clear a part that crashes engines only by a successful answer

Callers could see: engines that crash again, because an engine that fails part of its requests answered one with the part with status 500, before it would have generated on it. Cause: the crash guard took every delivered answer for a completed request.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -235,6 +235,14 @@
 	}
 }
 
+// recordCompletion tells the crash guard that a runner completed the request. An error is no
+// completion: the runner may have given up before the step at which it would crash.
+func (c *call) recordCompletion(status int) {
+	if status < http.StatusMultipleChoices {
+		c.gateway.crashes.recordCompletion(c.traits, time.Now())
+	}
+}
+
 // mayBeConnectionLoss reports whether an attempt may have ended because its runner terminated. It
 // did not if the runner responded, or if this daemon or the client ended the attempt.
 func mayBeConnectionLoss(err error) bool {
--- a/internal/gateway/crash_parts_test.go
+++ b/internal/gateway/crash_parts_test.go
@@ -160,6 +160,24 @@
 	}
 }
 
+// Guards against a part that is cleared because a runner answered a request with it with an error,
+// without generating on it.
+func TestErrorsDoNotClearAPart(t *testing.T) {
+	for status, clears := range map[int]bool{200: true, 204: true, 404: false, 500: false} {
+		g := newTestGateway(RetryLimits{})
+		now := time.Now()
+		for i := range maxCrashes {
+			crash(g.crashes, i, traitsWith(i, "deadly"), now.Add(time.Duration(i-maxCrashes)*time.Second))
+		}
+		call := newTestCall(g)
+		call.traits = traitsWith(100, "deadly")
+		call.recordCompletion(status)
+		if got := !g.crashes.blocked(traitsWith(101, "deadly"), now); got != clears {
+			t.Errorf("status %d clears the part: %t, want %t", status, got, clears)
+		}
+	}
+}
+
 // receiveLoad lets a gateway receive a load message.
 func receiveLoad(t *testing.T, g *Gateway, m loadMessage) {
 	t.Helper()
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -43,7 +43,7 @@
 		}
 		response, body, err := c.attemptPlain(ctx, plan.Run)
 		if err == nil {
-			c.gateway.crashes.recordCompletion(c.traits, time.Now())
+			c.recordCompletion(response.Status)
 			c.deliverPlain(response, body)
 			return
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -66,7 +66,7 @@
 			return
 		}
 		if err = c.runStream(ctx, inFlight, cache); err == nil {
-			c.gateway.crashes.recordCompletion(c.traits, time.Now())
+			c.recordCompletion(c.status)
 			c.finish("answered", c.status, nil)
 			return
 		}
