--- /dev/null
+++ b/review/standin/soundpart.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Parts of the prompts of one caller. deadlyPart crashes each engine that begins to write an answer
+// on it; the others are sound.
+const (
+	firstPart  = "5586da3a4a4b"
+	secondPart = "9abecbb9f997"
+	deadlyPart = "40d043273798"
+	soundPart  = "699218315fd6"
+)
+
+// enginePlaces returns the places of the Feed Board's 9 engines, 4 of them decode engines.
+func enginePlaces() []place {
+	var out []place
+	for _, zone := range []string{"anand", "kheda", "mehsana"} {
+		for i, stage := range []string{stageDecode, stagePrefill, stagePrefill} {
+			if zone == "anand" && i == 1 {
+				stage = stageDecode
+			}
+			out = append(out, place{zone, engineService, stage})
+		}
+	}
+	return out
+}
+
+func digestPrompt(third string, n int) *prompt {
+	return &prompt{parts: []string{firstPart, secondPart, third, fmt.Sprintf("e0%x", n)}, tokens: []int{3000, 1382, 1000, 6610}, outputs: 32}
+}
+
+// playSoundPart plays a part of prompts that crashes engines, beside sound requests that share the
+// first two parts. It judges LOST.
+func playSoundPart(rec *recorder, folder string, trouble bool) (bool, error) {
+	w, err := newWorld(rec, folder, enginePlaces())
+	defer w.stop()
+	if err != nil {
+		return false, err
+	}
+	if trouble {
+		for _, r := range w.runners {
+			r.crashes = func(h *http.Request) bool { return strings.Contains(h.Header.Get("X-Prompt-Prefix"), deadlyPart+":") }
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.queries(ctx, 16)
+	time.Sleep(3 * time.Second)
+	const (
+		// soundEvery and deadlyEvery are the times between two requests of the caller.
+		soundEvery  = 720 * time.Millisecond
+		deadlyEvery = 2400 * time.Millisecond
+		calm        = 24 * soundEvery
+		tainted     = 22 * time.Second
+	)
+	begin := time.Now()
+	deadlyFrom := begin.Add(calm + 350*time.Millisecond)
+	caller := w.newClient()
+	var sound []*attempt
+	clump := 3
+	nextSound, nextDeadly := begin, deadlyFrom
+	for n := 0; time.Since(begin) < calm+tainted; n++ {
+		if nextDeadly.Before(nextSound) {
+			time.Sleep(time.Until(nextDeadly))
+			nextDeadly = nextDeadly.Add(deadlyEvery)
+			// Requests come in clumps, as in the traffic of the site; the first three come together.
+			for i := range clump {
+				w.clients.Go(func() { sendDeadly(w, caller, 1000*i+n) })
+			}
+			clump = 1
+			continue
+		}
+		time.Sleep(time.Until(nextSound))
+		nextSound = nextSound.Add(soundEvery)
+		a := newAttempt(w.daemons[rand.IntN(len(w.daemons))], digestPrefix, digestPrompt(soundPart, n))
+		sound = append(sound, a)
+		w.clients.Go(func() { caller.sendAttempt(a, http.MethodPost, fmt.Sprintf("digest %d", n)) })
+	}
+	end := time.Now()
+	cancel()
+	w.clients.Wait()
+	if err := w.check(); err != nil {
+		return false, err
+	}
+	return judgeSound(w, sound, deadlyFrom, end), nil
+}
+
+// sendDeadly sends a request with the deadly part; its client repeats it once, at another machine.
+func sendDeadly(w *world, c *client, n int) {
+	i := rand.IntN(len(w.daemons))
+	body := fmt.Sprintf("digest %d", n)
+	if c.sendPrompt(w.daemons[i], http.MethodPost, digestPrefix, body, digestPrompt(deadlyPart, n)) != http.StatusOK {
+		j := (i + 1 + rand.IntN(len(w.daemons)-1)) % len(w.daemons)
+		c.sendPrompt(w.daemons[j], http.MethodPost, digestPrefix, body, digestPrompt(deadlyPart, n))
+	}
+}
+
+func judgeSound(w *world, sound []*attempt, deadlyFrom, end time.Time) bool {
+	var crashes []time.Time
+	for _, r := range w.runners {
+		crashes = append(crashes, r.crashedAt...)
+	}
+	slices.SortFunc(crashes, time.Time.Compare)
+	w.record.say("%d crashes of engines", len(crashes))
+	from := deadlyFrom
+	if len(crashes) > 0 {
+		from = crashes[min(len(crashes), 5)-1]
+		w.record.say("the first at %.3f s, the fifth (or last) at %.3f s", w.record.since(crashes[0]), w.record.since(from))
+	}
+	from = from.Add(2 * stability)
+	var calm, calmBegun, late, lateBegun int
+	for _, a := range sound {
+		begun := w.hasRun(a.id)
+		switch {
+		case a.sent.Before(deadlyFrom):
+			calm++
+			calmBegun += count(begun)
+		case a.sent.After(from) && a.sent.Before(end):
+			late++
+			lateBegun += count(begun)
+			w.record.log("judge: sound attempt %s, sent at %.3f s to %s: begun %t, status %d", a.id, w.record.since(a.sent), a.daemon.name, begun, a.status)
+		}
+	}
+	w.record.say("sound requests with the first part that began at the first attempt: %d of %d before the disruption, %d of %d later than %.3f s", calmBegun, calm, lateBegun, late, w.record.since(from))
+	if calm < 20 || late < 20 {
+		w.record.say("too few requests to judge")
+		return false
+	}
+	return float64(lateBegun)/float64(late) < 0.5*float64(calmBegun)/float64(calm)
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
