--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -290,3 +290,16 @@
 	defer r.mu.Unlock()
 	return append([]arrival(nil), r.arrivals...)
 }
+
+// crashesSince returns the times of the crashes after a time.
+func (r *runner) crashesSince(from time.Time) []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []time.Time
+	for _, at := range r.crashedAt {
+		if at.After(from) {
+			out = append(out, at)
+		}
+	}
+	return out
+}
--- a/review/standin/soundpart.go
+++ b/review/standin/soundpart.go
@@ -7,17 +7,19 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
-// Parts of the prompts of one caller. deadlyPart crashes each engine that begins to write an answer
-// on it; the others are sound.
-const (
-	firstPart  = "5586da3a4a4b"
-	secondPart = "9abecbb9f997"
-	deadlyPart = "40d043273798"
-	soundPart  = "699218315fd6"
-)
+// taintedCaller holds the parts of the prompts of one caller. The deadly part crashes each engine that
+// begins to write an answer on it; the others are sound.
+type taintedCaller struct{ first, second, deadly, sound string }
+
+// taintedCallers have such a part one after the other, each for as long as the page's day has one.
+var taintedCallers = []taintedCaller{
+	{"5586da3a4a4b", "9abecbb9f997", "40d043273798", "699218315fd6"},
+	{"989c61a159ce", "dbeae0b305ee", "2c35441a213e", "317a0ad5101b"},
+}
 
 // enginePlaces returns the places of the Feed Board's 9 engines, 4 of them decode engines.
 func enginePlaces() []place {
@@ -33,8 +35,8 @@
 	return out
 }
 
-func digestPrompt(third string, n int) *prompt {
-	return &prompt{parts: []string{firstPart, secondPart, third, fmt.Sprintf("e0%x", n)}, tokens: []int{3000, 1382, 1000, 6610}, outputs: 32}
+func (c taintedCaller) prompt(third string, n int) *prompt {
+	return &prompt{parts: []string{c.first, c.second, third, fmt.Sprintf("e0%x", n)}, tokens: []int{3000, 1382, 1000, 9400}, outputs: 32}
 }
 
 // playSoundPart plays a part of prompts that crashes engines, beside sound requests that share the
@@ -47,13 +49,32 @@
 	}
 	if trouble {
 		for _, r := range w.runners {
-			r.crashes = func(h *http.Request) bool { return strings.Contains(h.Header.Get("X-Prompt-Prefix"), deadlyPart+":") }
+			r.crashes = func(h *http.Request) bool {
+				return slices.ContainsFunc(taintedCallers, func(c taintedCaller) bool {
+					return strings.Contains(h.Header.Get("X-Prompt-Prefix"), c.deadly+":")
+				})
+			}
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go w.queries(ctx, 16)
-	time.Sleep(3 * time.Second)
+	broken := false
+	for i, c := range taintedCallers {
+		// Before the second part comes, all engines are back for twice stability.
+		time.Sleep(3*time.Second + time.Duration(i)*2*stability)
+		if broken = playTainted(w, c); broken {
+			break
+		}
+	}
+	cancel()
+	w.clients.Wait()
+	return broken, w.check()
+}
+
+// playTainted sends sound requests of a caller, and after a while also deadly ones, and reports whether
+// LOST was broken.
+func playTainted(w *world, c taintedCaller) bool {
 	const (
 		// soundEvery and deadlyEvery are the times between two requests of the caller.
 		soundEvery  = 720 * time.Millisecond
@@ -65,48 +86,45 @@
 	deadlyFrom := begin.Add(calm + 350*time.Millisecond)
 	caller := w.newClient()
 	var sound []*attempt
+	var requests sync.WaitGroup
 	clump := 3
 	nextSound, nextDeadly := begin, deadlyFrom
-	for n := 0; time.Since(begin) < calm+tainted; n++ {
+	for n := 0; time.Since(deadlyFrom) < tainted; n++ {
 		if nextDeadly.Before(nextSound) {
 			time.Sleep(time.Until(nextDeadly))
 			nextDeadly = nextDeadly.Add(deadlyEvery)
 			// Requests come in clumps, as in the traffic of the site; the first three come together.
 			for i := range clump {
-				w.clients.Go(func() { sendDeadly(w, caller, 1000*i+n) })
+				requests.Go(func() { sendDeadly(w, caller, c, 1000*i+n) })
 			}
 			clump = 1
 			continue
 		}
 		time.Sleep(time.Until(nextSound))
 		nextSound = nextSound.Add(soundEvery)
-		a := newAttempt(w.daemons[rand.IntN(len(w.daemons))], digestPrefix, digestPrompt(soundPart, n))
+		a := newAttempt(w.daemons[rand.IntN(len(w.daemons))], digestPrefix, c.prompt(c.sound, n))
 		sound = append(sound, a)
-		w.clients.Go(func() { caller.sendAttempt(a, http.MethodPost, fmt.Sprintf("digest %d", n)) })
+		requests.Go(func() { caller.sendAttempt(a, http.MethodPost, fmt.Sprintf("digest %d", n)) })
 	}
 	end := time.Now()
-	cancel()
-	w.clients.Wait()
-	if err := w.check(); err != nil {
-		return false, err
-	}
-	return judgeSound(w, sound, deadlyFrom, end), nil
+	requests.Wait()
+	return judgeSound(w, sound, deadlyFrom, end)
 }
 
 // sendDeadly sends a request with the deadly part; its client repeats it once, at another machine.
-func sendDeadly(w *world, c *client, n int) {
+func sendDeadly(w *world, client *client, c taintedCaller, n int) {
 	i := rand.IntN(len(w.daemons))
 	body := fmt.Sprintf("digest %d", n)
-	if c.sendPrompt(w.daemons[i], http.MethodPost, digestPrefix, body, digestPrompt(deadlyPart, n)) != http.StatusOK {
+	if client.sendPrompt(w.daemons[i], http.MethodPost, digestPrefix, body, c.prompt(c.deadly, n)) != http.StatusOK {
 		j := (i + 1 + rand.IntN(len(w.daemons)-1)) % len(w.daemons)
-		c.sendPrompt(w.daemons[j], http.MethodPost, digestPrefix, body, digestPrompt(deadlyPart, n))
+		client.sendPrompt(w.daemons[j], http.MethodPost, digestPrefix, body, c.prompt(c.deadly, n))
 	}
 }
 
 func judgeSound(w *world, sound []*attempt, deadlyFrom, end time.Time) bool {
 	var crashes []time.Time
 	for _, r := range w.runners {
-		crashes = append(crashes, r.crashedAt...)
+		crashes = append(crashes, r.crashesSince(deadlyFrom)...)
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
 	w.record.say("%d crashes of engines", len(crashes))
