--- a/review/standin/soundpart.go
+++ b/review/standin/soundpart.go
@@ -76,39 +76,43 @@
 // LOST was broken.
 func playTainted(w *world, c taintedCaller) bool {
 	const (
-		// soundEvery and deadlyEvery are the times between two requests of the caller.
-		soundEvery  = 720 * time.Millisecond
-		deadlyEvery = 2400 * time.Millisecond
-		calm        = 24 * soundEvery
+		// soundEvery is the time between two clumps of sound requests of the caller, deadlyEvery that
+		// between two deadly requests, of which the first three come together.
+		soundEvery  = 2160 * time.Millisecond
+		soundClump  = 4
+		deadlyClump = 3
+		deadlyEvery = 3 * time.Second
+		calm        = 8 * soundEvery
 		tainted     = 22 * time.Second
 	)
 	begin := time.Now()
-	deadlyFrom := begin.Add(calm + 350*time.Millisecond)
+	deadlyFrom := begin.Add(calm + 700*time.Millisecond)
 	caller := w.newClient()
 	var sound []*attempt
 	var requests sync.WaitGroup
-	clump := 3
+	deadly := deadlyClump
 	nextSound, nextDeadly := begin, deadlyFrom
 	for n := 0; time.Since(deadlyFrom) < tainted; n++ {
 		if nextDeadly.Before(nextSound) {
 			time.Sleep(time.Until(nextDeadly))
 			nextDeadly = nextDeadly.Add(deadlyEvery)
-			// Requests come in clumps, as in the traffic of the site; the first three come together.
-			for i := range clump {
+			for i := range deadly {
 				requests.Go(func() { sendDeadly(w, caller, c, 1000*i+n) })
 			}
-			clump = 1
+			deadly = 1
 			continue
 		}
 		time.Sleep(time.Until(nextSound))
 		nextSound = nextSound.Add(soundEvery)
-		a := newAttempt(w.daemons[rand.IntN(len(w.daemons))], digestPrefix, c.prompt(c.sound, n))
-		sound = append(sound, a)
-		requests.Go(func() { caller.sendAttempt(a, http.MethodPost, fmt.Sprintf("digest %d", n)) })
+		for i := range soundClump {
+			a := newAttempt(w.daemons[rand.IntN(len(w.daemons))], digestPrefix, c.prompt(c.sound, 1000*i+n))
+			sound = append(sound, a)
+			requests.Go(func() { caller.sendAttempt(a, http.MethodPost, fmt.Sprintf("digest %d", 1000*i+n)) })
+		}
 	}
-	end := time.Now()
 	requests.Wait()
-	return judgeSound(w, sound, deadlyFrom, end)
+	// Such requests came until the last one was sent.
+	return judgeSound(w, sound, deadlyFrom, nextDeadly.Add(-deadlyEvery))
 }
 
 // sendDeadly sends a request with the deadly part; its client repeats it once, at another machine.
