--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -121,7 +121,7 @@
 	gone := w.store.put(topicRunners, leaving.id, nil)
 	rec.log("runner %s leaves: the store acknowledges the removal of its entry at %.3f s; it serves on for 9 s", leaving.id, rec.since(gone))
 	if late != nil {
-		time.Sleep(40 * time.Millisecond)
+		time.Sleep(150 * time.Millisecond)
 		at := w.store.put(topicRunners, leaving.id, late)
 		rec.log("store: the lost heartbeat of %s is executed at %.3f s", leaving.id, rec.since(at))
 	}
