Attribute crashes of runners to the part that explains them

What callers saw: while requests with a deadly prompt part came, all requests that share its first part were refused with 503 for a minute.

Cause: the crash guard accused each trait of a lost request by itself. Only a completed request cleared a trait, and the block kept all of them from completing.

Now internal/crashes keeps whole losses and exchanges them with peers. It blocks the last part that explains the crashes, an earlier one only if what follows it differs between the lost requests, and a part with recent completions only after four crashes. A crash that a blocked part explains accuses nothing else at that engine. The first event of a stream clears its parts.

The tests of the guard are unchanged but for names of types; the bound of crashes is a constant of the tests, 2 as before.

--- /dev/null
+++ b/internal/crashes/evidence_test.go
@@ -0,0 +1,222 @@
+package crashes
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// request returns the traits of a request with the given prompt parts; n identifies its content.
+func request(n int, parts ...string) Traits {
+	t := Traits{Content: Trait(fmt.Sprint("content ", n))}
+	for _, p := range parts {
+		t.Parts = append(t.Parts, PartTrait("m", p))
+	}
+	return t
+}
+
+// step is something that an Evidence learns at a time: the loss of a request with its runner or, if
+// runner is empty, that the request completed.
+type step struct {
+	at      time.Duration
+	runner  string
+	request Traits
+}
+
+// replay applies steps and returns the time after the last one.
+func replay(e *Evidence, steps []step) time.Time {
+	now := epoch
+	for _, s := range steps {
+		now = epoch.Add(s.at)
+		if s.runner == "" {
+			e.Complete(s.request.All(), now, now)
+			continue
+		}
+		if l, _, ok := e.Accept(Loss{Traits: s.request, Runner: s.runner, Start: 1, At: now}); ok {
+			e.Add([]Loss{l}, now)
+		}
+	}
+	return now.Add(time.Second)
+}
+
+// Guards against blocking traits that did not crash runners, and against requests that continue to
+// crash them. The cases say which traits are hard to distinguish.
+func TestAttribution(t *testing.T) {
+	const s = time.Second
+	cases := []struct {
+		name          string
+		steps         []step
+		blocked, free []Traits
+	}{
+		{
+			// Guards against blocking the parts that all requests of a kind begin with.
+			name:    "later part of a shared prompt",
+			steps:   []step{{0, "a", request(1, "f", "g", "x")}, {s, "b", request(2, "f", "g", "x")}},
+			blocked: []Traits{request(9, "f", "g", "x")}, free: []Traits{request(9, "f", "g"), request(9, "f", "g", "y")},
+		},
+		{
+			name:    "earlier part before different ones",
+			steps:   []step{{0, "a", request(1, "f", "x")}, {s, "b", request(2, "f", "y")}},
+			blocked: []Traits{request(9, "f", "z")}, free: []Traits{request(9, "g", "x"), request(9, "g", "y")},
+		},
+		{
+			// Guards against blocking each later part instead of the earlier one that all of them
+			// follow.
+			name: "earlier part before parts of several requests",
+			steps: []step{
+				{0, "a", request(1, "f", "x")}, {s, "b", request(2, "f", "x")},
+				{2 * s, "c", request(3, "f", "y")}, {3 * s, "d", request(4, "f", "y")},
+			},
+			blocked: []Traits{request(9, "f", "z")},
+		},
+		{
+			// Guards against blocking the first part of a kind of requests because two parts that
+			// follow it crash runners.
+			name: "two later parts after a part that completed before",
+			steps: []step{
+				{0, "", request(1, "f", "z")},
+				{s, "a", request(2, "f", "x")}, {2 * s, "b", request(3, "f", "x")},
+				{2 * s, "c", request(4, "f", "y")}, {3 * s, "d", request(5, "f", "y")},
+			},
+			blocked: []Traits{request(9, "f", "x"), request(9, "f", "y")}, free: []Traits{request(9, "f", "z")},
+		},
+		{
+			name: "two later parts, one crash each, after a part that completed before",
+			steps: []step{
+				{0, "", request(1, "f", "z")}, {s, "a", request(2, "f", "x")}, {2 * s, "c", request(4, "f", "y")},
+			},
+			free: []Traits{request(9, "f", "z"), request(9, "f", "x"), request(9, "f", "y")},
+		},
+		{
+			// Guards against requests that are refused because they were in flight at runners that
+			// another request crashed.
+			name: "bystanders at the same runners",
+			steps: []step{
+				{0, "a", request(1, "f", "x")}, {0, "a", request(7, "g", "h")},
+				{s, "b", request(2, "f", "x")}, {s, "b", request(7, "g", "h")},
+				{2 * s, "c", request(3, "f", "x")}, {2 * s, "c", request(7, "g", "h")},
+			},
+			blocked: []Traits{request(9, "f", "x")}, free: []Traits{request(9, "g", "h"), request(9, "f")},
+		},
+		{
+			name:    "repeats of one request",
+			steps:   []step{{0, "a", request(1, "f", "x")}, {s, "b", request(1, "f", "x")}},
+			blocked: []Traits{request(1, "f", "x")}, free: []Traits{request(2, "f", "x")},
+		},
+		{
+			name: "completed since the crashes",
+			steps: []step{
+				{0, "a", request(1, "f", "x")}, {s, "", request(5, "f")}, {s, "", request(6, "f", "x")}, {2 * s, "b", request(2, "f", "x")},
+			},
+			free: []Traits{request(9, "f", "x")},
+		},
+		{
+			name: "completed after the block",
+			steps: []step{
+				{0, "a", request(1, "f", "x")}, {s, "b", request(2, "f", "x")}, {2 * s, "", request(3, "f", "x")},
+			},
+			free: []Traits{request(9, "f", "x")},
+		},
+		{
+			// Guards against a popular part that is blocked because its requests are in flight at
+			// most runners that terminate.
+			name: "unrelated crashes of a part that completed before",
+			steps: []step{
+				{0, "", request(1, "f", "x")}, {s, "a", request(2, "f", "x")}, {2 * s, "b", request(3, "f", "x")}, {3 * s, "c", request(4, "f", "x")},
+			},
+			free: []Traits{request(9, "f", "x")},
+		},
+		{
+			name: "part that crashes runners although it completed before",
+			steps: []step{
+				{0, "", request(1, "f", "x")}, {s, "a", request(2, "f", "x")}, {2 * s, "b", request(3, "f", "x")},
+				{3 * s, "c", request(4, "f", "x")}, {4 * s, "d", request(5, "f", "x")},
+			},
+			blocked: []Traits{request(9, "f", "x")},
+		},
+		{
+			name: "runners that terminate together",
+			steps: []step{
+				{0, "a", request(1, "f")}, {spacing / 4, "b", request(2, "f")}, {spacing / 2, "c", request(3, "f")},
+			},
+			free: []Traits{request(9, "f")},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e := NewEvidence()
+			now := replay(e, c.steps)
+			for _, r := range c.blocked {
+				if _, blocked := e.Blocked(r, now); !blocked {
+					t.Errorf("a request with %v is not blocked", r)
+				}
+			}
+			for _, r := range c.free {
+				if trait, blocked := e.Blocked(r, now); blocked {
+					t.Errorf("a request with %v is blocked because of %q", r, trait)
+				}
+			}
+		})
+	}
+}
+
+// Guards against reports that are repeated, late or of an earlier start of a runner and that block or
+// clear what they should not.
+func TestRepeatedAndLateReports(t *testing.T) {
+	loss := func(n int, runner string, start int64, at time.Time) Loss {
+		return Loss{Traits: request(n, "f", "x"), Runner: runner, Start: start, At: at}
+	}
+	blocked := func(e *Evidence, at time.Time) bool {
+		_, ok := e.Blocked(request(9, "f", "x"), at)
+		return ok
+	}
+	e := NewEvidence()
+	for range 3 {
+		e.Add([]Loss{loss(1, "a", 1, epoch)}, epoch)
+	}
+	if blocked(e, epoch) {
+		t.Error("repeated reports of one crash count more than once")
+	}
+	if e.Add([]Loss{loss(2, "b", 1, epoch)}, epoch.Add(Retention)); blocked(e, epoch.Add(Retention)) {
+		t.Error("a report that is older than the retention counts")
+	}
+	e = NewEvidence()
+	now := epoch.Add(10 * time.Second)
+	e.Add([]Loss{loss(1, "a", 1, epoch), loss(2, "a", 2, epoch.Add(time.Second))}, now)
+	if !blocked(e, now) {
+		t.Error("two starts of one runner do not count as two crashes")
+	}
+	if e.Complete([]Trait{PartTrait("m", "x")}, epoch.Add(-time.Second), now); !blocked(e, now) {
+		t.Error("a completion before the crashes ends the block")
+	}
+	if _, cleared, ok := e.Accept(loss(3, "c", 1, epoch.Add(-2*time.Second))); !ok || len(cleared) != 1 || cleared[0] != PartTrait("m", "x") {
+		t.Errorf("of a loss before the completion, %q is cleared, accepted: %t", cleared, ok)
+	}
+	if e.Complete([]Trait{PartTrait("m", "x")}, epoch.Add(2*time.Second), now); blocked(e, now) {
+		t.Error("a completion after the crashes does not end the block")
+	}
+}
+
+// Guards against memory that grows with the number of crashes, completions and blocked traits.
+func TestEvidenceIsBounded(t *testing.T) {
+	e := NewEvidence()
+	now := epoch
+	for i := range 3 * maxLosses {
+		now = now.Add(time.Millisecond)
+		e.Add([]Loss{{Traits: request(i), Runner: fmt.Sprint(i), At: now}}, now)
+	}
+	for i := range 3 * maxBlocks {
+		e.block(Trait(fmt.Sprint(i)), 1, e.losses[:1], now.Add(time.Duration(i)))
+	}
+	for i := range 5 * maxCompletions {
+		e.Complete([]Trait{Trait(fmt.Sprint(i))}, now, now)
+	}
+	if len(e.losses) > maxLosses || len(e.blocks) > maxBlocks || len(e.accused) > maxLosses {
+		t.Errorf("%d losses, %d blocks and %d suspects are recorded", len(e.losses), len(e.blocks), len(e.accused))
+	}
+	if n := len(e.completions.recent) + len(e.completions.earlier); n > 2*maxCompletions {
+		t.Errorf("%d completions are remembered, want at most %d", n, 2*maxCompletions)
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/crashes"
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -55,7 +56,7 @@
 	route         *port.ForwardRoute
 	service       string
 	configVersion int64
-	traits        crashTraits
+	traits        crashes.Traits
 	// deadline is the end of the client's or of the route's time limit, whichever is earlier.
 	deadline time.Time
 	// excluded holds the ids of the runners that already failed the request.
--- a/internal/gateway/crash_parts_test.go
+++ b/internal/gateway/crash_parts_test.go
@@ -9,12 +9,13 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/crashes"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
 // traitsWith returns the traits of a request that no other request resembles but for the given
 // prompt parts.
-func traitsWith(n int, parts ...string) crashTraits {
+func traitsWith(n int, parts ...string) crashes.Traits {
 	r := &port.ForwardRequest{Method: "POST", Target: "/x", Body: fmt.Appendf(nil, "%d", n), Prompt: &port.Prompt{Model: "m"}}
 	for _, id := range parts {
 		r.Prompt.Parts = append(r.Prompt.Parts, port.PromptPart{ID: id, Tokens: 100})
@@ -24,7 +25,7 @@
 }
 
 // crash reports to g that runner i terminated at a time during a request without an event.
-func crash(g *crashGuard, i int, t crashTraits, at time.Time) {
+func crash(g *crashGuard, i int, t crashes.Traits, at time.Time) {
 	g.recordLoss(connectionLoss{traits: t, runner: runnerAt(i, 1), at: at})
 	g.confirmRefused(runnerAt(i, 1).ID, at.Add(300*time.Millisecond))
 }
@@ -34,7 +35,7 @@
 func TestPartThatCrashesEnginesIsBlocked(t *testing.T) {
 	g := newCrashGuard(zap.NewNop())
 	now := epoch
-	for i := range maxCrashes {
+	for i := range testCrashes {
 		if g.blocked(traitsWith(100+i, "common", "deadly"), now) {
 			t.Fatalf("blocked after %d crashes", i)
 		}
@@ -99,12 +100,12 @@
 		})
 	}
 	g := newCrashGuard(zap.NewNop())
-	for i := range 2 * maxCrashes {
+	for i := range 2 * testCrashes {
 		r := &port.ForwardRequest{Prompt: &port.Prompt{Model: "m", Parts: []port.PromptPart{{ID: "last", Tokens: 1}}}}
 		crash(g, i, traitsOf(r), epoch.Add(time.Duration(i)*time.Second))
 	}
-	if len(g.entries) != 0 {
-		t.Errorf("%d traits are recorded for a prompt with only one part, want 0", len(g.entries))
+	if g.evidence.Suspects() != 0 {
+		t.Errorf("%d traits are recorded for a prompt with only one part, want 0", g.evidence.Suspects())
 	}
 }
 
@@ -113,11 +114,11 @@
 func TestBlockOfAPartGrows(t *testing.T) {
 	g := newCrashGuard(zap.NewNop())
 	now := epoch
-	for i := range maxCrashes {
+	for i := range testCrashes {
 		crash(g, i, traitsWith(i, "deadly"), now)
 		now = now.Add(time.Second)
 	}
-	for i, block := range []time.Duration{crashRetention, 2 * crashRetention, 4 * crashRetention} {
+	for i, block := range []time.Duration{crashes.Retention, 2 * crashes.Retention, 4 * crashes.Retention} {
 		request := traitsWith(100+i, "deadly")
 		if !g.blocked(request, now) || !g.blocked(request, now.Add(block-2*time.Second)) {
 			t.Fatalf("block %d is shorter than %s", i+1, block)
@@ -141,8 +142,8 @@
 	g := newTestGateway(RetryLimits{})
 	g.peers.dial = func(string) port.Peer { return unresponsivePeer{} }
 	now := time.Now()
-	for i := range maxCrashes {
-		crash(g.crashes, i, traitsWith(i, "deadly"), now.Add(time.Duration(i-maxCrashes)*time.Second))
+	for i := range testCrashes {
+		crash(g.crashes, i, traitsWith(i, "deadly"), now.Add(time.Duration(i-testCrashes)*time.Second))
 	}
 	g.crashes.takeReports()
 	for _, c := range []struct {
@@ -166,8 +167,8 @@
 	for status, clears := range map[int]bool{200: true, 204: true, 404: false, 500: false} {
 		g := newTestGateway(RetryLimits{})
 		now := time.Now()
-		for i := range maxCrashes {
-			crash(g.crashes, i, traitsWith(i, "deadly"), now.Add(time.Duration(i-maxCrashes)*time.Second))
+		for i := range testCrashes {
+			crash(g.crashes, i, traitsWith(i, "deadly"), now.Add(time.Duration(i-testCrashes)*time.Second))
 		}
 		call := newTestCall(g)
 		call.traits = traitsWith(100, "deadly")
@@ -189,3 +190,21 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a sound part that is blocked together with the deadly part that follows it, because
+// no request with it completed between the crashes: the block would keep every request from
+// completing that could end it.
+func TestPartsBeforeADeadlyPartAreNotBlocked(t *testing.T) {
+	g := newCrashGuard(zap.NewNop())
+	now := epoch
+	for i := range testCrashes {
+		crash(g, i, traitsWith(i, "first", "second", "deadly"), now)
+		now = now.Add(time.Second)
+	}
+	if !g.blocked(traitsWith(100, "first", "second", "deadly"), now) {
+		t.Error("a further request with the deadly part is not blocked")
+	}
+	if g.blocked(traitsWith(101, "first", "second", "sound"), now) {
+		t.Error("a request that shares only the parts before the deadly one is blocked")
+	}
+}
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -11,10 +11,14 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/crashes"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
-var testTraits = crashTraits{content: "d"}
+// testCrashes is the number of crashes after which a trait is blocked.
+const testCrashes = 2
+
+var testTraits = crashes.Traits{Content: "d"}
 
 func runnerAt(i int, started int64) port.Runner {
 	return port.Runner{ID: fmt.Sprintf("r%d", i), StartedMS: started}
@@ -39,7 +43,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := newCrashGuard(zap.NewNop())
 			now := epoch
-			for i := range maxCrashes {
+			for i := range testCrashes {
 				if g.blocked(testTraits, now) {
 					t.Fatalf("blocked after %d runners", i)
 				}
@@ -58,7 +62,7 @@
 // one that stays blocked although a runner has completed it.
 func TestCrashesAreSharedAndCleared(t *testing.T) {
 	a, b := newCrashGuard(zap.NewNop()), newCrashGuard(zap.NewNop())
-	for i := range maxCrashes {
+	for i := range testCrashes {
 		a.recordLoss(connectionLoss{traits: testTraits, runner: runnerAt(i, 1), at: epoch})
 	}
 	a.confirmFromRunners(nil, epoch)
@@ -78,7 +82,7 @@
 func TestRequestsWithoutABodyAreNotBlocked(t *testing.T) {
 	g := newCrashGuard(zap.NewNop())
 	d := traitsOf(&port.ForwardRequest{Method: "GET", Host: "h", Target: "/slots/7"})
-	for i := range maxCrashes {
+	for i := range testCrashes {
 		g.recordLoss(connectionLoss{traits: d, runner: runnerAt(i, 1), at: epoch})
 	}
 	g.confirmFromRunners(nil, epoch)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/clock"
+	"bergamotsill.example/bergamotsill/internal/crashes"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/rendezvous"
@@ -63,7 +64,7 @@
 	previous *previousSlack
 	// pendingLoads holds the newest load of each runner that was not sent to the peer yet.
 	pendingLoads   map[string]runnerLoad
-	pendingCrashes []crashReport
+	pendingCrashes []crashes.Report
 	callInFlight   bool
 	backoff        time.Duration
 	// nextSend is the earliest time of the next message to the peer.
@@ -339,7 +340,7 @@
 
 // sendFinished records the result of a message. Loads are not requeued after a failure, because
 // the next full report follows soon; crash reports are.
-func (p *peers) sendFinished(l *peerLink, crashes []crashReport, err error) {
+func (p *peers) sendFinished(l *peerLink, crashes []crashes.Report, err error) {
 	p.recordCallResult(l, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/crashes"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -12,14 +13,14 @@
 // last message of a daemon that stops. Started is when the sender's process started, in Unix
 // milliseconds; 0 from daemons of earlier versions.
 type loadMessage struct {
-	From       string        `json:"from"`
-	Started    int64         `json:"started,omitempty"`
-	DataCentre string        `json:"data_centre"`
-	Address    string        `json:"address"`
-	Config     int64         `json:"config"`
-	Runners    []runnerLoad  `json:"runners,omitempty"`
-	Crashes    []crashReport `json:"crashes,omitempty"`
-	Leaving    bool          `json:"leaving,omitempty"`
+	From       string           `json:"from"`
+	Started    int64            `json:"started,omitempty"`
+	DataCentre string           `json:"data_centre"`
+	Address    string           `json:"address"`
+	Config     int64            `json:"config"`
+	Runners    []runnerLoad     `json:"runners,omitempty"`
+	Crashes    []crashes.Report `json:"crashes,omitempty"`
+	Leaving    bool             `json:"leaving,omitempty"`
 	// UsedSlack is the part of the constant retry limit that the sender has used; see
 	// retryLimits.usedSlack. Previous is what the previous process of the receiver last reported
 	// of it, in the first message after its start.
@@ -141,7 +142,7 @@
 
 // queueCrashReports queues crash reports and drops the oldest ones beyond maxPendingCrashReports.
 // peers.mu must be held.
-func (l *peerLink) queueCrashReports(crashes []crashReport) {
+func (l *peerLink) queueCrashReports(crashes []crashes.Report) {
 	l.pendingCrashes = append(l.pendingCrashes, crashes...)
 	if extra := len(l.pendingCrashes) - maxPendingCrashReports; extra > 0 {
 		l.pendingCrashes = l.pendingCrashes[extra:]
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -93,6 +93,9 @@
 		c.longestGap = max(c.longestGap, now.Sub(c.lastEventAt))
 	}
 	c.lastEventAt = now
+	if c.attemptEvents == 0 {
+		c.gateway.crashes.recordFirstEvent(c.traits, now)
+	}
 	c.attemptEvents++
 	inFlight.RecordEvent(now)
 }
