Let a removal stand beside a later record that is no newer

What callers saw: requests reached a runner up to four seconds after its entry was removed, 17 of them later than allowed.

Cause: discovery collected the removals of one read in a set, and each later record of the same id took the removal out of it, also a late heartbeat that was then rejected as older, or bytes that can't be decoded.

Now records take effect in their order, and only an entry that is newer than the removed one cancels a removal.

The old case "late copy of an entry" demanded that a removed runner stays in use after an earlier entry: it expected the fault.

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -116,10 +116,11 @@
 	return sum
 }
 
-// applyRecords applies records and returns those that changed more than their heartbeat fields.
-// With whole set, runners without a record are removed. If several runners and at least
-// massExpiryShare of all are missing after an outage, their entries count as expired: the runners
-// stay in use for expiryGrace, so that the entries can reappear.
+// applyRecords applies records in their order and returns those that changed more than their
+// heartbeat fields. A removal holds until an entry follows that is newer than the removed one: an
+// earlier entry may be executed late. With whole set, runners without a record are removed. If
+// several runners and at least massExpiryShare of all are missing after an outage, their entries count
+// as expired: the runners stay in use for expiryGrace, so that the entries can reappear.
 func (d *discovery) applyRecords(now time.Time, records []port.KeyedRecord, whole, outage bool) []port.KeyedRecord {
 	var changedRecords []port.KeyedRecord
 	d.mu.Lock()
@@ -131,13 +132,21 @@
 			missing[id] = true
 		}
 	}
+	removed := map[string]bool{}
 	for _, r := range records {
 		if r.Value == nil {
-			missing[r.Key] = true
+			missing[r.Key], removed[r.Key] = true, true
 			continue
 		}
-		delete(missing, r.Key)
-		if d.applyEntry(r) {
+		if !removed[r.Key] {
+			delete(missing, r.Key)
+		}
+		newer, changes := d.applyEntry(r)
+		if newer {
+			delete(missing, r.Key)
+			delete(removed, r.Key)
+		}
+		if changes {
 			changed = true
 			changedRecords = append(changedRecords, r)
 		}
@@ -160,10 +169,10 @@
 	return changedRecords
 }
 
-// applyEntry applies an entry and reports whether it changes more than the heartbeat fields. An
-// entry is ignored if it is older than the known one, or not newer than the last one of a removed
-// runner. d.mu must be held.
-func (d *discovery) applyEntry(r port.KeyedRecord) bool {
+// applyEntry applies an entry. It reports whether the entry is newer than the known ones of the
+// runner, and whether it changes more than the heartbeat fields. An entry is ignored if it is older
+// than the known one, or not newer than the last one of a removed runner. d.mu must be held.
+func (d *discovery) applyEntry(r port.KeyedRecord) (newer, changes bool) {
 	runner, err := d.codec.Runner(r.Key, r.Value)
 	if err != nil {
 		if !d.unreadable[r.Key] {
@@ -173,28 +182,29 @@
 			d.unreadable[r.Key] = true
 			d.log.Warn("registry entry of a runner cannot be decoded", zap.String("runner", r.Key), zap.Error(err))
 		}
-		return false
+		return false, false
 	}
 	if old, ok := d.tombstones[r.Key]; ok && !old.Older(runner) {
-		return false
+		return false, false
 	}
 	delete(d.tombstones, r.Key)
 	known, ok := d.runners[r.Key]
-	if ok && runner.Older(known.runner) {
-		return false
-	}
 	if !ok {
 		d.runners[r.Key] = &registration{runner: runner}
 		d.logRunner("runner registered", runner)
-		return true
+		return true, true
 	}
-	changed := !equalExceptHeartbeat(known.runner, runner)
-	if changed {
+	if runner.Older(known.runner) {
+		return false, false
+	}
+	newer = known.runner.Older(runner)
+	changes = !equalExceptHeartbeat(known.runner, runner)
+	if changes {
 		d.logRunner("runner changed", runner)
 	}
 	known.runner = runner
 	known.expiredAt = time.Time{}
-	return changed
+	return newer, changes
 }
 
 func equalExceptHeartbeat(a, b port.Runner) bool {
--- a/internal/gateway/discovery_test.go
+++ b/internal/gateway/discovery_test.go
@@ -89,9 +89,40 @@
 		{"missing in a whole read", func(t *testing.T) []port.KeyedRecord {
 			return []port.KeyedRecord{runnerRecord(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 6})}
 		}, true, false, 1, 1},
+		// Guards against a runner that left and stays in use because an earlier entry of it is
+		// executed late, after the removal.
+		{"earlier entry after the removal", func(t *testing.T) []port.KeyedRecord {
+			return append(removals("r0"), runnerRecord(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 4}))
+		}, false, false, 3, 3},
+		{"same entry after the removal", func(t *testing.T) []port.KeyedRecord {
+			return append(removals("r0"), runnerRecord(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 5}))
+		}, false, false, 3, 3},
+		{"unreadable entry after the removal", func(*testing.T) []port.KeyedRecord {
+			return append(removals("r0"), port.KeyedRecord{Key: "r0", Value: []byte("{")})
+		}, false, false, 3, 3},
+		{"earlier entry after an entry and the removal", func(t *testing.T) []port.KeyedRecord {
+			records := append([]port.KeyedRecord{runnerRecord(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 7})}, removals("r0")...)
+			return append(records, runnerRecord(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 6}))
+		}, false, false, 3, 3},
+		{"newly registered, removed and earlier entry", func(t *testing.T) []port.KeyedRecord {
+			records := append([]port.KeyedRecord{runnerRecord(t, port.Runner{ID: "r9", StartedMS: 1, Sequence: 2})}, removals("r9")...)
+			return append(records, runnerRecord(t, port.Runner{ID: "r9", StartedMS: 1, Sequence: 1}))
+		}, false, false, 4, 4},
+		// Guards against requests to runners that left in an outage, when an earlier entry of one
+		// is executed late.
+		{"all expired in an outage, earlier entry after it", func(t *testing.T) []port.KeyedRecord {
+			return append(removals("r0", "r1", "r2", "r3"), runnerRecord(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 4}))
+		}, false, true, 4, 0},
+		// Guards against a runner that lapsed and came back within one read and is not used.
+		{"newer entry after the removal", func(t *testing.T) []port.KeyedRecord {
+			return append(removals("r0"), runnerRecord(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 6}))
+		}, false, false, 4, 4},
+		{"restart after the removal", func(t *testing.T) []port.KeyedRecord {
+			return append(removals("r0"), runnerRecord(t, port.Runner{ID: "r0", StartedMS: 2, Sequence: 1}))
+		}, false, false, 4, 4},
 		// Guards against late copies of an entry that revert later changes.
 		{"late copy of an entry", func(t *testing.T) []port.KeyedRecord {
-			return append(removals("r0"), runnerRecord(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 4}))
+			return []port.KeyedRecord{runnerRecord(t, port.Runner{ID: "r0", StartedMS: 1, Sequence: 4})}
 		}, false, false, 4, 4},
 		// Guards against entries of foreign writers that take a runner out of use.
 		{"unreadable entry", func(*testing.T) []port.KeyedRecord {
