Forward with a removal the last entry before it

Daemons that learn a removal from the reading daemon of their data centre kept a tombstone with the entry that they knew, from the registration or the last change, because heartbeats are not forwarded. When such a daemon takes over the reading and a late heartbeat of the runner is the newest record of its key, the daemon took it for newer than the removal.

TestForwardedRemovalRejectsEarlierEntries failed before (in use after the entries 5 and 9).

--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -239,11 +239,33 @@
 func (d *discovery) removeRunner(id, reason string) {
 	r := d.runners[id].runner
 	delete(d.runners, id)
+	d.setTombstone(r)
+	d.log.Info("runner removed", zap.String("runner", id), zap.String("service", r.Service), zap.String("reason", reason))
+}
+
+// setTombstone records the last entry of a removed runner. d.mu must be held.
+func (d *discovery) setTombstone(last port.Runner) {
 	if len(d.tombstones) >= maxTombstones {
 		clear(d.tombstones)
 	}
-	d.tombstones[id] = r
-	d.log.Info("runner removed", zap.String("runner", id), zap.String("service", r.Service), zap.String("reason", reason))
+	d.tombstones[last.ID] = last
+}
+
+// tombstone returns the last entry of a removed runner, or the zero value if it is not known.
+func (d *discovery) tombstone(id string) port.Runner {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.tombstones[id]
+}
+
+// raiseTombstone records that an entry preceded the removal of its runner, unless the runner is in
+// use or a later entry is known to have preceded it.
+func (d *discovery) raiseTombstone(last port.Runner) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, inUse := d.runners[last.ID]; !inUse && d.tombstones[last.ID].Older(last) {
+		d.setTombstone(last)
+	}
 }
 
 // removeExpired removes the runners whose entries did not reappear within expiryGrace and returns
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -35,10 +35,14 @@
 	Changes []relayRecord `json:"changes,omitempty"`
 }
 
-// relayRecord is the wire form of a port.KeyedRecord; an empty Value removes the key.
+// relayRecord is the wire form of a port.KeyedRecord; an empty Value removes the key. LastStart and
+// LastSequence then identify the last entry before the removal. Only the daemon that reads knows it,
+// because heartbeats are not forwarded.
 type relayRecord struct {
-	Key   string `json:"key"`
-	Value []byte `json:"value,omitempty"`
+	Key          string `json:"key"`
+	Value        []byte `json:"value,omitempty"`
+	LastStart    int64  `json:"last_start,omitempty"`
+	LastSequence int64  `json:"last_sequence,omitempty"`
 }
 
 // registryRelay lets one daemon of a data centre read the store and forward its state to the
@@ -110,7 +114,12 @@
 func (r *registryRelay) forward(changes []port.KeyedRecord) {
 	records := make([]relayRecord, 0, len(changes))
 	for _, c := range changes {
-		records = append(records, relayRecord{Key: c.Key, Value: c.Value})
+		record := relayRecord{Key: c.Key, Value: c.Value}
+		if c.Value == nil {
+			last := r.discovery.tombstone(c.Key)
+			record.LastStart, record.LastSequence = last.StartedMS, last.Sequence
+		}
+		records = append(records, record)
 	}
 	r.peers.mu.Lock()
 	local := r.localPeers()
@@ -166,6 +175,11 @@
 	}
 	if len(changes) > 0 && r.discovery.loaded.Load() {
 		r.discovery.applyRecords(time.Now(), changes, false, false)
+		for _, c := range m.Changes {
+			if len(c.Value) == 0 {
+				r.discovery.raiseTombstone(port.Runner{ID: c.Key, StartedMS: c.LastStart, Sequence: c.LastSequence})
+			}
+		}
 	}
 	if m.Config > r.config.version() {
 		r.peers.fetchConfig(m.Address)
--- a/internal/gateway/relay_registry_test.go
+++ b/internal/gateway/relay_registry_test.go
@@ -68,3 +68,39 @@
 		}
 	}
 }
+
+// Guards against a daemon that learnt of a removal from the reading daemon, reads the store itself
+// afterwards, and takes an earlier entry that was executed late for a newer one. Heartbeats are not
+// forwarded, so that it knows only an old entry of the runner.
+func TestForwardedRemovalRejectsEarlierEntries(t *testing.T) {
+	sender, receiver := newTestGateway(RetryLimits{}), newTestGateway(RetryLimits{})
+	receiver.peers.name = "e"
+	entry := func(sequence int64) port.KeyedRecord {
+		return runnerRecord(t, port.Runner{ID: "r1", StartedMS: 1, Sequence: sequence})
+	}
+	for _, g := range []*Gateway{sender, receiver} {
+		g.discovery.applyRecords(epoch, []port.KeyedRecord{entry(1)}, true, false)
+	}
+	sender.discovery.applyRecords(epoch, []port.KeyedRecord{entry(9)}, false, false)
+	messages := make(chan registryMessage, 1)
+	sender.peers.links["e"] = &peerLink{name: "e", dataCentre: sender.peers.dataCentre, client: capturingPeer(messages)}
+	sender.peers.relay.forward(sender.discovery.applyRecords(epoch, []port.KeyedRecord{{Key: "r1"}}, false, false))
+	receiveRelayed(t, receiver, <-messages)
+	for _, c := range []struct {
+		sequence int64
+		inUse    int
+	}{{5, 0}, {9, 0}, {10, 1}} {
+		receiver.discovery.applyRecords(epoch, []port.KeyedRecord{entry(c.sequence)}, true, false)
+		if got := receiver.fleet.Size(); got != c.inUse {
+			t.Errorf("after entry %d, %d runners are in use, want %d", c.sequence, got, c.inUse)
+		}
+	}
+}
+
+// capturingPeer passes on the registry messages that it receives.
+type capturingPeer chan registryMessage
+
+func (c capturingPeer) Call(_ context.Context, _ string, params, _ any) error {
+	c <- params.(registryMessage)
+	return nil
+}
