Identify requests without a body, and weigh the evidence against them

What callers saw: each time a lookup that crashes runners came again, all instances of the application ended and the calls there were lost: 24 crashes in 40 s.

Now each request has a content of method, host, target, prompt parts and body. Against a content that many clients may send, crashes within 250 ms count once unless the request was retried in between, and four crashes are needed where such requests completed lately.

TestLookupThatCrashesRunnersIsBlocked failed before.

--- a/internal/crashes/attribution.go
+++ b/internal/crashes/attribution.go
@@ -12,16 +12,17 @@
 	// before it is blocked. A single crash can be unrelated to the request: all requests in flight
 	// at the runner are lost with it.
 	minCrashes = 2
-	// minCrashesAfterSuccess is the same number for a prompt part with which requests are
-	// remembered to have completed before: it is likely to have been in flight by chance.
+	// minCrashesAfterSuccess is the same number for a prompt part, or a common content, with which
+	// requests are remembered to have completed before: it is likely to have been in flight by
+	// chance.
 	minCrashesAfterSuccess = 4
 	// minBlockedBelow is the number of later parts that must be blocked before an earlier one is
 	// blocked in their place. With minBlockedBelowAfterSuccess it holds for a part with which
 	// requests are remembered to have completed.
 	minBlockedBelow             = 2
 	minBlockedBelowAfterSuccess = 3
-	// spacing is the time between crashes that count separately against a prompt part. Runners
-	// that terminate together, as when a host fails, hold the same popular parts.
+	// spacing is the time between crashes that count separately against a prompt part or a common
+	// content. Runners that terminate together, as when a host fails, hold the same popular ones.
 	spacing = 250 * time.Millisecond
 )
 
@@ -39,8 +40,8 @@
 }
 
 // attributeToContents blocks the contents that were in flight at several runners whose termination no
-// blocked part explains. A content is that of one request and of its repeats, so that no other
-// request suffers.
+// blocked part explains. Unless it is common, a content is that of one request and of its repeats, so
+// that no other request suffers.
 func (e *Evidence) attributeToContents(suspects map[Trait]bool, now time.Time) []Block {
 	explained := e.explainedCrashes()
 	losses := map[Trait][]Loss{}
@@ -51,7 +52,14 @@
 	}
 	var decided []Block
 	for t, lost := range losses {
-		if runners := len(crashTimes(lost)); runners >= minCrashes {
+		need, runners := minCrashes, len(crashTimes(lost))
+		if lost[0].Traits.Common {
+			runners = countCommon(lost)
+			if e.completions.count(t) > 0 {
+				need = minCrashesAfterSuccess
+			}
+		}
+		if runners >= need {
 			decided = append(decided, e.block(t, runners, lost, now))
 		}
 	}
@@ -190,6 +198,20 @@
 	return count
 }
 
+// countCommon counts the crashes during requests with a common content. Crashes within spacing count
+// as one, except that of a runner to which a request was sent after the first one.
+func countCommon(losses []Loss) int {
+	var chance, retried []Loss
+	for _, l := range losses {
+		if l.Retry {
+			retried = append(retried, l)
+		} else {
+			chance = append(chance, l)
+		}
+	}
+	return countSpaced(crashTimes(chance)) + len(crashTimes(retried))
+}
+
 // block blocks a trait for the first time because of losses of a number of runners.
 func (e *Evidence) block(t Trait, runners int, losses []Loss, now time.Time) Block {
 	if len(e.blocks) >= maxBlocks {
--- a/internal/crashes/evidence_test.go
+++ b/internal/crashes/evidence_test.go
@@ -23,8 +23,12 @@
 	at      time.Duration
 	runner  string
 	request Traits
+	retry   bool
 }
 
+// lookup returns the traits of a request without a body.
+func lookup(target string) Traits { return Traits{Content: Trait(target), Common: true} }
+
 // replay applies steps and returns the time after the last one.
 func replay(e *Evidence, steps []step) time.Time {
 	now := epoch
@@ -34,7 +38,7 @@
 			e.Complete(s.request.All(), now, now)
 			continue
 		}
-		if l, _, ok := e.Accept(Loss{Traits: s.request, Runner: s.runner, Start: 1, At: now}); ok {
+		if l, _, ok := e.Accept(Loss{Traits: s.request, Runner: s.runner, Start: 1, At: now, Retry: s.retry}); ok {
 			e.Add([]Loss{l}, now)
 		}
 	}
@@ -53,12 +57,12 @@
 		{
 			// Guards against blocking the parts that all requests of a kind begin with.
 			name:    "later part of a shared prompt",
-			steps:   []step{{0, "a", request(1, "f", "g", "x")}, {s, "b", request(2, "f", "g", "x")}},
+			steps:   []step{{at: 0, runner: "a", request: request(1, "f", "g", "x")}, {at: s, runner: "b", request: request(2, "f", "g", "x")}},
 			blocked: []Traits{request(9, "f", "g", "x")}, free: []Traits{request(9, "f", "g"), request(9, "f", "g", "y")},
 		},
 		{
 			name:    "earlier part before different ones",
-			steps:   []step{{0, "a", request(1, "f", "x")}, {s, "b", request(2, "f", "y")}},
+			steps:   []step{{at: 0, runner: "a", request: request(1, "f", "x")}, {at: s, runner: "b", request: request(2, "f", "y")}},
 			blocked: []Traits{request(9, "f", "z")}, free: []Traits{request(9, "g", "x"), request(9, "g", "y")},
 		},
 		{
@@ -66,8 +70,8 @@
 			// follow.
 			name: "earlier part before parts of several requests",
 			steps: []step{
-				{0, "a", request(1, "f", "x")}, {s, "b", request(2, "f", "x")},
-				{2 * s, "c", request(3, "f", "y")}, {3 * s, "d", request(4, "f", "y")},
+				{at: 0, runner: "a", request: request(1, "f", "x")}, {at: s, runner: "b", request: request(2, "f", "x")},
+				{at: 2 * s, runner: "c", request: request(3, "f", "y")}, {at: 3 * s, runner: "d", request: request(4, "f", "y")},
 			},
 			blocked: []Traits{request(9, "f", "z")},
 		},
@@ -76,16 +80,16 @@
 			// follow it crash runners.
 			name: "two later parts after a part that completed before",
 			steps: []step{
-				{0, "", request(1, "f", "z")},
-				{s, "a", request(2, "f", "x")}, {2 * s, "b", request(3, "f", "x")},
-				{2 * s, "c", request(4, "f", "y")}, {3 * s, "d", request(5, "f", "y")},
+				{at: 0, runner: "", request: request(1, "f", "z")},
+				{at: s, runner: "a", request: request(2, "f", "x")}, {at: 2 * s, runner: "b", request: request(3, "f", "x")},
+				{at: 2 * s, runner: "c", request: request(4, "f", "y")}, {at: 3 * s, runner: "d", request: request(5, "f", "y")},
 			},
 			blocked: []Traits{request(9, "f", "x"), request(9, "f", "y")}, free: []Traits{request(9, "f", "z")},
 		},
 		{
 			name: "two later parts, one crash each, after a part that completed before",
 			steps: []step{
-				{0, "", request(1, "f", "z")}, {s, "a", request(2, "f", "x")}, {2 * s, "c", request(4, "f", "y")},
+				{at: 0, runner: "", request: request(1, "f", "z")}, {at: s, runner: "a", request: request(2, "f", "x")}, {at: 2 * s, runner: "c", request: request(4, "f", "y")},
 			},
 			free: []Traits{request(9, "f", "z"), request(9, "f", "x"), request(9, "f", "y")},
 		},
@@ -94,28 +98,28 @@
 			// another request crashed.
 			name: "bystanders at the same runners",
 			steps: []step{
-				{0, "a", request(1, "f", "x")}, {0, "a", request(7, "g", "h")},
-				{s, "b", request(2, "f", "x")}, {s, "b", request(7, "g", "h")},
-				{2 * s, "c", request(3, "f", "x")}, {2 * s, "c", request(7, "g", "h")},
+				{at: 0, runner: "a", request: request(1, "f", "x")}, {at: 0, runner: "a", request: request(7, "g", "h")},
+				{at: s, runner: "b", request: request(2, "f", "x")}, {at: s, runner: "b", request: request(7, "g", "h")},
+				{at: 2 * s, runner: "c", request: request(3, "f", "x")}, {at: 2 * s, runner: "c", request: request(7, "g", "h")},
 			},
 			blocked: []Traits{request(9, "f", "x")}, free: []Traits{request(9, "g", "h"), request(9, "f")},
 		},
 		{
 			name:    "repeats of one request",
-			steps:   []step{{0, "a", request(1, "f", "x")}, {s, "b", request(1, "f", "x")}},
+			steps:   []step{{at: 0, runner: "a", request: request(1, "f", "x")}, {at: s, runner: "b", request: request(1, "f", "x")}},
 			blocked: []Traits{request(1, "f", "x")}, free: []Traits{request(2, "f", "x")},
 		},
 		{
 			name: "completed since the crashes",
 			steps: []step{
-				{0, "a", request(1, "f", "x")}, {s, "", request(5, "f")}, {s, "", request(6, "f", "x")}, {2 * s, "b", request(2, "f", "x")},
+				{at: 0, runner: "a", request: request(1, "f", "x")}, {at: s, runner: "", request: request(5, "f")}, {at: s, runner: "", request: request(6, "f", "x")}, {at: 2 * s, runner: "b", request: request(2, "f", "x")},
 			},
 			free: []Traits{request(9, "f", "x")},
 		},
 		{
 			name: "completed after the block",
 			steps: []step{
-				{0, "a", request(1, "f", "x")}, {s, "b", request(2, "f", "x")}, {2 * s, "", request(3, "f", "x")},
+				{at: 0, runner: "a", request: request(1, "f", "x")}, {at: s, runner: "b", request: request(2, "f", "x")}, {at: 2 * s, runner: "", request: request(3, "f", "x")},
 			},
 			free: []Traits{request(9, "f", "x")},
 		},
@@ -124,25 +128,49 @@
 			// most runners that terminate.
 			name: "unrelated crashes of a part that completed before",
 			steps: []step{
-				{0, "", request(1, "f", "x")}, {s, "a", request(2, "f", "x")}, {2 * s, "b", request(3, "f", "x")}, {3 * s, "c", request(4, "f", "x")},
+				{at: 0, runner: "", request: request(1, "f", "x")}, {at: s, runner: "a", request: request(2, "f", "x")}, {at: 2 * s, runner: "b", request: request(3, "f", "x")}, {at: 3 * s, runner: "c", request: request(4, "f", "x")},
 			},
 			free: []Traits{request(9, "f", "x")},
 		},
 		{
 			name: "part that crashes runners although it completed before",
 			steps: []step{
-				{0, "", request(1, "f", "x")}, {s, "a", request(2, "f", "x")}, {2 * s, "b", request(3, "f", "x")},
-				{3 * s, "c", request(4, "f", "x")}, {4 * s, "d", request(5, "f", "x")},
+				{at: 0, runner: "", request: request(1, "f", "x")}, {at: s, runner: "a", request: request(2, "f", "x")}, {at: 2 * s, runner: "b", request: request(3, "f", "x")},
+				{at: 3 * s, runner: "c", request: request(4, "f", "x")}, {at: 4 * s, runner: "d", request: request(5, "f", "x")},
 			},
 			blocked: []Traits{request(9, "f", "x")},
 		},
 		{
 			name: "runners that terminate together",
 			steps: []step{
-				{0, "a", request(1, "f")}, {spacing / 4, "b", request(2, "f")}, {spacing / 2, "c", request(3, "f")},
+				{at: 0, runner: "a", request: request(1, "f")}, {at: spacing / 4, runner: "b", request: request(2, "f")}, {at: spacing / 2, runner: "c", request: request(3, "f")},
 			},
 			free: []Traits{request(9, "f")},
 		},
+		{
+			name:    "lookup that crashes runners",
+			steps:   []step{{at: 0, runner: "a", request: lookup("x")}, {at: s, runner: "b", request: lookup("x")}},
+			blocked: []Traits{lookup("x")}, free: []Traits{lookup("y")},
+		},
+		{
+			name:    "lookup and its retry",
+			steps:   []step{{at: 0, runner: "a", request: lookup("x")}, {at: spacing / 4, runner: "b", request: lookup("x"), retry: true}},
+			blocked: []Traits{lookup("x")}, free: []Traits{lookup("y")},
+		},
+		{
+			name:  "lookups at runners that terminate together",
+			steps: []step{{at: 0, runner: "a", request: lookup("x")}, {at: spacing / 4, runner: "b", request: lookup("x")}},
+			free:  []Traits{lookup("x")},
+		},
+		{
+			name: "unrelated crashes of a popular lookup",
+			steps: []step{
+				{request: lookup("x")}, {at: s, runner: "a", request: lookup("x")}, {at: 2 * s, runner: "b", request: lookup("x")},
+				{at: 3 * s, request: lookup("x")}, {at: 4 * s, runner: "c", request: lookup("x")}, {at: 5 * s, runner: "d", request: lookup("x")},
+				{at: 6 * s, runner: "e", request: lookup("x")},
+			},
+			free: []Traits{lookup("x")},
+		},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/crashes/loss.go
+++ b/internal/crashes/loss.go
@@ -16,6 +16,9 @@
 	Runner string
 	Start  int64
 	At     time.Time
+	// Retry is set if the request was sent to the runner because an earlier one had failed it. Then
+	// the runners did not terminate with several such requests by chance.
+	Retry bool
 }
 
 // incarnation identifies one start of a runner.
--- a/internal/crashes/report.go
+++ b/internal/crashes/report.go
@@ -11,6 +11,9 @@
 	Parts  []Trait `json:"parts,omitempty"`
 	Runner string  `json:"runner"`
 	Start  int64   `json:"start"`
+	// Common and Retry are those of the loss.
+	Common bool `json:"common,omitempty"`
+	Retry  bool `json:"retry,omitempty"`
 	// AgeMS is how long before the report the request was lost or completed, in milliseconds.
 	AgeMS    int64 `json:"age,omitempty"`
 	Answered bool  `json:"answered,omitempty"`
@@ -19,7 +22,8 @@
 // ReportOf returns the report of a loss.
 func ReportOf(l Loss, now time.Time) Report {
 	return Report{
-		Trait: l.Traits.Content, Parts: l.Traits.Parts, Runner: l.Runner, Start: l.Start, AgeMS: now.Sub(l.At).Milliseconds(),
+		Trait: l.Traits.Content, Common: l.Traits.Common, Parts: l.Traits.Parts, Runner: l.Runner, Start: l.Start, Retry: l.Retry,
+		AgeMS: now.Sub(l.At).Milliseconds(),
 	}
 }
 
@@ -35,7 +39,7 @@
 
 // Loss returns the reported loss.
 func (r Report) Loss(now time.Time) Loss {
-	l := Loss{Traits: Traits{Content: r.Trait, Parts: r.Parts}, Runner: r.Runner, Start: r.Start, At: r.At(now)}
+	l := Loss{Traits: Traits{Content: r.Trait, Common: r.Common, Parts: r.Parts}, Runner: r.Runner, Start: r.Start, Retry: r.Retry, At: r.At(now)}
 	if r.Trait.isPart() {
 		l.Traits = Traits{Parts: []Trait{r.Trait}}
 	}
--- a/internal/crashes/traits.go
+++ b/internal/crashes/traits.go
@@ -20,6 +20,9 @@
 	// Content identifies the request by its content, not by its id, which changes with each
 	// attempt of a client. It is empty if the content does not identify the request.
 	Content Trait
+	// Common is set if many clients may send requests with the content, as of a lookup without a
+	// body.
+	Common bool
 	// Parts are the prompt parts that other requests may share, from the first part of the prompt
 	// on. Requests with a later part usually share the earlier ones, too.
 	Parts []Trait
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -231,7 +231,7 @@
 	case mayBeConnectionLoss(err):
 		c.gateway.crashes.recordLoss(connectionLoss{
 			traits: c.traits, requestID: c.request.ID, promptParts: partIDs(c.request.Prompt), firstEvent: c.attemptEvents > 0,
-			runner: r, at: time.Now(),
+			retry: c.executions > 0, runner: r, at: time.Now(),
 		})
 	}
 }
--- a/internal/gateway/crash_parts_test.go
+++ b/internal/gateway/crash_parts_test.go
@@ -101,11 +101,11 @@
 	}
 	g := newCrashGuard(zap.NewNop())
 	for i := range 2 * testCrashes {
-		r := &port.ForwardRequest{Prompt: &port.Prompt{Model: "m", Parts: []port.PromptPart{{ID: "last", Tokens: 1}}}}
+		r := &port.ForwardRequest{Body: fmt.Append(nil, i), Prompt: &port.Prompt{Model: "m", Parts: []port.PromptPart{{ID: "last", Tokens: 1}}}}
 		crash(g, i, traitsOf(r), epoch.Add(time.Duration(i)*time.Second))
 	}
-	if g.evidence.Suspects() != 0 {
-		t.Errorf("%d traits are recorded for a prompt with only one part, want 0", g.evidence.Suspects())
+	if got, want := g.evidence.Suspects(), 2*testCrashes; got != want {
+		t.Errorf("%d traits are recorded for prompts with only one part, want the %d contents", got, want)
 	}
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -23,19 +23,20 @@
 	maxPendingLosses = 1024
 )
 
-// traitsOf returns the traits of a request. The content is empty for requests without a body: many
-// clients send identical ones, and all of them would be refused after two crashes that are unrelated
-// to them. The last part of a prompt belongs to one request or session.
+// traitsOf returns the traits of a request. The last part of a prompt belongs to one request or
+// session, so that it is no trait of its own.
 func traitsOf(r *port.ForwardRequest) crashes.Traits {
-	var t crashes.Traits
-	if len(r.Body) > 0 {
-		t.Content = crashes.Trait(quarantine.DigestOf(r.Method+" "+r.Host+r.Target, string(r.Body)))
-	}
+	t := crashes.Traits{Common: len(r.Body) == 0}
+	subject := r.Method + " " + r.Host + r.Target
 	if r.Prompt != nil {
-		for _, part := range r.Prompt.Parts[:max(0, len(r.Prompt.Parts)-1)] {
-			t.Parts = append(t.Parts, crashes.PartTrait(r.Prompt.Model, part.ID))
+		for i, part := range r.Prompt.Parts {
+			subject += " " + part.ID
+			if i < len(r.Prompt.Parts)-1 {
+				t.Parts = append(t.Parts, crashes.PartTrait(r.Prompt.Model, part.ID))
+			}
 		}
 	}
+	t.Content = crashes.Trait(quarantine.DigestOf(subject, string(r.Body)))
 	return t
 }
 
@@ -64,14 +65,16 @@
 	requestID   string
 	promptParts []string
 	firstEvent  bool
-	runner      port.Runner
-	at          time.Time
+	// retry is set if another runner had failed the request before.
+	retry  bool
+	runner port.Runner
+	at     time.Time
 }
 
 // suspects returns the traits that may have caused the loss.
 func (l *connectionLoss) suspects() crashes.Traits {
 	if l.firstEvent {
-		return crashes.Traits{Content: l.traits.Content}
+		return crashes.Traits{Content: l.traits.Content, Common: l.traits.Common}
 	}
 	return l.traits
 }
@@ -132,7 +135,7 @@
 		g.log.Warn("runner terminated during a request", zap.String("runner", l.runner.ID), zap.Int64("started-ms", l.runner.StartedMS),
 			zap.String(jsonlog.FieldRequestID, l.requestID), zap.Bool("first-event-received", l.firstEvent),
 			zap.Strings("prompt-parts", l.promptParts), zap.Duration("lost-before", now.Sub(l.at)))
-		loss, _, ok := g.evidence.Accept(crashes.Loss{Traits: l.suspects(), Runner: l.runner.ID, Start: l.runner.StartedMS, At: l.at})
+		loss, _, ok := g.evidence.Accept(crashes.Loss{Traits: l.suspects(), Runner: l.runner.ID, Start: l.runner.StartedMS, At: l.at, Retry: l.retry})
 		if ok {
 			losses = append(losses, loss)
 			g.unsentReports = append(g.unsentReports, crashes.ReportOf(loss, now))
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -91,6 +91,45 @@
 	}
 }
 
+// Guards against a request without a body that crashes runners each time it comes, because nothing
+// identifies it, and against refusing other lookups of the same route.
+func TestLookupThatCrashesRunnersIsBlocked(t *testing.T) {
+	lookup := func(target string) crashes.Traits {
+		return traitsOf(&port.ForwardRequest{Method: "GET", Host: "h", Target: target})
+	}
+	g := newCrashGuard(zap.NewNop())
+	now := epoch
+	for i := range testCrashes {
+		if g.blocked(lookup("/slots/deadly"), now) {
+			t.Fatalf("blocked after %d crashes", i)
+		}
+		crash(g, i, lookup("/slots/deadly"), now)
+		now = now.Add(time.Second)
+	}
+	if !g.blocked(lookup("/slots/deadly"), now) {
+		t.Error("the lookup is not blocked")
+	}
+	if g.blocked(lookup("/slots/7"), now) {
+		t.Error("another lookup of the route is blocked")
+	}
+}
+
+// Guards against refusing a lookup that many clients send alike because several runners terminated
+// for other reasons while they held one.
+func TestPopularLookupsAreNotBlocked(t *testing.T) {
+	g := newCrashGuard(zap.NewNop())
+	popular := traitsOf(&port.ForwardRequest{Method: "GET", Host: "h", Target: "/slots/today"})
+	now := epoch
+	for i := range 20 * testCrashes {
+		g.recordCompletion(popular, now)
+		crash(g, 2*i, popular, now.Add(200*time.Millisecond))
+		crash(g, 2*i+1, popular, now.Add(700*time.Millisecond))
+		if now = now.Add(1500 * time.Millisecond); g.blocked(popular, now) {
+			t.Fatalf("blocked after %d crashes", 2*i+2)
+		}
+	}
+}
+
 // Guards against requests that are blocked because their clients left, or because a runner answered
 // with an error, shortly before the runner terminated.
 func TestOnlyLostConnectionsAreEvidenceOfCrashes(t *testing.T) {
