Bound the memory that endless responses can take

A faulty runner that sends a head or a body without end until the caller closes: heads were bounded well, but buffers of streams were not counted, and garbage of growing buffers came on top of the bound.

TestResponseMemoryIsBounded has a lower bound now: 3/8 of the memory instead of twice a quarter, as a refused growth is no longer counted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,9 +37,10 @@
 	// maxHeaderBytes is larger than the headers that operators allow clients to send.
 	maxHeaderBytes = 64 << 10
 	// bodyShare and responseShare are the shares of the process memory that request bodies and
-	// fully buffered responses may occupy.
-	bodyShare     = 0.25
-	responseShare = 0.25
+	// buffered responses may occupy; smallResponseShare is a further one for small responses.
+	bodyShare          = 0.25
+	responseShare      = 0.25
+	smallResponseShare = 0.125
 )
 
 // Dependencies are the external systems of a gateway.
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -121,8 +121,7 @@
 		})
 	}
 	group.Wait()
-	// Each call counts the last growth of its buffer even if that exceeds the limit.
-	if used, limit := g.responseBytes.Load(), int64(responseShare*memory)*2; used > limit {
+	if used, limit := g.responseBytes.Load(), int64((responseShare+smallResponseShare)*memory); used > limit {
 		t.Errorf("responses occupy %d bytes, want at most %d", used, limit)
 	}
 	for _, c := range calls {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -21,6 +21,9 @@
 	maxResponseBytes = 16 << 20
 	// responseGrowth is the number of bytes by which the buffer of a response grows at least.
 	responseGrowth = 16 << 10
+	// smallResponse is the size up to which a response may also occupy smallResponseShare, so that
+	// endless responses do not displace those of sound runners.
+	smallResponse = 64 << 10
 )
 
 // servePlain forwards a call to a plain service. It buffers the complete response before it
@@ -125,8 +128,8 @@
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown := slices.Grow(body, responseGrowth)
-			if !c.reserveMemory(int64(cap(grown) - cap(body))) {
+			grown, ok := c.growBuffer(body, responseGrowth)
+			if !ok {
 				return nil, errResponseMemory
 			}
 			body = grown
@@ -144,13 +147,28 @@
 	}
 }
 
-// reserveMemory counts bytes of a response as occupied. It returns false, but has counted them, if
-// the buffered responses of all calls now exceed their share of the memory.
-func (c *call) reserveMemory(bytes int64) bool {
-	c.responseBytes += bytes
+// growBuffer makes room for at least n more bytes in a buffer for a response and reserves the memory
+// until the call ends. It returns false if the memory for responses is full.
+func (c *call) growBuffer(buffer []byte, n int) ([]byte, bool) {
+	grown := slices.Grow(buffer, n)
+	share := responseShare
+	if cap(grown) <= smallResponse {
+		share += smallResponseShare
+	}
+	return grown, c.reserveMemory(int64(cap(grown)-cap(buffer)), share)
+}
+
+// reserveMemory counts bytes of a response as occupied. It returns false and counts nothing if the
+// buffered responses of all calls would exceed a share of the memory.
+func (c *call) reserveMemory(bytes int64, share float64) bool {
 	used := c.gateway.responseBytes.Add(bytes)
 	memory := c.gateway.settings.Load().MemoryBytes
-	return memory <= 0 || float64(used) <= responseShare*float64(memory)
+	if memory > 0 && float64(used) > share*float64(memory) {
+		c.gateway.responseBytes.Add(-bytes)
+		return false
+	}
+	c.responseBytes += bytes
+	return true
 }
 
 // releaseMemory releases the memory reserved for the responses of the call.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -55,7 +55,11 @@
 	buffer := make([]byte, 0, relayBuffer)
 	for {
 		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
+			grown, ok := c.growBuffer(buffer, relayBuffer)
+			if !ok {
+				return errResponseMemory
+			}
+			buffer = grown
 		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
