Answer every request of a planned stop

Cause: nothing answered the requests that were in progress at the end of the grace time; and http.Server reads requests on open connections after its shutdown has begun, 2.5 s after SIGTERM, and drops them.

Now the server is shut down once no request is in progress. Requests that arrive after the balancer has reacted and may not finish are refused with 503 and Retry-After, and those that remain at the end get 502, or 503 if they did not run. Requests within the balancer's delay are served as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,11 +23,6 @@
 )
 
 const (
-	// balancerDelay is how long a stopping daemon continues to serve new requests: the load
-	// balancer probes once a second and acts on the second failed probe.
-	balancerDelay = 2500 * time.Millisecond
-	// stopMargin is the part of the grace time that is reserved for closing connections.
-	stopMargin = 400 * time.Millisecond
 	// headerTimeout bounds the time to read a request header. The operators' own limit, which
 	// clients comply with, is shorter.
 	headerTimeout = 10 * time.Second
@@ -70,7 +65,10 @@
 	planner   *rolePlanner
 
 	stopping atomic.Bool
-	tomb     tomb.Tomb
+	// outOfRotation is set once the balancer has had the time to see that the daemon stops.
+	outOfRotation atomic.Bool
+	serviceEnd    *serviceEnd
+	tomb          tomb.Tomb
 	// bodyBytes counts the bytes of request bodies in memory.
 	bodyBytes atomic.Int64
 	// responseBytes counts the bytes of buffered responses in memory.
@@ -91,8 +89,9 @@
 func New(s Settings, deps Dependencies) *Gateway {
 	g := &Gateway{
 		deps: deps, metrics: newMetrics(), runners: deps.Runners,
-		fleet:   placement.NewFleet(s.DataCentre, s.Name),
-		retries: newRetryLimits(s.Retries, time.Now(), s.FirstStart),
+		fleet:      placement.NewFleet(s.DataCentre, s.Name),
+		retries:    newRetryLimits(s.Retries, time.Now(), s.FirstStart),
+		serviceEnd: newServiceEnd(),
 	}
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
@@ -264,33 +263,6 @@
 // Wait blocks until the daemon has ended and returns the error that ended it, or nil.
 func (g *Gateway) Wait() error { return g.tomb.Wait() }
 
-// markClosing asks the client of a stopping daemon to use another connection.
-func (g *Gateway) markClosing(h http.Header) {
-	if g.stopping.Load() {
-		h.Set("Connection", "close")
-	}
-}
-
-// Stop ends the daemon without interrupting requests: it reports that it is not ready, serves
-// until the load balancer has reacted, and lets requests finish within the grace time.
-func (g *Gateway) Stop() error {
-	began := time.Now()
-	g.stopping.Store(true)
-	g.log.Info("daemon stopping", zap.Int64("active-requests", g.metrics.inFlight.Value()))
-	time.Sleep(balancerDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.settings.Load().StopGrace-stopMargin))
-	defer cancel()
-	if err := g.clientServer.Shutdown(ctx); err != nil {
-		g.log.Warn("requests were still in flight at the end of the grace time",
-			zap.Int64("active-requests", g.metrics.inFlight.Value()), zap.Error(err))
-	}
-	leaveCtx, cancelLeave := context.WithTimeout(context.Background(), stopMargin/2)
-	defer cancelLeave()
-	g.peers.announceLeaving(leaveCtx)
-	g.log.Info("daemon stopped", zap.Duration("took", time.Since(began)))
-	return g.Kill()
-}
-
 // Kill ends the daemon immediately and interrupts running requests, as a crash would.
 func (g *Gateway) Kill() error {
 	g.stopping.Store(true)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,7 +59,9 @@
 		return
 	}
 	c := g.newCall(w, request, route, table)
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, stopWatching := g.serviceEnd.watch(r.Context())
+	defer stopWatching()
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	defer c.releaseMemory()
 	c.serve(ctx)
@@ -89,6 +91,10 @@
 
 // serve forwards the request and finishes the call.
 func (c *call) serve(ctx context.Context) {
+	if c.stopsTooSoon() {
+		c.fail(ctx, errStopping)
+		return
+	}
 	if c.route.Repeat == port.RepeatStream {
 		c.serveStream(ctx)
 		return
