Take a success without a length and without a body for broken off

TestBrokenResponsesAreNotComplete closes after each byte of seven responses. On the code before, no broken head, framed body or stream was taken for complete, except one: a plain success without a length whose connection ends right after the head (byte 59 of 65) reached the client with Content-Length 0. Servers state the length of an empty body, so that this is taken for broken off now, as it was for streams.

--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -121,7 +121,8 @@
 
 // readResponse reads and closes a whole response body. Its memory stays reserved until the call
 // ends. The error is errResponseMemory if the memory for responses is full, port.ErrInvalidResponse
-// if the body is longer than maxResponseBytes, and errInterrupted if it cannot be read to its end.
+// if the body is longer than maxResponseBytes, and errInterrupted if it cannot be read to its end, or
+// if a success that ends with its connection has no body.
 func (c *call) readResponse(response *port.ForwardResponse) ([]byte, error) {
 	// After a complete body, closing has no effect.
 	defer func() { _ = response.Body.Close() }()
@@ -137,6 +138,9 @@
 		n, err := response.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
+		case err == io.EOF && len(body) == 0 && !response.Framed && response.Status < http.StatusMultipleChoices:
+			// Servers state the length of an empty body.
+			return nil, errInterrupted
 		case err == io.EOF:
 			return body, nil
 		case err != nil:
