Keep the state of a runner whose registry entry lapses

What runners saw: a runner that had answered 503 with Retry-After 20 got 30 requests of that daemon in this time, after its entry had lapsed and come back.

Cause: the fleet kept the state of a runner only while it was in the list. Not only the quiet time was lost: also a 421 of another instance, failures, cached parts, a pending order and the requests in flight.

--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -17,6 +17,8 @@
 	mu      sync.Mutex
 	cells   cells
 	members map[string]*member
+	// lapsed holds the members of runners that are no longer in the list, the latest one last.
+	lapsed []*member
 	// services maps a service to its runners.
 	services map[string][]*member
 	limits   map[string]*port.EngineLimits
@@ -45,15 +47,20 @@
 		f.limits[name] = s.Engine
 	}
 	for _, m := range f.members {
-		m.limits = f.limits[m.runner.Service]
-		if m.limits != nil {
-			m.cache.capacity = int64(float64(m.limits.KVTokens) * cacheCapacityShare)
-		}
+		f.setLimits(m)
+	}
+}
+
+// setLimits sets the limits of a member to those of its service. The caller holds f.mu.
+func (f *Fleet) setLimits(m *member) {
+	m.limits = f.limits[m.runner.Service]
+	if m.limits != nil {
+		m.cache.capacity = int64(float64(m.limits.KVTokens) * cacheCapacityShare)
 	}
 }
 
 // SetRunners replaces the list of runners. Runners that keep their id, address and
-// service keep their state.
+// service keep their state, also if they were not in the list for a while.
 func (f *Fleet) SetRunners(runners []port.Runner) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -61,6 +68,9 @@
 	services := map[string][]*member{}
 	for _, r := range runners {
 		m, ok := f.members[r.ID]
+		if !ok {
+			m, ok = f.takeLapsed(r)
+		}
 		if ok && m.runner.Address == r.Address && m.runner.Service == r.Service {
 			m.update(r)
 		} else {
@@ -70,6 +80,7 @@
 		members[r.ID] = m
 		services[r.Service] = append(services[r.Service], m)
 	}
+	f.keepLapsed(members)
 	f.members, f.services = members, services
 	f.assignCells()
 }
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -45,11 +45,12 @@
 
 // MarkQuiet records that a runner asked for no requests of this daemon for a period. Daemons with the
 // same period resume at different times, up to maxQuietSpread after it. A period that ends before the
-// recorded one has no effect. MarkQuiet reports whether the runner was in use before.
+// recorded one has no effect. The period also holds for a runner whose registry entry has lapsed.
+// MarkQuiet reports whether the runner was in use before.
 func (f *Fleet) MarkQuiet(now time.Time, id string, startedMS int64, period time.Duration) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	m, ok := f.members[id]
+	m, ok := f.memberOf(id)
 	if !ok || m.runner.StartedMS != startedMS {
 		return false
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -105,7 +105,7 @@
 func (f *Fleet) CancelRoleChange(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m, ok := f.members[id]; ok {
+	if m, ok := f.memberOf(id); ok {
 		m.pendingRole, m.orderedLocally = "", false
 		m.dirty = true
 	}
@@ -116,7 +116,7 @@
 func (f *Fleet) MarkOrderUnanswered(now time.Time, id string, within time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m, ok := f.members[id]; ok {
+	if m, ok := f.memberOf(id); ok {
 		m.pendingRole, m.orderedLocally = "", false
 		m.unansweredUntil = now.Add(within)
 		m.dirty = true
