Remove an accessor of the crash evidence that only a test used

The test reads the recorded losses and demands for each what it demanded of their number: prompts with one part have no trait but their content. Behaviour is unchanged.

--- a/internal/crashes/attribution.go
+++ b/internal/crashes/attribution.go
@@ -112,7 +112,7 @@
 
 // holdsLossesOf reports whether the losses of which a block follows are all recorded.
 func (e *Evidence) holdsLossesOf(b *Block, now time.Time) bool {
-	return !b.firstCrash.IsZero() && now.Sub(b.firstCrash) < Retention && b.firstCrash.After(e.droppedUntil)
+	return !b.firstCrash.IsZero() && now.Sub(b.firstCrash) < retention && b.firstCrash.After(e.droppedUntil)
 }
 
 // lossesWith returns the losses with a trait.
--- a/internal/crashes/block.go
+++ b/internal/crashes/block.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// Retention is how long a loss counts.
-	Retention = time.Minute
+	// retention is how long a loss counts.
+	retention = time.Minute
 	// firstTrialDelay is the time from the block of a trait after minCrashes crashes to its first
 	// trial. It is long enough for other losses of the same crashes to be confirmed.
 	firstTrialDelay = 5 * time.Second
--- a/internal/crashes/evidence.go
+++ b/internal/crashes/evidence.go
@@ -12,7 +12,7 @@
 
 // Evidence holds what a daemon knows of crashes. It is not safe for concurrent use.
 type Evidence struct {
-	// losses holds the losses of the last Retention, with the traits that no completed request
+	// losses holds the losses of the last retention, with the traits that no completed request
 	// has cleared since.
 	losses []Loss
 	// known holds the keys of the losses, accused the number of losses with a trait.
@@ -101,9 +101,6 @@
 	return true, false
 }
 
-// Suspects returns the number of traits with recorded losses.
-func (e *Evidence) Suspects() int { return len(e.accused) }
-
 // Accept removes from a loss the traits with which requests have completed since, and reports
 // whether a suspect is left. It returns the removed traits.
 func (e *Evidence) Accept(l Loss) (rest Loss, cleared []Trait, ok bool) {
@@ -118,14 +115,14 @@
 }
 
 // Add records losses that Accept has returned, and returns the blocks that are new or count more
-// crashes. Losses that are known already, or older than Retention, change nothing.
+// crashes. Losses that are known already, or older than retention, change nothing.
 func (e *Evidence) Add(losses []Loss, now time.Time) []Block {
 	e.expire(now)
 	var changed []Block
 	suspects := false
 	for _, l := range losses {
 		key := l.key()
-		if e.known[key] || now.Sub(l.At) >= Retention {
+		if e.known[key] || now.Sub(l.At) >= retention {
 			continue
 		}
 		e.known[key] = true
@@ -223,7 +220,7 @@
 
 // expire removes the losses and blocks that no longer count.
 func (e *Evidence) expire(now time.Time) {
-	old := func(l Loss) bool { return now.Sub(l.At) >= Retention }
+	old := func(l Loss) bool { return now.Sub(l.At) >= retention }
 	if slices.ContainsFunc(e.losses, old) {
 		e.setLosses(slices.DeleteFunc(e.losses, old))
 	}
--- a/internal/crashes/evidence_test.go
+++ b/internal/crashes/evidence_test.go
@@ -207,7 +207,7 @@
 	if blocked(e, epoch) {
 		t.Error("repeated reports of one crash count more than once")
 	}
-	if e.Add([]Loss{loss(2, "b", 1, epoch)}, epoch.Add(Retention)); blocked(e, epoch.Add(Retention)) {
+	if e.Add([]Loss{loss(2, "b", 1, epoch)}, epoch.Add(retention)); blocked(e, epoch.Add(retention)) {
 		t.Error("a report that is older than the retention counts")
 	}
 	e = NewEvidence()
--- a/internal/gateway/crash_parts_test.go
+++ b/internal/gateway/crash_parts_test.go
@@ -104,8 +104,14 @@
 		r := &port.ForwardRequest{Body: fmt.Append(nil, i), Prompt: &port.Prompt{Model: "m", Parts: []port.PromptPart{{ID: "last", Tokens: 1}}}}
 		crash(g, i, traitsOf(r), epoch.Add(time.Duration(i)*time.Second))
 	}
-	if got, want := g.evidence.Suspects(), 2*testCrashes; got != want {
-		t.Errorf("%d traits are recorded for prompts with only one part, want the %d contents", got, want)
+	losses := g.evidence.Losses()
+	if len(losses) != 2*testCrashes {
+		t.Errorf("%d losses are recorded, want %d", len(losses), 2*testCrashes)
+	}
+	for _, l := range losses {
+		if l.Traits.Content == "" || len(l.Traits.Parts) != 0 {
+			t.Errorf("a prompt with only one part has the traits %v, want its content only", l.Traits)
+		}
 	}
 }
 
