Blame the latest of several common parts first

Which of two nested parts was blamed in place of the later ones depended on the order of a map, so that daemons with the same losses could decide differently, and the model test failed after 42 or 83 scenarios from run to run. Now the later one comes first, and the rest is computed anew.

--- a/internal/crashes/attribution.go
+++ b/internal/crashes/attribution.go
@@ -154,36 +154,55 @@
 }
 
 // blameEarlierParts blames an earlier part in place of several blamed parts that follow it: one cause is
-// likelier than many.
+// likelier than many. Of several such parts it begins with the latest, which refuses fewer requests.
 func (a *attribution) blameEarlierParts() {
-	followers := map[Trait]map[Trait]bool{}
+	for {
+		var best *commonPart
+		for _, c := range a.commonParts() {
+			need := minBlamedBelow
+			if a.completions.count(c.trait) > 0 {
+				need = minBlamedBelowAfterSuccess
+			}
+			if len(c.later) >= need && (best == nil || cmp.Or(cmp.Compare(best.depth, c.depth), cmp.Compare(c.trait, best.trait)) < 0) {
+				best = c
+			}
+		}
+		if best == nil {
+			return
+		}
+		for t := range best.later {
+			delete(a.blamed, t)
+		}
+		// The crashes accuse the later parts as well, so that this one is tried early.
+		a.blamed[best.trait] = minCrashes
+	}
+}
+
+// commonPart is a prompt part that blamed parts follow.
+type commonPart struct {
+	trait Trait
+	// depth is the position of the part in the prompt.
+	depth int
+	later map[Trait]bool
+}
+
+// commonParts returns the parts that explain no losses and that blamed parts follow.
+func (a *attribution) commonParts() map[Trait]*commonPart {
+	out := map[Trait]*commonPart{}
 	for _, l := range a.losses {
 		for i, t := range l.Traits.Parts {
 			for _, later := range l.Traits.Parts[i+1:] {
 				if a.blamed[later] == 0 || a.explains(t) {
 					continue
 				}
-				if followers[t] == nil {
-					followers[t] = map[Trait]bool{}
+				if out[t] == nil {
+					out[t] = &commonPart{trait: t, depth: i, later: map[Trait]bool{}}
 				}
-				followers[t][later] = true
+				out[t].later[later] = true
 			}
 		}
 	}
-	for t, later := range followers {
-		need := minBlamedBelow
-		if a.completions.count(t) > 0 {
-			need = minBlamedBelowAfterSuccess
-		}
-		if len(later) < need {
-			continue
-		}
-		for l := range later {
-			delete(a.blamed, l)
-		}
-		// The crashes accuse the later parts as well, so that this one is tried early.
-		a.blamed[t] = minCrashes
-	}
+	return out
 }
 
 // blameContents blames the contents that were in flight at several runners whose termination no part
