Learn of crashes from peers at once, and block after repeats of one request

Now the reports of peers confirm a daemon's own losses at the same start of a runner, and four crashes of one request and its repeats suffice to block its last shared part, with an early trial.

TestPeersConfirmLosses and the case "many repeats of one request" of TestAttribution are new.

--- a/internal/crashes/attribution.go
+++ b/internal/crashes/attribution.go
@@ -17,6 +17,9 @@
 	// likely to have been in flight by chance.
 	minCrashesAfterSuccess       = 3
 	minCommonCrashesAfterSuccess = 4
+	// minCrashesOfOneRequest is the number of runners that must have terminated during one request and
+	// its repeats before others with its last shared part are refused.
+	minCrashesOfOneRequest = 4
 	// minBlamedBelow is the number of later parts that must be blamed before an earlier one is blamed
 	// in their place. With minBlamedBelowAfterSuccess it holds for a part with which requests are
 	// remembered to have completed.
@@ -143,6 +146,10 @@
 			return
 		}
 		blamed, crashes := best, best.distinct()
+		if len(best.followers) == 1 {
+			// The crashes accuse the one request as well, so that the part is tried early.
+			crashes = minCrashes
+		}
 		for _, earlier := range best.before {
 			// One cause is likelier than several: the part explains enough further crashes.
 			if s := suspects[earlier]; s != nil && s.crashes >= s.need && s.crashes-best.crashes >= minCrashes {
@@ -257,8 +264,11 @@
 	followers map[string]bool
 }
 
-// guilty reports whether the losses suffice to blame the part.
-func (s *suspectPart) guilty() bool { return s.crashes >= s.need && len(s.followers) > 1 }
+// guilty reports whether the losses suffice to blame the part. If what follows it is always the same,
+// that explains the crashes as well, and many of them are needed.
+func (s *suspectPart) guilty() bool {
+	return s.crashes >= s.need && (len(s.followers) > 1 || s.distinct() >= minCrashesOfOneRequest)
+}
 
 // distinct returns the number of crashes that decides when the part is tried.
 func (s *suspectPart) distinct() int {
--- a/internal/crashes/evidence_test.go
+++ b/internal/crashes/evidence_test.go
@@ -104,6 +104,16 @@
 			},
 			blocked: []Traits{request(9, "f", "x")}, free: []Traits{request(9, "g", "h"), request(9, "f")},
 		},
+		{
+			// Guards against a part that crashes further runners because only repeats of one request
+			// are known to have crashed some.
+			name: "many repeats of one request",
+			steps: []step{
+				{at: 0, runner: "a", request: request(1, "f", "x")}, {at: spacing / 2, runner: "b", request: request(1, "f", "x")},
+				{at: s, runner: "c", request: request(1, "f", "x")}, {at: s + spacing/2, runner: "d", request: request(1, "f", "x")},
+			},
+			blocked: []Traits{request(2, "f", "x")}, free: []Traits{request(2, "f", "y")},
+		},
 		{
 			name:    "repeats of one request",
 			steps:   []step{{at: 0, runner: "a", request: request(1, "f", "x")}, {at: s, runner: "b", request: request(1, "f", "x")}},
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -120,6 +120,23 @@
 	g.confirmLosses(now, func(l connectionLoss) bool { return l.runner.ID == runner })
 }
 
+// confirmReported confirms losses at the starts of runners that peers have reported as terminated.
+func (g *crashGuard) confirmReported(reports []crashes.Report, now time.Time) {
+	terminated := map[string]int64{}
+	for _, r := range reports {
+		if r.Runner != "" {
+			terminated[r.Runner] = r.Start
+		}
+	}
+	if len(terminated) == 0 {
+		return
+	}
+	g.confirmLosses(now, func(l connectionLoss) bool {
+		start, ok := terminated[l.runner.ID]
+		return ok && start == l.runner.StartedMS
+	})
+}
+
 // confirmLosses records the pending losses for which confirmed returns true as crashes, and removes
 // the losses that are older than lossConfirmWindow.
 func (g *crashGuard) confirmLosses(now time.Time, confirmed func(connectionLoss) bool) {
@@ -218,6 +235,7 @@
 // applyReports applies the reports of a peer. It reports to all peers that a request with a trait
 // completed, if this daemon has seen that since the crash.
 func (g *crashGuard) applyReports(now time.Time, reports []crashes.Report) {
+	g.confirmReported(reports, now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var losses []crashes.Loss
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -136,6 +136,21 @@
 	}
 }
 
+// Guards against a daemon that waits for the registry to learn that a runner has terminated although a
+// peer has reported it, and against reports of an earlier start of the runner.
+func TestPeersConfirmLosses(t *testing.T) {
+	for start, confirmed := range map[int64]bool{1: true, 2: false} {
+		g := newCrashGuard(zap.NewNop())
+		g.recordLoss(connectionLoss{traits: testTraits, runner: runnerAt(0, start), at: epoch})
+		peer := newCrashGuard(zap.NewNop())
+		crash(peer, 0, crashes.Traits{Content: "other"}, epoch)
+		g.applyReports(epoch.Add(time.Second), peer.takeReports())
+		if got := len(g.pendingLosses) == 0; got != confirmed {
+			t.Errorf("loss at start %d of a runner whose start 1 terminated: confirmed: %t, want %t", start, got, confirmed)
+		}
+	}
+}
+
 // Guards against requests that are blocked because their clients left, or because a runner answered
 // with an error, shortly before the runner terminated.
 func TestOnlyLostConnectionsAreEvidenceOfCrashes(t *testing.T) {
