Count runners that terminate together for the first trial

Two of the four crashes were 43 ms apart, others were confirmed after the block: the trial came as early as after two or three crashes. Now up to four runners count for the first trial, also if they terminate together or are confirmed late.

--- a/internal/crashes/attribution.go
+++ b/internal/crashes/attribution.go
@@ -28,9 +28,11 @@
 	// spacing is the time between crashes that count separately against a prompt part or a common
 	// content. Runners that terminate together, as when a host fails, hold the same popular ones.
 	spacing = 250 * time.Millisecond
-	// trialSpacing is the same time for the number of crashes that decides when a blocked trait is
-	// tried: a trait that crashes runners crashes several in short order, and many tell that it does.
+	// trialSpacing is the same time for the crashes that defer the trial of a blocked trait: one that
+	// crashes runners crashes several in short order.
 	trialSpacing = 50 * time.Millisecond
+	// maxFirstTrialCrashes bounds the crashes that defer the first trial of a blocked part.
+	maxFirstTrialCrashes = 4
 )
 
 // attribution finds the traits that explain the losses of an Evidence. The result depends on the
@@ -86,7 +88,7 @@
 			continue
 		}
 		later := slices.DeleteFunc(crashTimes(a.withoutBlocked(s)), func(at time.Time) bool { return at.Sub(b.LastCrash) < trialSpacing })
-		a.blamed[t] = b.Crashes + countSpaced(later, trialSpacing)
+		a.blamed[t] = max(b.Crashes+countSpaced(later, trialSpacing), trialCrashes(a.withoutBlocked(s)))
 	}
 }
 
@@ -145,7 +147,7 @@
 		if best == nil {
 			return
 		}
-		blamed, crashes := best, best.distinct()
+		blamed, crashes := best, trialCrashes(best.unexplained)
 		if len(best.followers) == 1 {
 			// The crashes accuse the one request as well, so that the part is tried early.
 			crashes = minCrashes
@@ -270,9 +272,13 @@
 	return s.crashes >= s.need && (len(s.followers) > 1 || s.distinct() >= minCrashesOfOneRequest)
 }
 
-// distinct returns the number of crashes that decides when the part is tried.
-func (s *suspectPart) distinct() int {
-	return max(minCrashes, countSpaced(crashTimes(s.unexplained), trialSpacing))
+// distinct returns the number of crashes with short gaps between them.
+func (s *suspectPart) distinct() int { return countSpaced(crashTimes(s.unexplained), trialSpacing) }
+
+// trialCrashes returns the number of crashes in losses that decides when a part is tried first. Runners
+// that terminate together count, too, but only a few: their host may have failed.
+func trialCrashes(losses []Loss) int {
+	return min(maxFirstTrialCrashes, max(minCrashes, len(crashTimes(losses))))
 }
 
 // suspectParts returns the prompt parts that were lost more than once and do not explain losses yet.
