--- a/internal/gateway/crash_records_test.go
+++ b/internal/gateway/crash_records_test.go
@@ -51,6 +51,13 @@
 	return nil
 }
 
+// counts returns the number of writes and of records.
+func (s *recordStore) counts() (writes, records int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes, len(s.records)
+}
+
 func (s *recordStore) setAway(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,8 +89,8 @@
 			time.Sleep(time.Second)
 			store.setAway(false)
 			settle()
-			if store.writes != 1 {
-				t.Errorf("store away: %t: the block was written %d times, want once", away, store.writes)
+			if writes, _ := store.counts(); writes != 1 {
+				t.Errorf("store away: %t: the block was written %d times, want once", away, writes)
 			}
 			kill()
 			killOther()
@@ -101,8 +108,8 @@
 			}
 			restarted.recordCompletion(traitsWith(101, "deadly"), time.Now())
 			settle()
-			if len(store.records) != 0 {
-				t.Errorf("%d records are left after a request with the part completed", len(store.records))
+			if _, records := store.counts(); records != 0 {
+				t.Errorf("%d records are left after a request with the part completed", records)
 			}
 			killRestarted()
 		})
