Log and count the request limits that runners name

Each response to a request now says whether its runner names a limit; changes are logged, limit_notices counts them, and limited_runners shows the limit of each runner beside the requests that this daemon has sent to it. Nothing acts on the limit yet.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -250,6 +250,7 @@
 	mux.HandleFunc(pat.Get("/debug/vars"), func(w http.ResponseWriter, _ *http.Request) {
 		vars := g.metrics.vars()
 		vars.Set("retry_limits", expvar.Func(g.retries.usage))
+		vars.Set("limited_runners", expvar.Func(func() any { return g.fleet.LimitedRunners(time.Now()) }))
 		vars.Set("blocked_traits", expvar.Func(func() any { return g.crashes.blocks() }))
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		// A failed write means that the client disconnected.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -27,6 +27,8 @@
 	// leavingRunners counts runners that announced that they leave, quietNotices responses that
 	// asked for no requests.
 	leavingRunners, quietNotices *expvar.Int
+	// limitNotices counts responses that named a request limit of their runner.
+	limitNotices *expvar.Int
 
 	mu sync.Mutex
 	// firstEventLatency and totalLatency are in milliseconds, by rank. Guarded by mu.
@@ -36,7 +38,7 @@
 
 func newMetrics() *metrics {
 	return &metrics{
-		requests: new(expvar.Map).Init(), inFlight: new(expvar.Int), bodyBytes: new(expvar.Int), panics: new(expvar.Int), leavingRunners: new(expvar.Int), quietNotices: new(expvar.Int),
+		requests: new(expvar.Map).Init(), inFlight: new(expvar.Int), bodyBytes: new(expvar.Int), panics: new(expvar.Int), leavingRunners: new(expvar.Int), quietNotices: new(expvar.Int), limitNotices: new(expvar.Int),
 		firstEventLatency: map[int]*hdrhistogram.Histogram{}, totalLatency: map[int]*hdrhistogram.Histogram{},
 	}
 }
@@ -88,6 +90,7 @@
 	v.Set("panics", m.panics)
 	v.Set("leaving_runners", m.leavingRunners)
 	v.Set("quiet_notices", m.quietNotices)
+	v.Set("limit_notices", m.limitNotices)
 	v.Set("first_event_ms_by_rank", m.latencies(m.firstEventLatency))
 	v.Set("answer_ms_by_rank", m.latencies(m.totalLatency))
 	return v
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -150,6 +150,11 @@
 	leavingUnreported bool
 	// quietUntil is the time until which the runner asked for no requests of this daemon.
 	quietUntil time.Time
+	// limit is the request limit that the runner named last, in requests per second; it is in force
+	// while limitNamed is set. sent is the number of requests that this daemon sent to the runner.
+	limit      float64
+	limitNamed bool
+	sent       int64
 	// pendingRole is the role that the runner was ordered to take, or empty. The runner
 	// receives no requests until it reports the role or changeDeadline has passed.
 	pendingRole    port.Role
@@ -224,6 +229,7 @@
 		m.suspectUntil = time.Time{}
 		m.leaving, m.leavingUnreported = false, false
 		m.quietUntil = time.Time{}
+		m.limitNamed = false
 	}
 	if roleChanged || restarted {
 		m.speed = 1
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -144,6 +144,7 @@
 	l := m.load(now)
 	r.queueWasEmpty = l.wait(UrgencyCount-1) == 0
 	m.inFlight[r] = struct{}{}
+	m.sent++
 	if m.current == nil {
 		m.selectNextPrefill(now)
 	}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -250,12 +250,26 @@
 	Leaving bool
 	// Quiet is for how long the runner wants no requests of this daemon; 0 if it does not say.
 	Quiet time.Duration
+	// Limit is what the runner says of a request limit, in the response to a request that was sent at
+	// SentAt.
+	Limit  RequestLimit
+	SentAt time.Time
+}
+
+// RequestLimit is what a response says of the rate of requests that its runner takes from all daemons
+// together. The zero value says nothing.
+type RequestLimit struct {
+	// Named is set if the response names a limit, None if it is a successful response to a request
+	// and names none.
+	Named, None bool
+	// Rate is the named limit in requests per second.
+	Rate float64
 }
 
 // NoticeSource is a Runners that reads notices.
 type NoticeSource interface {
-	// Watch sets the function that is called with each notice, before the response in which it
-	// stands is returned. It must be called before the first request.
+	// Watch sets the function that is called with what each response says, before the response is
+	// returned. It must be called before the first request.
 	Watch(func(Runner, RunnerNotice))
 }
 
