--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -267,8 +267,26 @@
 
 // sendChanges queues load changes for all peers and sends to those without a call in flight.
 func (p *peers) sendChanges(ctx context.Context, now time.Time) {
+	full := p.queueChanges(now)
 	p.mu.Lock()
-	full := now.Sub(p.lastFullReport) >= heartbeatInterval
+	defer p.mu.Unlock()
+	if full {
+		p.checkReachability(now)
+	}
+	for _, l := range p.links {
+		watched := full && (l.cellPeer || l.probe)
+		due := !now.Before(l.nextSend) && (watched || l.previous != nil || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0)
+		if due && !l.callInFlight {
+			p.send(ctx, l)
+		}
+	}
+}
+
+// queueChanges queues load changes and crash reports for all peers. It reports whether all loads were
+// due, also those without a change.
+func (p *peers) queueChanges(now time.Time) (full bool) {
+	p.mu.Lock()
+	full = now.Sub(p.lastFullReport) >= heartbeatInterval
 	if full {
 		p.lastFullReport = now
 	}
@@ -279,9 +297,6 @@
 	crashes := p.crashes.takeReports()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if full {
-		p.checkReachability(now)
-	}
 	for _, l := range p.links {
 		switch {
 		case l.cellPeer:
@@ -293,12 +308,8 @@
 			l.queueLoads(newParts)
 		}
 		l.queueCrashReports(crashes)
-		watched := full && (l.cellPeer || l.probe)
-		due := !now.Before(l.nextSend) && (watched || l.previous != nil || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0)
-		if due && !l.callInFlight {
-			p.send(ctx, l)
-		}
 	}
+	return full
 }
 
 // checkReachability marks each remote data centre as unresponsive if there was no contact to any
@@ -393,10 +404,7 @@
 	if m.Previous != nil {
 		p.retries.share.PreviousUsed(m.Previous.Used, time.Duration(m.Previous.AgeMS)*time.Millisecond)
 	}
-	newParts := p.fleet.ApplyPeerLoads(time.Now(), m.From, decodeLoads(m.Runners))
-	if m.DataCentre != p.dataCentre {
-		p.forwardParts(newParts)
-	}
+	p.applyLoads(time.Now(), &m)
 	p.crashes.applyReports(time.Now(), m.Crashes)
 	if m.Config > p.config.version() {
 		p.fetchConfig(m.Address)
@@ -404,6 +412,15 @@
 	return nil, nil
 }
 
+// applyLoads applies the loads that a peer reports. What it reports from another data centre is
+// forwarded within this one.
+func (p *peers) applyLoads(now time.Time, m *loadMessage) {
+	news := p.fleet.ApplyPeerLoads(now, m.From, decodeLoads(m.Runners))
+	if m.DataCentre != p.dataCentre {
+		p.forwardParts(news)
+	}
+}
+
 // removePeer removes a daemon that announced that it stops, and remembers the part of the constant
 // retry limit that it has used.
 func (p *peers) removePeer(name string, usedSlack float64) {
