Obey the request limits of runners, all daemons together

Cause: no part of the request path knew of the limit, so that placement sent what the load models made attractive. Class of fault: a number that belongs to the whole fleet and that no daemon accounts for.

Change: package requestlimit keeps one token bucket per limited runner in each daemon, filled at the whole rate and drawn by each daemon's sends and by those that the others report; load reports carry the limit, its age and the number of sends, also between cells and data centres. Daemons that do not hear all others fill the bucket with the share of those they hear. Placement skips a runner whose limit allows nothing for runs, prefills, continued runs, retries and trials alike, without counting a failure; if a whole service is limited, callers are refused at once with the time until the next request is allowed. A limit ends with a successful answer without it to a request that was sent after it was named; the rate then recovers over 3 s.

QuietFor is renamed AcceptsIn, as it covers limits too; its tests keep their assertions.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -319,8 +319,8 @@
 	_, wait, ok := c.gateway.fleet.Predict(time.Now(), c.placementQuery())
 	if !ok {
 		wait = c.route.Target
-		if quiet := c.gateway.fleet.QuietFor(time.Now(), c.service); quiet > 0 {
-			wait = quiet
+		if left := c.gateway.fleet.AcceptsIn(time.Now(), c.service); left > 0 {
+			wait = left
 		}
 	}
 	wait = max(minRetryAfter, wait)
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +11,7 @@
 
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/seedtest"
 )
 
 const (
@@ -27,6 +29,8 @@
 	// limitAnswerTime is the time in which runners answer.
 	limitAnswerTime = 300 * time.Millisecond
 	limitedID       = "limited"
+	// slowMessage is the delay of a message of which a packet was lost.
+	slowMessage = 400 * time.Millisecond
 )
 
 // limitSim plays daemons that share a service of one limited runner and others, without a network and
@@ -44,8 +48,12 @@
 	callers func(daemon int, at time.Duration) float64
 	// cut reports whether two daemons cannot reach each other.
 	cut func(a, b int, at time.Duration) bool
-	// excused holds the daemons whose requests are not judged, such as restarted ones.
-	excused map[int]bool
+	// excused reports whether the requests of a daemon are not judged, because it alone is cut off.
+	excused func(daemon int, at time.Duration) bool
+	// slow is the share of messages that take slowMessage, restarts the number of restarts.
+	slow        float64
+	restarts    int
+	dataCentres int
 	// arrivals holds the judged requests at the limited runner, all those that arrived there, refused
 	// the number of requests for which there was no runner.
 	arrivals, all []time.Duration
@@ -79,10 +87,11 @@
 // runners of one service, of which the first one is limited.
 func newLimitSim(seed uint64, daemons, dataCentres, runners int, limit float64) *limitSim {
 	s := &limitSim{
-		random: rand.New(rand.NewPCG(seed, 1)), now: time.Now(), excused: map[int]bool{}, firstNamed: math.MaxInt64,
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Now(), dataCentres: dataCentres, firstNamed: math.MaxInt64,
 		limit:   func(time.Duration) float64 { return limit },
 		callers: func(int, time.Duration) float64 { return 5 },
 		cut:     func(int, int, time.Duration) bool { return false },
+		excused: func(int, time.Duration) bool { return false },
 	}
 	s.began = s.now
 	var list []port.Runner
@@ -169,7 +178,7 @@
 	}
 	at := s.elapsed()
 	s.all = append(s.all, at)
-	if !s.excused[d.index] && at-d.toldAt >= limitNotice {
+	if !s.excused(d.index, at) && at-d.toldAt >= limitNotice {
 		s.arrivals = append(s.arrivals, at)
 	}
 }
@@ -201,8 +210,10 @@
 	full := p.queueChanges(s.now)
 	if full {
 		p.checkReachability(s.now)
+		p.fleet.SetLimitShare(p.heardShare(s.now))
 	}
-	for _, l := range p.links {
+	for _, name := range slices.Sorted(maps.Keys(p.links)) {
+		l := p.links[name]
 		if l.callInFlight || s.now.Before(l.nextSend) || len(l.pendingLoads) == 0 && !(full && (l.cellPeer || l.probe)) {
 			continue
 		}
@@ -218,6 +229,9 @@
 		var to int
 		_, _ = fmt.Sscan(l.address, &to)
 		latency := time.Duration(1+s.random.IntN(12)) * time.Millisecond
+		if s.random.Float64() < s.slow {
+			latency = slowMessage
+		}
 		if s.cut(d.index, to, s.elapsed()) {
 			latency = peerTimeout
 		}
@@ -411,3 +425,65 @@
 		}
 	}
 }
+
+// drawLimitSim returns a simulation with drawn sizes, callers, cuts and delays.
+func drawLimitSim(seed uint64) *limitSim {
+	random := rand.New(rand.NewPCG(seed, 7))
+	dataCentres := 1 + random.IntN(4)
+	daemons := dataCentres + random.IntN(30)
+	limit := math.Exp(random.Float64()*math.Log(40)) / 2
+	s := newLimitSim(seed, daemons, dataCentres, 1+random.IntN(4), limit)
+	weights := make([]float64, daemons)
+	total := 0.0
+	for i := range weights {
+		weights[i] = math.Pow(random.Float64(), float64(random.IntN(8)))
+		total += weights[i]
+	}
+	demand := limit * (0.5 + 20*random.Float64())
+	period := time.Duration(1+random.IntN(8)) * time.Second
+	bursts := random.IntN(2) == 0
+	s.callers = func(d int, at time.Duration) float64 {
+		rate := demand * weights[d] / total
+		if bursts && at%period > period/4 {
+			return rate / 10
+		}
+		return rate
+	}
+	if random.IntN(2) == 0 {
+		from := time.Duration(random.IntN(15)) * time.Second
+		to := from + time.Duration(1+random.IntN(12))*time.Second
+		group := func(d int) int { return d % dataCentres }
+		switch random.IntN(3) {
+		case 0:
+			// Single daemons.
+			group = func(d int) int { return max(0, 4-d) }
+			s.excused = func(d int, at time.Duration) bool { return at >= from && at < to+limitStart && group(d) > 0 }
+		case 1:
+			if daemons <= 8 {
+				group = func(d int) int { return d % 2 }
+			}
+		}
+		s.cut = func(a, b int, at time.Duration) bool { return at >= from && at < to && group(a) != group(b) }
+	}
+	s.slow = 0.05 * random.Float64() * float64(random.IntN(2))
+	s.restarts = random.IntN(3)
+	return s
+}
+
+// Guards against limits that hold in the drawn cases above only: for any sizes, callers, cuts, late
+// messages and restarts.
+func TestLimitsHoldInDrawnFleets(t *testing.T) {
+	seedtest.Run(t, func(t *testing.T, seed uint64) {
+		s := drawLimitSim(seed)
+		for i := range 3 {
+			s.run(8 * time.Second)
+			if i < s.restarts {
+				s.start(s.random.IntN(len(s.daemons)), s.dataCentres)
+			}
+		}
+		if excess, at := s.worst(); excess > 0 {
+			t.Errorf("%d daemons, %d data centres, limit %.2f: at %s the runner has got %.0f requests more than allowed in %s",
+				len(s.daemons), s.dataCentres, s.limit(0), at, excess, limitWindow)
+		}
+	})
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -272,6 +272,7 @@
 	defer p.mu.Unlock()
 	if full {
 		p.checkReachability(now)
+		p.fleet.SetLimitShare(p.heardShare(now))
 	}
 	for _, l := range p.links {
 		watched := full && (l.cellPeer || l.probe)
@@ -312,22 +313,6 @@
 	return full
 }
 
-// checkReachability marks each remote data centre as unresponsive if there was no contact to any
-// of its monitored daemons within unresponsiveAfter, and as responsive otherwise. p.mu must be
-// held.
-func (p *peers) checkReachability(now time.Time) {
-	reachable := map[string]bool{}
-	for _, l := range p.links {
-		if l.dataCentre == p.dataCentre || !l.cellPeer && !l.probe {
-			continue
-		}
-		reachable[l.dataCentre] = reachable[l.dataCentre] || now.Sub(l.lastContact) < unresponsiveAfter
-	}
-	for dc, ok := range reachable {
-		p.fleet.SetUnresponsive(dc, !ok)
-	}
-}
-
 // send sends the pending loads and crash reports to a peer. p.mu must be held.
 func (p *peers) send(ctx context.Context, l *peerLink) {
 	m := loadMessage{From: p.name, Started: p.started, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Crashes: l.pendingCrashes}
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -68,38 +68,52 @@
 	// Unix milliseconds.
 	Leaving bool  `json:"leaving,omitempty"`
 	Started int64 `json:"started,omitempty"`
+	// Limit is set while a request limit of the runner is in force, in the start that Started names.
+	Limit *limitReport `json:"limit,omitempty"`
 	// PartsOnly is set if the message contains no load, because the receiver does not exchange
 	// loads with the daemon whose requests are concerned.
 	PartsOnly bool `json:"parts_only,omitempty"`
 }
 
+// limitReport is the wire form of a placement.LimitReport. Age is in microseconds.
+type limitReport struct {
+	Rate         float64 `json:"rate"`
+	Ended        bool    `json:"ended,omitempty"`
+	Age          int64   `json:"age"`
+	Sent         int64   `json:"sent"`
+	SentByOthers int64   `json:"others,omitempty"`
+	// news is set if the limit or the numbers have changed since the last report.
+	news bool
+}
+
 // maxPendingCrashReports bounds the crash reports that are queued for a peer.
 const maxPendingCrashReports = 256
 
-// partsOnly reduces changes to the prompt parts that runners have prefilled, role changes and leaving
-// runners, for the daemons of this data centre that do not exchange loads with this one.
+// partsOnly reduces changes to the prompt parts that runners have prefilled, role changes, leaving
+// runners and news on limits, for the daemons of this data centre that do not exchange loads with this
+// one.
 func partsOnly(changes []runnerLoad) []runnerLoad {
 	var out []runnerLoad
 	for _, c := range changes {
-		if len(c.Parts) > 0 || c.PendingRole != "" || c.Leaving {
+		if len(c.Parts) > 0 || c.PendingRole != "" || c.Leaving || c.Limit != nil && c.Limit.news {
 			out = append(out, runnerLoad{
 				ID: c.ID, Parts: c.Parts, PendingRole: c.PendingRole, ChangeTimeLeft: c.ChangeTimeLeft, Leaving: c.Leaving, Started: c.Started,
-				PartsOnly: true,
+				Limit: c.Limit, PartsOnly: true,
 			})
 		}
 	}
 	return out
 }
 
-// newPartsOnly reduces loads to role changes, leaving runners and the prompt parts that are new in this data
-// centre. Remote engines fetch such parts from here instead of prefilling them again.
+// newPartsOnly reduces loads to role changes, leaving runners, news on limits and the prompt parts that
+// are new in this data centre. Remote engines fetch such parts from here instead of prefilling them again.
 func newPartsOnly(loads []placement.RunnerLoad) []placement.RunnerLoad {
 	var out []placement.RunnerLoad
 	for _, l := range loads {
-		if len(l.PartsNewInDataCentre) > 0 || l.PendingRole != "" || l.Leaving {
+		if len(l.PartsNewInDataCentre) > 0 || l.PendingRole != "" || l.Leaving || l.Limit != nil && l.Limit.News {
 			out = append(out, placement.RunnerLoad{
 				ID: l.ID, Parts: l.PartsNewInDataCentre, PartsOnly: true, PendingRole: l.PendingRole, ChangeTimeLeft: l.ChangeTimeLeft,
-				Leaving: l.Leaving, StartedMS: l.StartedMS,
+				Leaving: l.Leaving, Limit: l.Limit, StartedMS: l.StartedMS,
 			})
 		}
 	}
@@ -115,8 +129,11 @@
 			if old.Leaving && !c.Leaving {
 				c.Leaving, c.Started = true, old.Started
 			}
+			if c.Limit = mergeLimits(old, c); c.Limit != nil {
+				c.Started = max(c.Started, old.Started)
+			}
 			if c.PartsOnly {
-				old.Leaving, old.Started = c.Leaving, c.Started
+				old.Leaving, old.Started, old.Limit = c.Leaving, c.Started, c.Limit
 				old.PendingRole, old.ChangeTimeLeft = c.PendingRole, c.ChangeTimeLeft
 				c = old
 			}
@@ -126,6 +143,20 @@
 	}
 }
 
+// mergeLimits returns the report on the limit of a runner that replaces a queued one.
+func mergeLimits(queued, c runnerLoad) *limitReport {
+	switch {
+	case queued.Limit == nil || c.Limit != nil && queued.Started < c.Started:
+		return c.Limit
+	case c.Limit == nil:
+		return queued.Limit
+	}
+	merged := *c.Limit
+	merged.SentByOthers += queued.Limit.SentByOthers
+	merged.news = merged.news || queued.Limit.news
+	return &merged
+}
+
 // noteSender records the state that a peer reports. For a peer that has just started it queues what
 // its previous process knew: the crashes of runners and the retries that it had used. peers.mu must
 // be held.
@@ -213,6 +244,9 @@
 		for _, part := range l.Parts {
 			s.Parts[part.ID] = part.Tokens
 		}
+		if r := l.Limit; r != nil {
+			s.Limit = &limitReport{Rate: r.Rate, Ended: r.Ended, Age: r.Age.Microseconds(), Sent: r.Sent, SentByOthers: r.SentByOthers, news: r.News}
+		}
 		out = append(out, s)
 	}
 	return out
@@ -238,6 +272,11 @@
 		for id, tokens := range s.Parts {
 			l.Parts = append(l.Parts, port.PromptPart{ID: id, Tokens: tokens})
 		}
+		if r := s.Limit; r != nil {
+			l.Limit = &placement.LimitReport{
+				Rate: r.Rate, Ended: r.Ended, Age: time.Duration(max(0, r.Age)) * time.Microsecond, Sent: r.Sent, SentByOthers: max(0, r.SentByOthers),
+			}
+		}
 		out = append(out, l)
 	}
 	return out
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -40,7 +40,7 @@
 			return
 		}
 		if !c.beginSend() {
-			plan.Run.End(time.Now(), placement.Abandoned)
+			plan.Run.End(time.Now(), placement.Unsent)
 			c.fail(ctx, errRetryLimit)
 			return
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -57,7 +57,7 @@
 		// A prefill takes time in which other requests may have crashed further engines.
 		suspect := !c.mayRun(ctx)
 		if suspect || !c.beginSend() {
-			inFlight.End(time.Now(), placement.Abandoned)
+			inFlight.End(time.Now(), placement.Unsent)
 			c.freeCache(cache)
 			if err = errRetryLimit; suspect {
 				err = errCrashSuspect
@@ -152,7 +152,7 @@
 	c.countRequest()
 	place, ok := c.takePrefillPlace(plan.Prefill)
 	if !ok {
-		plan.Prefill.End(time.Now(), placement.Abandoned)
+		plan.Prefill.End(time.Now(), placement.Unsent)
 		return nil, port.KVCacheHandle{}, errRetryLimit
 	}
 	source := plan.Prefill.Runner()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -69,6 +69,7 @@
 func (f *Fleet) Place(now time.Time, q Query) (Plan, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.countDeferred(now, q)
 	best := f.best(now, q)
 	if best.member == nil {
 		return Plan{}, false
@@ -107,8 +108,8 @@
 		if q.Excluded[m.runner.ID] || q.NoPrefill && m.runner.Role == port.RolePrefill {
 			continue
 		}
-		if !m.usable(now) || f.unreachable(m.runner.DataCentre, now) {
-			if m.acceptsRequests(now) && (fallback == nil || m.suspectUntil.Before(fallback.suspectUntil)) {
+		if !f.usable(now, m) {
+			if f.accepts(now, m) && (fallback == nil || m.suspectUntil.Before(fallback.suspectUntil)) {
 				fallback = m
 			}
 			continue
@@ -228,7 +229,7 @@
 	defer f.mu.Unlock()
 	var best option
 	for _, m := range f.services[q.Service] {
-		if m.runner.Role == port.RolePrefill || q.Excluded[m.runner.ID] || !m.usable(now) || f.unreachable(m.runner.DataCentre, now) {
+		if m.runner.Role == port.RolePrefill || q.Excluded[m.runner.ID] || !f.usable(now, m) {
 			continue
 		}
 		if o := f.evaluateDecode(now, m, q, source); o.better(&best) {
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/requestlimit"
 )
 
 // Urgencies are the classes in which requests queue at an engine; lower values run first.
@@ -150,11 +151,13 @@
 	leavingUnreported bool
 	// quietUntil is the time until which the runner asked for no requests of this daemon.
 	quietUntil time.Time
-	// limit is the request limit that the runner named last, in requests per second; it is in force
-	// while limitNamed is set. sent is the number of requests that this daemon sent to the runner.
-	limit      float64
-	limitNamed bool
-	sent       int64
+	// limit is the request limit of the runner; limitNews is set if peers have to learn of it.
+	limit     requestlimit.Limit
+	limitNews bool
+	// sent is the number of requests that this daemon has sent to the runner, sentByPeers what its
+	// peers last reported of theirs. deferred counts those that the limit did not allow.
+	sent, deferred int64
+	sentByPeers    map[string]int64
 	// pendingRole is the role that the runner was ordered to take, or empty. The runner
 	// receives no requests until it reports the role or changeDeadline has passed.
 	pendingRole    port.Role
@@ -194,7 +197,7 @@
 	m := &member{
 		runner: r, limits: limits, hash: hashOf(r.ID), models: serviceModels, speed: 1,
 		affinity: float64(hashOf(daemon+" "+r.ID)>>11) / (1 << 53),
-		inFlight: map[*InFlightRequest]struct{}{}, peers: map[string]peerLoad{},
+		inFlight: map[*InFlightRequest]struct{}{}, peers: map[string]peerLoad{}, sentByPeers: map[string]int64{},
 	}
 	if limits != nil {
 		m.cache.capacity = int64(float64(limits.KVTokens) * cacheCapacityShare)
@@ -229,7 +232,7 @@
 		m.suspectUntil = time.Time{}
 		m.leaving, m.leavingUnreported = false, false
 		m.quietUntil = time.Time{}
-		m.limitNamed = false
+		m.limit = requestlimit.Limit{}
 	}
 	if roleChanged || restarted {
 		m.speed = 1
@@ -358,7 +361,8 @@
 	return m.limits != nil && float64(l.KVTokens+tokens) > kvCacheLimit*float64(m.limits.KVTokens)
 }
 
-// acceptsRequests reports whether the runner may receive requests at all, also if it is suspect.
+// acceptsRequests reports whether the runner may receive requests at all, apart from its limit and also
+// if it is suspect.
 func (m *member) acceptsRequests(now time.Time) bool {
 	return !m.runner.Draining && !m.leaving && !now.Before(m.quietUntil) && !m.changingRole(now)
 }
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -29,13 +30,18 @@
 	lastSequence int64
 	// leaving holds the start times of the runners that announced that they leave, by id.
 	leaving map[string]int64
+	// limitShare is the part of the limits of runners that this daemon and those that it hears may
+	// use. limitedRunners is at least 1 while a limit is in force, so that responses need not take
+	// the lock otherwise.
+	limitShare     float64
+	limitedRunners atomic.Int32
 	// paths holds the reachability of data centres by name.
 	paths map[string]*pathState
 }
 
 // NewFleet returns an empty fleet for the given daemon and its data centre.
 func NewFleet(dataCentre, daemon string) *Fleet {
-	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, models: map[string]models{}, leaving: map[string]int64{}, paths: map[string]*pathState{}}
+	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, models: map[string]models{}, leaving: map[string]int64{}, limitShare: 1, paths: map[string]*pathState{}}
 }
 
 // SetServices replaces the engine limits of all services.
@@ -144,7 +150,7 @@
 	l := m.load(now)
 	r.queueWasEmpty = l.wait(UrgencyCount-1) == 0
 	m.inFlight[r] = struct{}{}
-	m.sent++
+	f.drawLimit(now, m)
 	if m.current == nil {
 		m.selectNextPrefill(now)
 	}
@@ -288,6 +294,8 @@
 	Erred
 	// Misdirected requests reached a different runner instance.
 	Misdirected
+	// Unsent requests were not sent to the runner.
+	Unsent
 )
 
 // End removes the request from its runner and updates the failures of the runner according
@@ -316,6 +324,8 @@
 		m.recordError(now)
 	case Misdirected:
 		m.leaving = true
+	case Unsent:
+		f.returnToLimit(now, m)
 	}
 }
 
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -65,9 +65,9 @@
 // maxQuietSpread bounds the time over which daemons return to a runner that asked for no requests.
 const maxQuietSpread = time.Second
 
-// QuietFor returns the time until the first runner of a service accepts requests again, if all that
-// are not leaving asked for none. Otherwise it returns 0.
-func (f *Fleet) QuietFor(now time.Time, service string) time.Duration {
+// AcceptsIn returns the time until the first runner of a service accepts a request again, if all that
+// are not leaving asked for none or have reached their request limit. Otherwise it returns 0.
+func (f *Fleet) AcceptsIn(now time.Time, service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var shortest time.Duration
@@ -75,7 +75,11 @@
 		if m.runner.Draining || m.leaving {
 			continue
 		}
-		left := m.quietUntil.Sub(now)
+		wait := f.limitWait(now, m)
+		if wait < 0 {
+			continue
+		}
+		left := max(wait, m.quietUntil.Sub(now))
 		if left <= 0 {
 			return 0
 		}
--- a/internal/placement/notices_test.go
+++ b/internal/placement/notices_test.go
@@ -87,10 +87,10 @@
 	if usableAt(f, now.Add(9*time.Second)) {
 		t.Error("the runner is used within the longer period")
 	}
-	if got := f.QuietFor(now, "s"); got < 10*time.Second || got > 10*time.Second+maxQuietSpread {
+	if got := f.AcceptsIn(now, "s"); got < 10*time.Second || got > 10*time.Second+maxQuietSpread {
 		t.Errorf("the first runner returns in %s, want about 10s", got)
 	}
-	if !usableAt(f, now.Add(10*time.Second+maxQuietSpread)) || f.QuietFor(now.Add(12*time.Second), "s") != 0 {
+	if !usableAt(f, now.Add(10*time.Second+maxQuietSpread)) || f.AcceptsIn(now.Add(12*time.Second), "s") != 0 {
 		t.Error("the runner is not used after the period")
 	}
 	f.MarkQuiet(now, "a", 1, 10*time.Second)
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -22,6 +22,9 @@
 	// the role after ChangeTimeLeft at the latest.
 	PendingRole    port.Role
 	ChangeTimeLeft time.Duration
+	// Limit is the report on the request limit of the runner, in the start that StartedMS names; nil if
+	// none is in force.
+	Limit *LimitReport
 	// Leaving is set if the runner announced that it leaves, in the start that StartedMS names.
 	Leaving   bool
 	StartedMS int64
@@ -37,17 +40,19 @@
 		f.estimateStoredInOtherCells()
 	}
 	f.updateMeanLoads(now)
+	f.countLimitedRunners(now)
 	var out []RunnerLoad
 	for id, m := range f.members {
-		if !m.dirty && !(all && len(m.inFlight) > 0) {
+		if !m.dirty && !(all && (len(m.inFlight) > 0 || m.limit.InForce(now))) {
 			continue
 		}
 		l := RunnerLoad{ID: id, Load: m.localLoad(now), Parts: m.newParts, PartsNewInDataCentre: m.partsNewInDataCentre}
 		if m.changingRole(now) && m.orderedLocally {
 			l.PendingRole, l.ChangeTimeLeft = m.pendingRole, m.changeDeadline.Sub(now)
 		}
-		if m.leavingUnreported {
-			l.Leaving, l.StartedMS = true, m.runner.StartedMS
+		l.Leaving, l.Limit = m.leavingUnreported, f.limitReport(now, m)
+		if l.Leaving || l.Limit != nil {
+			l.StartedMS = m.runner.StartedMS
 		}
 		out = append(out, l)
 		m.dirty, m.leavingUnreported = false, false
@@ -82,7 +87,7 @@
 }
 
 // ApplyPeerLoads applies the reports of a peer. It returns the parts that were unknown so
-// far and the pending role changes, so that the caller can forward them. Reports on unknown
+// far, the pending role changes and the news on limits, so that the caller can forward them. Reports on unknown
 // runners are ignored.
 func (f *Fleet) ApplyPeerLoads(now time.Time, peer string, loads []RunnerLoad) []RunnerLoad {
 	f.mu.Lock()
@@ -101,10 +106,14 @@
 		if !l.PartsOnly {
 			m.applyPeerLoad(peer, l.Load, now)
 		}
-		if missing := m.cache.missing(l.Parts); len(missing) > 0 || l.PendingRole != "" || learnt {
+		var limit *LimitReport
+		if l.Limit != nil && l.StartedMS == m.runner.StartedMS {
+			limit = f.applyLimitReport(now, peer, m, *l.Limit)
+		}
+		if missing := m.cache.missing(l.Parts); len(missing) > 0 || l.PendingRole != "" || learnt || limit != nil {
 			toForward = append(toForward, RunnerLoad{
 				ID: l.ID, Parts: missing, PartsOnly: true, PendingRole: l.PendingRole, ChangeTimeLeft: l.ChangeTimeLeft,
-				Leaving: learnt, StartedMS: l.StartedMS,
+				Leaving: learnt, Limit: limit, StartedMS: l.StartedMS,
 			})
 		}
 		m.cache.touch(l.Parts)
