--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -125,18 +125,18 @@
 	topic string
 	// wait is how long a read waits for new records; 0 means that it returns immediately.
 	wait time.Duration
-	// nextOffset is the offset of the next read; it is valid once started is set.
-	nextOffset int64
-	started    bool
+	// position is that of the next read; it is valid once started is set.
+	position port.Position
+	started  bool
 }
 
 // next returns the next records. whole is set if they are the newest records of all keys: on the
-// first call, and after the log was truncated beyond the offset of the next read.
+// first call, and after the log was truncated beyond the position of the next read.
 func (f *topicFollower) next(ctx context.Context) (records []port.KeyedRecord, whole bool, err error) {
 	if f.started {
-		records, next, err := f.store.Follow(ctx, f.topic, f.nextOffset, f.wait)
+		records, next, err := f.store.Follow(ctx, f.topic, f.position, f.wait)
 		if err == nil {
-			f.nextOffset = next
+			f.position = next
 			return records, false, nil
 		}
 		if !errors.Is(err, port.ErrLogTruncated) {
@@ -147,7 +147,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	f.nextOffset, f.started = next, true
+	f.position, f.started = next, true
 	return records, true, nil
 }
 
--- a/internal/gateway/crash_records_test.go
+++ b/internal/gateway/crash_records_test.go
@@ -23,17 +23,17 @@
 	records map[string][]byte
 }
 
-func (s *recordStore) Newest(context.Context, string) ([]port.KeyedRecord, int64, error) {
+func (s *recordStore) Newest(context.Context, string) ([]port.KeyedRecord, port.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return nil, 0, port.ErrLogUnavailable
+		return nil, port.Position{}, port.ErrLogUnavailable
 	}
 	var out []port.KeyedRecord
 	for key, value := range s.records {
 		out = append(out, port.KeyedRecord{Key: key, Value: value})
 	}
-	return out, int64(len(out)), nil
+	return out, port.Position{}, nil
 }
 
 func (s *recordStore) Put(_ context.Context, _ string, records []port.KeyedRecord) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	crashes   *crashGuard
 	trials    *trials
 	records   *crashRecords
+	storeEra  *storeEra
 	planner   *rolePlanner
 
 	stopping atomic.Bool
@@ -98,6 +99,10 @@
 	}
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
+	g.storeEra = &storeEra{log: g.log}
+	if source, ok := deps.Store.(port.EraSource); ok {
+		source.WatchEra(g.storeEra.observe)
+	}
 	g.crashes = newCrashGuard(g.log)
 	g.config = &configFollower{log: g.log, store: deps.Store, codec: deps.Registry, apply: func(c *port.RouteConfig) {
 		g.fleet.SetServices(c.Services)
@@ -251,6 +256,7 @@
 		vars := g.metrics.vars()
 		vars.Set("retry_limits", expvar.Func(g.retries.usage))
 		vars.Set("limited_runners", expvar.Func(func() any { return g.fleet.LimitedRunners(time.Now()) }))
+		vars.Set("store_era", expvar.Func(func() any { return g.storeEra.current() }))
 		vars.Set("blocked_traits", expvar.Func(func() any { return g.crashes.blocks() }))
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		// A failed write means that the client disconnected.
--- a/internal/gateway/role_lease.go
+++ b/internal/gateway/role_lease.go
@@ -28,9 +28,9 @@
 	key     string
 	holder  string
 	machine *lease.Machine
-	// endOffset is the end of the topic; it is valid if endKnown is set.
-	endOffset int64
-	endKnown  bool
+	// end is the end of the topic; it is valid if endKnown is set.
+	end      port.Position
+	endKnown bool
 }
 
 func newOrderLease(store port.KeyedLog, clock port.Clock, key, holder string, duration time.Duration) *orderLease {
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	l.endOffset, l.endKnown = end, true
+	l.end, l.endKnown = end, true
 	for _, r := range records {
 		if r.Key != l.key {
 			continue
@@ -100,17 +100,18 @@
 	record := l.machine.Claim(l.holder, now)
 	// A record of strings and numbers can always be encoded.
 	value, _ := json.Marshal(record)
-	offset := l.endOffset
+	end := l.end
 	l.endKnown = false
-	appended, err := l.store.PutAt(ctx, port.TopicLeases, offset, port.KeyedRecord{Key: l.key, Value: value})
+	appended, err := l.store.PutAt(ctx, port.TopicLeases, end, port.KeyedRecord{Key: l.key, Value: value})
 	if err != nil {
 		return 0, err
 	}
 	if !appended {
 		return 0, errLeaseHeld
 	}
-	l.machine.Apply(l.holder, offset, record, l.clock.Now())
-	l.endOffset, l.endKnown = offset+1, true
+	l.machine.Apply(l.holder, end.Offset, record, l.clock.Now())
+	end.Offset++
+	l.end, l.endKnown = end, true
 	if !l.coversOrder() {
 		return 0, errLeaseHeld
 	}
--- a/internal/gateway/role_lease_test.go
+++ b/internal/gateway/role_lease_test.go
@@ -22,14 +22,15 @@
 type faultyLog struct {
 	port.KeyedLog
 	records []port.KeyedRecord
+	era     int64
 	// failCall reports whether the next call fails, loseResponse whether the response to an
 	// append that took place is lost. Both may be nil.
 	failCall, loseResponse func() bool
 }
 
-func (l *faultyLog) Newest(context.Context, string) ([]port.KeyedRecord, int64, error) {
+func (l *faultyLog) Newest(context.Context, string) ([]port.KeyedRecord, port.Position, error) {
 	if l.failCall != nil && l.failCall() {
-		return nil, 0, port.ErrLogUnavailable
+		return nil, port.Position{}, port.ErrLogUnavailable
 	}
 	newest := map[string]port.KeyedRecord{}
 	for _, r := range l.records {
@@ -39,17 +40,17 @@
 	for _, r := range newest {
 		out = append(out, r)
 	}
-	return out, int64(len(l.records)), nil
+	return out, port.Position{Era: l.era, Offset: int64(len(l.records))}, nil
 }
 
-func (l *faultyLog) PutAt(_ context.Context, _ string, at int64, r port.KeyedRecord) (bool, error) {
+func (l *faultyLog) PutAt(_ context.Context, _ string, at port.Position, r port.KeyedRecord) (bool, error) {
 	if l.failCall != nil && l.failCall() {
 		return false, port.ErrLogUnavailable
 	}
-	if at != int64(len(l.records)) {
+	if at.Offset != int64(len(l.records)) {
 		return false, nil
 	}
-	r.Offset = at
+	r.Offset = at.Offset
 	l.records = append(l.records, r)
 	if l.loseResponse != nil && l.loseResponse() {
 		return false, port.ErrAppendUnknown
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -281,21 +281,36 @@
 	Offset int64
 }
 
-// KeyedLog is a log that retains the newest record of each key indefinitely.
+// Position is a place in a topic of a KeyedLog. The era rises each time that the log comes back from
+// an older copy of itself; the offsets after that copy are then given out again.
+type Position struct {
+	Era    int64
+	Offset int64
+}
+
+// KeyedLog is a log that retains the newest record of each key indefinitely. It may come back from a
+// copy that is some seconds old: what was appended since is lost.
 type KeyedLog interface {
-	// Newest returns the newest record of each key and the offset from which Follow
+	// Newest returns the newest record of each key and the position from which Follow
 	// returns all later records.
-	Newest(ctx context.Context, topic string) ([]KeyedRecord, int64, error)
-	// Follow returns the records starting at an offset and the offset after them. If
+	Newest(ctx context.Context, topic string) ([]KeyedRecord, Position, error)
+	// Follow returns the records starting at a position and the position after them. If
 	// wait is above zero, it blocks up to that long for a record. It returns
-	// ErrLogTruncated when records at or after that offset have been removed.
-	Follow(ctx context.Context, topic string, from int64, wait time.Duration) ([]KeyedRecord, int64, error)
+	// ErrLogTruncated when records at or after that position have been removed.
+	Follow(ctx context.Context, topic string, from Position, wait time.Duration) ([]KeyedRecord, Position, error)
 	// Put appends records. After ErrAppendUnknown they may or may not have been
 	// appended.
 	Put(ctx context.Context, topic string, records []KeyedRecord) error
-	// PutAt appends one record if the topic ends at the offset at, and reports whether
+	// PutAt appends one record if the topic ends at the position at, and reports whether
 	// it did. After ErrAppendUnknown the record may or may not have been appended.
-	PutAt(ctx context.Context, topic string, at int64, record KeyedRecord) (bool, error)
+	PutAt(ctx context.Context, topic string, at Position, record KeyedRecord) (bool, error)
+}
+
+// EraSource is a KeyedLog that reports its era.
+type EraSource interface {
+	// WatchEra sets the function that is called with the era of each response. It must be called
+	// before the first call of the log.
+	WatchEra(func(era int64))
 }
 
 // Registry topics of a KeyedLog.
