--- a/internal/gateway/crash_records.go
+++ b/internal/gateway/crash_records.go
@@ -35,6 +35,8 @@
 	crashes *crashGuard
 	// owns reports whether this daemon writes the block of a trait.
 	owns func(crashes.Trait) bool
+	// era returns the newest known era of the store; see storeEra.
+	era func() int64
 	// firstStart is set if no earlier process can have stored anything.
 	firstStart bool
 
@@ -47,7 +49,7 @@
 
 func newCrashRecords(log *zap.Logger, store port.KeyedLog, guard *crashGuard, owns func(crashes.Trait) bool, firstStart bool) *crashRecords {
 	return &crashRecords{
-		log: log, store: store, crashes: guard, owns: owns, firstStart: firstStart,
+		log: log, store: store, crashes: guard, owns: owns, era: func() int64 { return 0 }, firstStart: firstStart,
 		unwritten: map[crashes.Trait]*crashes.Block{}, stored: map[crashes.Trait]bool{},
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -256,6 +256,8 @@
 		vars := g.metrics.vars()
 		vars.Set("retry_limits", expvar.Func(g.retries.usage))
 		vars.Set("limited_runners", expvar.Func(func() any { return g.fleet.LimitedRunners(time.Now()) }))
+		vars.Set("config_version", expvar.Func(func() any { return g.config.version() }))
+		vars.Set("runners", expvar.Func(func() any { return g.fleet.Size() }))
 		vars.Set("store_era", expvar.Func(func() any { return g.storeEra.current() }))
 		vars.Set("blocked_traits", expvar.Func(func() any { return g.crashes.blocks() }))
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
