Read anew and write again when the store comes back older

Cause: positions, fencing tokens and 'written once' all assumed that the store never goes back. Class of fault: a number that is only unique within one life of the store, used without naming that life.

Change: positions carry the era of the store. Fencing tokens hold the era above the offset; in a new era nobody claims the lease until a lost claim has expired.

The fake log of the lease tests now answers like the adapter to a position of an earlier era.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -108,13 +108,13 @@
 			clock.Sleep(ctx, relayCheckInterval)
 			continue
 		}
-		records, _, err := f.next(ctx)
+		read, err := f.next(ctx)
 		if err != nil {
 			backoff.failed(ctx, err)
 			continue
 		}
 		backoff.succeeded()
-		c.installRecords(records)
+		c.installRecords(read.records)
 	}
 }
 
@@ -130,25 +130,35 @@
 	started  bool
 }
 
-// next returns the next records. whole is set if they are the newest records of all keys: on the
-// first call, and after the log was truncated beyond the position of the next read.
-func (f *topicFollower) next(ctx context.Context) (records []port.KeyedRecord, whole bool, err error) {
+// topicRead is the result of one read of a topic.
+type topicRead struct {
+	records []port.KeyedRecord
+	// whole is set if the records are the newest ones of all keys: on the first read, after the log was
+	// truncated beyond the position of the read, and after it came back from an older copy. restored is
+	// set in the last case: records that were appended after the copy are missing until they are
+	// written again.
+	whole, restored bool
+}
+
+// next returns the next records.
+func (f *topicFollower) next(ctx context.Context) (topicRead, error) {
 	if f.started {
 		records, next, err := f.store.Follow(ctx, f.topic, f.position, f.wait)
 		if err == nil {
 			f.position = next
-			return records, false, nil
+			return topicRead{records: records}, nil
 		}
-		if !errors.Is(err, port.ErrLogTruncated) {
-			return nil, false, err
+		if !errors.Is(err, port.ErrLogTruncated) && !errors.Is(err, port.ErrLogRestored) {
+			return topicRead{}, err
 		}
 	}
 	records, next, err := f.store.Newest(ctx, f.topic)
 	if err != nil {
-		return nil, false, err
+		return topicRead{}, err
 	}
+	read := topicRead{records: records, whole: true, restored: f.started && next.Era != f.position.Era}
 	f.position, f.started = next, true
-	return records, true, nil
+	return read, nil
 }
 
 // storeBackoff delays calls to the store after failures and logs when the store becomes
--- a/internal/gateway/crash_records.go
+++ b/internal/gateway/crash_records.go
@@ -67,8 +67,19 @@
 		r.restore(records, time.Now())
 		read = true
 	}
+	era := r.era()
 	for clock.Sleep(ctx, recordInterval); ctx.Err() == nil; clock.Sleep(ctx, recordInterval) {
 		r.collect()
+		if newest := r.era(); newest != era {
+			// The first era that is known is no change.
+			if era > 0 {
+				if err := r.reconcile(ctx); err != nil {
+					backoff.failed(ctx, err)
+					continue
+				}
+			}
+			era = newest
+		}
 		if len(r.unwritten) == 0 {
 			continue
 		}
@@ -121,6 +132,28 @@
 	}
 }
 
+// reconcile collects the differences between the blocks and the records of a store that came back from
+// an older copy.
+func (r *crashRecords) reconcile(ctx context.Context) error {
+	records, _, err := r.store.Newest(ctx, port.TopicCrashes)
+	if err != nil {
+		return err
+	}
+	for _, record := range records {
+		var c crashRecord
+		// Records that are no block of a trait are ignored; see restore.
+		if json.Unmarshal(record.Value, &c) == nil && c.Trait != "" && r.owns(c.Trait) {
+			r.unwritten[c.Trait] = nil
+		}
+	}
+	for _, b := range r.crashes.blocks() {
+		if r.owns(b.Trait) {
+			r.unwritten[b.Trait] = &b
+		}
+	}
+	return nil
+}
+
 // write writes the collected changes in one call.
 func (r *crashRecords) write(ctx context.Context) error {
 	records := make([]port.KeyedRecord, 0, len(r.unwritten))
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -88,14 +88,14 @@
 			clock.Sleep(ctx, relayCheckInterval)
 			continue
 		}
-		records, whole, err := f.next(ctx)
+		read, err := f.next(ctx)
 		if err != nil {
 			outage = true
 			backoff.failed(ctx, err)
 			continue
 		}
 		backoff.succeeded()
-		changed := d.applyRecords(time.Now(), records, whole, outage)
+		changed := d.applyRead(time.Now(), read, outage)
 		outage = false
 		if d.forward != nil {
 			d.forward(changed)
@@ -116,24 +116,30 @@
 	return sum
 }
 
-// applyRecords applies records in their order and returns those that changed more than their
+// applyRecords applies records to a registry that did not come back from an older copy; see applyRead.
+func (d *discovery) applyRecords(now time.Time, records []port.KeyedRecord, whole, outage bool) []port.KeyedRecord {
+	return d.applyRead(now, topicRead{records: records, whole: whole}, outage)
+}
+
+// applyRead applies records in their order and returns those that changed more than their
 // heartbeat fields. A removal holds until an entry follows that is newer than the removed one: an
 // earlier entry may be executed late. With whole set, runners without a record are removed. If
 // several runners and at least massExpiryShare of all are missing after an outage, their entries count
-// as expired: the runners stay in use for expiryGrace, so that the entries can reappear.
-func (d *discovery) applyRecords(now time.Time, records []port.KeyedRecord, whole, outage bool) []port.KeyedRecord {
+// as expired: the runners stay in use for expiryGrace, so that the entries can reappear. The same holds
+// for each one that is missing in a registry that came back from an older copy.
+func (d *discovery) applyRead(now time.Time, read topicRead, outage bool) []port.KeyedRecord {
 	var changedRecords []port.KeyedRecord
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	changed := !d.loaded.Load()
 	missing := map[string]bool{}
-	if whole {
+	if read.whole {
 		for id := range d.runners {
 			missing[id] = true
 		}
 	}
 	removed := map[string]bool{}
-	for _, r := range records {
+	for _, r := range read.records {
 		if r.Value == nil {
 			missing[r.Key], removed[r.Key] = true, true
 			continue
@@ -151,9 +157,9 @@
 			changedRecords = append(changedRecords, r)
 		}
 	}
-	massExpiry := outage && len(missing) > 1 && float64(len(missing)) >= massExpiryShare*float64(len(d.runners))
+	expired := read.restored || outage && len(missing) > 1 && float64(len(missing)) >= massExpiryShare*float64(len(d.runners))
 	for id := range missing {
-		if d.removeOrExpire(now, id, massExpiry) {
+		if d.removeOrExpire(now, id, expired) {
 			changed = true
 			changedRecords = append(changedRecords, port.KeyedRecord{Key: id})
 		}
@@ -219,14 +225,14 @@
 		zap.Int64("started-ms", r.StartedMS), zap.Int64("sequence", r.Sequence))
 }
 
-// removeOrExpire removes a runner, or marks its entry as expired if massExpiry is set and the
+// removeOrExpire removes a runner, or marks its entry as expired if expired is set and the
 // runner is not draining. It reports whether the runner was removed. d.mu must be held.
-func (d *discovery) removeOrExpire(now time.Time, id string, massExpiry bool) bool {
+func (d *discovery) removeOrExpire(now time.Time, id string, expired bool) bool {
 	known, ok := d.runners[id]
 	if !ok {
 		return false
 	}
-	if massExpiry && !known.runner.Draining {
+	if expired && !known.runner.Draining {
 		if known.expiredAt.IsZero() {
 			known.expiredAt = now
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,7 +110,7 @@
 	g.discovery = newDiscovery(g.log, deps.Store, deps.Registry, s.DrainNotice/discoveryDivisor, g.setRunners)
 	g.peers = &peers{
 		log: g.log, started: time.Now().UnixMilli(), departed: map[string]peerProcess{}, name: s.Name, address: s.Listen.Peers, dataCentre: s.DataCentre, store: deps.Store, dial: deps.Peers,
-		fleet: g.fleet, config: g.config, crashes: g.crashes, retries: g.retries,
+		fleet: g.fleet, config: g.config, crashes: g.crashes, retries: g.retries, storeEra: g.storeEra,
 		onDaemonsChanged: g.setDaemons, onRegistryRead: g.retries.share.RegistryRead,
 		links:        map[string]*peerLink{},
 		runRecovered: g.runRecovered,
@@ -123,6 +123,7 @@
 	g.trials = newTrials(g.peers, g.crashes)
 	g.peers.trials = g.trials
 	g.records = newCrashRecords(g.log, deps.Store, g.crashes, func(t crashes.Trait) bool { return g.peers.trialOwner(t) == nil }, s.FirstStart)
+	g.records.era = g.storeEra.current
 	g.discovery.relayFresh, g.discovery.forward = r.fresh, r.forward
 	g.config.relayFresh, g.config.onInstalled = r.fresh, func() { r.forward(nil) }
 	if source, ok := deps.Runners.(port.NoticeSource); ok {
@@ -132,6 +133,7 @@
 		log: g.log, fleet: g.fleet, runners: g.runners, isPlanner: r.isFirstResponsive, demands: map[string]*poolDemand{},
 		lease: newOrderLease(deps.Store, deps.Clock, s.DataCentre, s.Name+"@"+s.Listen.Peers, s.OrderLease),
 	}
+	g.planner.lease.firstStart = s.FirstStart
 	return g
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +44,8 @@
 	// membershipInterval is how often the registry of daemons is read. A new daemon announces
 	// itself with its first message, so the read only covers lost messages.
 	membershipInterval = 30 * time.Second
+	// eraCheckInterval is how often a daemon checks whether the store came back from an older copy.
+	eraCheckInterval = 500 * time.Millisecond
 )
 
 // daemonEntry is the entry of a daemon in the registry.
@@ -111,6 +115,7 @@
 	retries    *retryLimits
 	relay      *registryRelay
 	trials     *trials
+	storeEra   *storeEra
 	// runRecovered runs a function whose panic must not end the process.
 	runRecovered func(task string, f func()) bool
 	// onDaemonsChanged is called with all daemons when the set of daemons changes.
@@ -144,22 +149,23 @@
 	}
 }
 
-// runMembership announces this daemon once and reads the registry of daemons periodically.
+// runMembership announces this daemon and reads the registry of daemons periodically, and when the
+// store came back from an older copy. The daemon is announced again if its entry is missing there.
 func (p *peers) runMembership(ctx context.Context) {
 	backoff := newStoreBackoff(p.log, "daemons")
+	// A struct of strings can always be encoded.
+	entry, _ := json.Marshal(daemonEntry{Address: p.address, DataCentre: p.dataCentre})
 	announced := false
 	for ctx.Err() == nil {
 		if !announced {
-			// A struct of strings can always be encoded.
-			value, _ := json.Marshal(daemonEntry{Address: p.address, DataCentre: p.dataCentre})
-			err := p.store.Put(ctx, port.TopicDaemons, []port.KeyedRecord{{Key: p.name, Value: value}})
+			err := p.store.Put(ctx, port.TopicDaemons, []port.KeyedRecord{{Key: p.name, Value: entry}})
 			if err != nil {
 				backoff.failed(ctx, err)
 				continue
 			}
 			announced = true
 		}
-		records, _, err := p.store.Newest(ctx, port.TopicDaemons)
+		records, position, err := p.store.Newest(ctx, port.TopicDaemons)
 		if err != nil {
 			backoff.failed(ctx, err)
 			continue
@@ -167,7 +173,14 @@
 		backoff.succeeded()
 		p.applyMembers(records)
 		p.onRegistryRead()
-		clock.Sleep(ctx, membershipInterval)
+		announced = slices.ContainsFunc(records, func(r port.KeyedRecord) bool { return r.Key == p.name && bytes.Equal(r.Value, entry) })
+		if !announced {
+			clock.Sleep(ctx, minStoreBackoff)
+			continue
+		}
+		for next := time.Now().Add(membershipInterval); ctx.Err() == nil && time.Now().Before(next) && p.storeEra.current() <= position.Era; {
+			clock.Sleep(ctx, eraCheckInterval)
+		}
 	}
 }
 
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -26,12 +26,13 @@
 
 // registryMessage is sent after each read of the store. Config is the version of the sender's
 // configuration, Runners the digest of its list of runners, and Changes holds the records that
-// have changed since the last message to the receiver.
+// have changed since the last message to the receiver. Era is the newest known era of the store.
 type registryMessage struct {
 	From    string        `json:"from"`
 	Address string        `json:"address"`
 	Config  int64         `json:"config"`
 	Runners uint64        `json:"runners"`
+	Era     int64         `json:"era,omitempty"`
 	Changes []relayRecord `json:"changes,omitempty"`
 }
 
@@ -128,7 +129,7 @@
 	if position >= maxRelayDaemons {
 		return
 	}
-	m := registryMessage{From: r.peers.name, Address: r.peers.address, Config: r.config.version(), Runners: r.discovery.digest()}
+	m := registryMessage{From: r.peers.name, Address: r.peers.address, Config: r.config.version(), Runners: r.discovery.digest(), Era: r.peers.storeEra.current()}
 	for _, l := range local {
 		r.send(l, m, records)
 	}
@@ -169,6 +170,7 @@
 	if err := json.Unmarshal(params, &m); err != nil {
 		return nil, err
 	}
+	r.peers.storeEra.observe(m.Era)
 	changes := make([]port.KeyedRecord, 0, len(m.Changes))
 	for _, c := range m.Changes {
 		changes = append(changes, port.KeyedRecord{Key: c.Key, Value: c.Value})
--- a/internal/gateway/role_lease.go
+++ b/internal/gateway/role_lease.go
@@ -31,6 +31,12 @@
 	// end is the end of the topic; it is valid if endKnown is set.
 	end      port.Position
 	endKnown bool
+	// firstStart is set if no daemon has run before.
+	firstStart bool
+	// era is the era of the store as of the last read, 0 before. Until settledAt, a claim that was lost
+	// with an earlier era may be in force.
+	era       int64
+	settledAt time.Duration
 }
 
 func newOrderLease(store port.KeyedLog, clock port.Clock, key, holder string, duration time.Duration) *orderLease {
@@ -58,7 +64,8 @@
 			return 0, err
 		}
 	}
-	if l.machine.Lease().Holder != l.holder && !l.machine.Claimable(l.clock.Now()) {
+	now := l.clock.Now()
+	if now < l.settledAt || l.machine.Lease().Holder != l.holder && !l.machine.Claimable(now) {
 		// The last read may be outdated by the time the lease can be claimed.
 		l.endKnown = false
 		return 0, errLeaseHeld
@@ -76,6 +83,7 @@
 		return err
 	}
 	l.end, l.endKnown = end, true
+	claimedInEra := false
 	for _, r := range records {
 		if r.Key != l.key {
 			continue
@@ -85,19 +93,36 @@
 			// A lease whose record cannot be decoded is held until it expires.
 			record = lease.Record{}
 		}
-		seen := lease.Lease{Holder: record.Holder, Daemon: record.Daemon, Fencing: r.Offset + 1, LastRecord: r.Offset + 1}
+		claimedInEra = record.Era == end.Era
+		order := port.Position{Era: record.Era, Offset: r.Offset}.Order() + 1
+		seen := lease.Lease{Holder: record.Holder, Daemon: record.Daemon, Fencing: order, LastRecord: order}
 		if seen != l.machine.Lease() {
 			l.machine.Restore(seen, l.clock.Now())
 		}
 	}
+	l.enterEra(end.Era, claimedInEra)
 	return nil
 }
 
+// enterEra records the era of the store. In a new era the last claim of the earlier one may be lost while
+// its holder still relies on it; claimed tells that another claim has taken its place.
+func (l *orderLease) enterEra(era int64, claimed bool) {
+	if era == l.era {
+		return
+	}
+	first := l.era == 0
+	l.era = era
+	if l.settledAt = 0; !claimed && !(first && l.firstStart) {
+		l.settledAt = l.clock.Now() + l.machine.ClaimDelay()
+	}
+}
+
 // claim appends a claim of the lease if nothing was appended to the topic since it was read. It
 // returns the fencing token of the lease.
 func (l *orderLease) claim(ctx context.Context) (int64, error) {
 	now := l.clock.Now()
 	record := l.machine.Claim(l.holder, now)
+	record.Era = l.end.Era
 	// A record of strings and numbers can always be encoded.
 	value, _ := json.Marshal(record)
 	end := l.end
@@ -109,7 +134,7 @@
 	if !appended {
 		return 0, errLeaseHeld
 	}
-	l.machine.Apply(l.holder, end.Offset, record, l.clock.Now())
+	l.machine.Apply(l.holder, end.Order(), record, l.clock.Now())
 	end.Offset++
 	l.end, l.endKnown = end, true
 	if !l.coversOrder() {
--- a/internal/gateway/role_lease_test.go
+++ b/internal/gateway/role_lease_test.go
@@ -52,6 +52,9 @@
 	}
 	r.Offset = at.Offset
 	l.records = append(l.records, r)
+	if at.Era != l.era {
+		return false, port.ErrLogRestored
+	}
 	if l.loseResponse != nil && l.loseResponse() {
 		return false, port.ErrAppendUnknown
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -18,6 +18,8 @@
 	// Holder is the incarnation of the writer, Daemon its VM id.
 	Holder string `json:"holder"`
 	Daemon string `json:"daemon,omitempty"`
+	// Era is the era of the log in which the record was written, on a log that has eras.
+	Era int64 `json:"era,omitempty"`
 	// Fencing is the fencing token of the lease that a renewal or release refers to.
 	Fencing int64 `json:"fencing,omitempty"`
 	// Supersedes is the LastRecord of the lease that a claim replaces.
--- a/internal/lease/machine.go
+++ b/internal/lease/machine.go
@@ -73,9 +73,12 @@
 	if m.isHolder() {
 		return false
 	}
-	return m.lease.Free() || now >= m.lastObserved+m.opts.Duration+m.opts.Drift
+	return m.lease.Free() || now >= m.lastObserved+m.ClaimDelay()
 }
 
+// ClaimDelay returns how long after the last record of a holder another daemon may claim the lease.
+func (m *Machine) ClaimDelay() time.Duration { return m.opts.Duration + m.opts.Drift }
+
 // RenewalDue reports whether a renewal should be sent: this daemon is the holder, and it
 // sent its last claim or renewal at least Duration/renewalsPerLease ago.
 func (m *Machine) RenewalDue(now time.Duration) bool {
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -288,6 +288,13 @@
 	Offset int64
 }
 
+// eraBits is the number of bits of Position.Order that hold the offset. Offsets of registry topics are
+// far below, and the result is exact in JSON for many eras.
+const eraBits = 32
+
+// Order returns a number that rises with the position, also from era to era.
+func (p Position) Order() int64 { return p.Era<<eraBits | p.Offset }
+
 // KeyedLog is a log that retains the newest record of each key indefinitely. It may come back from a
 // copy that is some seconds old: what was appended since is lost.
 type KeyedLog interface {
@@ -296,13 +303,15 @@
 	Newest(ctx context.Context, topic string) ([]KeyedRecord, Position, error)
 	// Follow returns the records starting at a position and the position after them. If
 	// wait is above zero, it blocks up to that long for a record. It returns
-	// ErrLogTruncated when records at or after that position have been removed.
+	// ErrLogTruncated when records at or after that position have been removed, and
+	// ErrLogRestored when the position is of an earlier era.
 	Follow(ctx context.Context, topic string, from Position, wait time.Duration) ([]KeyedRecord, Position, error)
 	// Put appends records. After ErrAppendUnknown they may or may not have been
 	// appended.
 	Put(ctx context.Context, topic string, records []KeyedRecord) error
 	// PutAt appends one record if the topic ends at the position at, and reports whether
-	// it did. After ErrAppendUnknown the record may or may not have been appended.
+	// it did. After ErrAppendUnknown the record may or may not have been appended. After
+	// ErrLogRestored it may have been appended behind other records than at suggests.
 	PutAt(ctx context.Context, topic string, at Position, record KeyedRecord) (bool, error)
 }
 
--- a/internal/port/log.go
+++ b/internal/port/log.go
@@ -15,6 +15,8 @@
 	ErrAppendUnknown = errors.New("outcome of the append is unknown")
 	// ErrLogTruncated reports a read below the oldest retained offset.
 	ErrLogTruncated = errors.New("requested offset is below the oldest retained offset")
+	// ErrLogRestored reports a position of an earlier era: the log came back from an older copy.
+	ErrLogRestored = errors.New("log came back from an older copy since the position was read")
 )
 
 // Entry is a record that has not been appended yet.
