--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -104,6 +104,8 @@
 	var c candidates
 	var fallback *member
 	h := f.holders(now, q)
+	// A prefill is in vain if no decode engine may take the request after it.
+	q.NoPrefill = q.NoPrefill || f.decodeDeferred(now, q)
 	for _, m := range f.services[q.Service] {
 		if q.Excluded[m.runner.ID] || q.NoPrefill && m.runner.Role == port.RolePrefill {
 			continue
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -96,6 +96,25 @@
 	return m.usable(now) && !f.unreachable(m.runner.DataCentre, now) && f.limitWait(now, m) == 0
 }
 
+// decodeDeferred reports whether the request limits of the decode engines keep a request from all that
+// are usable otherwise. The caller holds f.mu.
+func (f *Fleet) decodeDeferred(now time.Time, q Query) bool {
+	if q.Prompt == nil || f.limitedRunners.Load() == 0 {
+		return false
+	}
+	deferred := false
+	for _, m := range f.services[q.Service] {
+		if m.runner.Role == port.RolePrefill || q.Excluded[m.runner.ID] {
+			continue
+		}
+		if f.usable(now, m) {
+			return false
+		}
+		deferred = deferred || m.usable(now)
+	}
+	return deferred
+}
+
 // countDeferred counts the runners that could have received a request if their limit allowed it. The
 // caller holds f.mu.
 func (f *Fleet) countDeferred(now time.Time, q Query) {
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
 )
 
 // maxLeaving bounds the runners that are remembered as leaving.
@@ -65,14 +67,14 @@
 // maxQuietSpread bounds the time over which daemons return to a runner that asked for no requests.
 const maxQuietSpread = time.Second
 
-// AcceptsIn returns the time until the first runner of a service accepts a request again, if all that
-// are not leaving asked for none or have reached their request limit. Otherwise it returns 0.
+// AcceptsIn returns the time until the first runner of a service that can run requests accepts one again,
+// if all that are not leaving asked for none or have reached their request limit. Otherwise it returns 0.
 func (f *Fleet) AcceptsIn(now time.Time, service string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var shortest time.Duration
 	for _, m := range f.services[service] {
-		if m.runner.Draining || m.leaving {
+		if m.runner.Draining || m.leaving || m.runner.Role == port.RolePrefill {
 			continue
 		}
 		wait := f.limitWait(now, m)
