--- a/internal/bench/disagg.go
+++ b/internal/bench/disagg.go
@@ -64,6 +64,9 @@
 	speeds          disaggSpeeds
 	classes         []disaggClass
 	length          time.Duration
+	// limits holds, by the number of an engine, the request limit that it names in its answers, in
+	// requests per second; prefill engines come first.
+	limits map[int]float64
 }
 
 // disaggSimulation plays a load against the real placement decisions of several daemons, whose load
@@ -78,11 +81,15 @@
 	// longAtDecode counts the prompts prefilled at decode engines that take longer than the gap
 	// that their class allows.
 	longAtDecode int
+	// inVain is the number of prompts that were prefilled but not continued, received the number of
+	// requests that each engine received.
+	inVain   int
+	received map[string]int
 }
 
 // runDisagg plays a load and returns the simulation after its end.
 func runDisagg(o disaggOptions) *disaggSimulation {
-	sim := &disaggSimulation{options: o, rng: rand.New(rand.NewPCG(o.seed, 2)), engines: map[string]*disaggEngine{}}
+	sim := &disaggSimulation{options: o, rng: rand.New(rand.NewPCG(o.seed, 2)), engines: map[string]*disaggEngine{}, received: map[string]int{}}
 	var runners []port.Runner
 	for i := range o.prefill + o.decode {
 		role := port.RolePrefill
@@ -91,6 +98,7 @@
 		}
 		id := fmt.Sprintf("engine-%d", i)
 		sim.engines[id] = newDisaggEngine(&sim.clock, role, o.speeds)
+		sim.engines[id].limit, sim.engines[id].limited = o.limits[i], o.limits[i] > 0
 		runners = append(runners, port.Runner{ID: id, Service: disaggService, Address: id, DataCentre: disaggDataCentre, Role: role, Slots: disaggSlots})
 	}
 	for i := range o.daemons {
@@ -174,25 +182,34 @@
 		return
 	}
 	if plan.Run != nil {
-		s.run(r, plan.Run, class.Urgency, false)
+		s.run(r, f, plan.Run, class.Urgency, false)
 		return
 	}
 	engine := s.engines[plan.Prefill.Runner().ID]
 	j := &disaggJob{request: r, urgency: class.Urgency}
+	sentAt := s.clock.Time()
+	s.received[plan.Prefill.Runner().ID]++
 	j.onPrefilled = func() {
+		s.nameLimit(f, engine, plan.Prefill, sentAt)
 		plan.Prefill.MarkPrefilled(s.clock.Time())
 		plan.Prefill.End(s.clock.Time(), placement.Completed)
 		inFlight, ok := f.PlaceDecode(s.clock.Time(), s.query(r, class.Urgency), plan.Prefill.Runner())
 		if !ok {
 			r.refused = true
+			s.inVain++
 			return
 		}
-		s.clock.after(s.options.speeds.transfer(r.prompt.InputTokens), func() { s.run(r, inFlight, class.Urgency, true) })
+		s.clock.after(s.options.speeds.transfer(r.prompt.InputTokens), func() { s.run(r, f, inFlight, class.Urgency, true) })
 	}
 	s.cancelAtTimeout(r, j, plan.Prefill)
 	s.submit(engine, j, plan.Prefill)
 }
 
+// nameLimit tells a daemon what the answer of an engine says of its request limit.
+func (s *disaggSimulation) nameLimit(f *placement.Fleet, e *disaggEngine, inFlight *placement.InFlightRequest, sentAt time.Time) {
+	f.RecordLimit(s.clock.Time(), inFlight.Runner().ID, 0, sentAt, port.RequestLimit{Named: e.limited, None: !e.limited, Rate: e.limit})
+}
+
 // submit sends a prompt to the engine that prefills it. The engine first fetches the parts that
 // another one has cached, if the placement says so.
 func (s *disaggSimulation) submit(engine *disaggEngine, j *disaggJob, inFlight *placement.InFlightRequest) {
@@ -209,11 +226,16 @@
 }
 
 // run executes a request at a decode engine.
-func (s *disaggSimulation) run(r *disaggRequest, inFlight *placement.InFlightRequest, urgency int, prefilled bool) {
+func (s *disaggSimulation) run(r *disaggRequest, f *placement.Fleet, inFlight *placement.InFlightRequest, urgency int, prefilled bool) {
 	engine := s.engines[inFlight.Runner().ID]
 	j := &disaggJob{request: r, urgency: urgency, tokensLeft: r.prompt.OutputTokens}
 	j.onPrefilled = func() { inFlight.MarkPrefilled(s.clock.Time()) }
+	sentAt := s.clock.Time()
+	s.received[inFlight.Runner().ID]++
 	j.onEvent = func() {
+		if r.firstEvent == 0 {
+			s.nameLimit(f, engine, inFlight, sentAt)
+		}
 		inFlight.RecordEvent(s.clock.Time())
 		r.recordEvent(s.clock.now)
 	}
--- a/internal/bench/disagg_engine.go
+++ b/internal/bench/disagg_engine.go
@@ -59,6 +59,9 @@
 	stepping bool
 
 	cache *prefixCache[string]
+	// limit is the request limit in requests per second that the engine names if limited is set.
+	limit   float64
+	limited bool
 }
 
 func newDisaggEngine(c *clock, role port.Role, s disaggSpeeds) *disaggEngine {
