Refuse streams at once if all engines that could run them are full

Engines that are full were only a cost of placement; a stream was accepted as long as the prefill queues were short. Now a stream for which every usable engine is full is refused before its prompt is prefilled. The test failed before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -41,6 +41,7 @@
 var (
 	errNoRunner           = errors.New("no usable runner")
 	errPredictedLate      = errors.New("first event is predicted after the client timeout")
+	errSaturated          = errors.New("all engines are full")
 	errDeadlineExceeded   = errors.New("deadline of the request exceeded")
 	errClientDisconnected = errors.New("client closed its connection")
 	errCrashSuspect       = errors.New("request was in flight when several runners terminated")
@@ -93,6 +94,8 @@
 	// attemptEvents is the number of times that the current attempt received events.
 	attemptEvents int
 	urgency       int
+	// saturated is set if all engines were full when the request was classified.
+	saturated bool
 	// predictedFirstEvent is the time to the first event that was predicted at the last
 	// placement; 0 for plain services. firstEventLatency is the measured time from the receipt
 	// of the request to the first event or, for plain services, to the whole response.
@@ -317,7 +320,8 @@
 // return together.
 func (c *call) predictRetryAfter() time.Duration {
 	_, wait, ok := c.gateway.fleet.Predict(time.Now(), c.placementQuery())
-	if !ok {
+	if !ok || c.saturated {
+		// How soon a running request ends is not known.
 		wait = c.route.Target
 		if left := c.gateway.fleet.AcceptsIn(time.Now(), c.service); left > 0 {
 			wait = left
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,8 +37,8 @@
 
 // serveStream executes a request at an engine and forwards its events.
 func (c *call) serveStream(ctx context.Context) {
-	if !c.classify() {
-		c.fail(ctx, errPredictedLate)
+	if err := c.classify(); err != nil {
+		c.fail(ctx, err)
 		return
 	}
 	// unused is a KV cache that no decode engine has taken yet.
@@ -84,12 +84,19 @@
 	}
 }
 
-// classify predicts the first event and sets the urgency. It returns false if the first event
-// is predicted after the client disconnects.
-func (c *call) classify() bool {
+// classify predicts the first event and sets the urgency. It returns errSaturated if all engines are
+// full, and errPredictedLate if the first event is predicted after the client disconnects.
+func (c *call) classify() error {
 	class := c.gateway.fleet.Classify(time.Now(), c.placementQuery(), c.route.Priority)
 	c.urgency, c.predictedFirstEvent = class.Urgency, class.FirstEvent
-	return class.Accepted
+	c.saturated = class.Saturated
+	switch {
+	case class.Saturated:
+		return errSaturated
+	case !class.Accepted:
+		return errPredictedLate
+	}
+	return nil
 }
 
 // predictedLate reports whether q would be refused if it arrived now.
--- a/internal/placement/classify.go
+++ b/internal/placement/classify.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
 
 // shortRequestShare is the share of the objective up to which a request counts as short, by
 // its predicted time without queueing. A short request keeps its urgency even if it will miss
@@ -19,14 +23,18 @@
 	// FirstEvent is the predicted time to the first event.
 	FirstEvent time.Duration
 	// Accepted is false if the first event is predicted after the client timeout, or after
-	// lateTimeoutShare of it for UrgencyLate. It is true if no runner is usable.
+	// lateTimeoutShare of it for UrgencyLate, or if Saturated is set. It is true if no runner is
+	// usable.
 	Accepted bool
+	// Saturated is set if all engines that could run the stream are full.
+	Saturated bool
 }
 
 // Classify chooses the urgency of a stream of the given rank (0 is the most urgent) and
 // decides whether to accept it. It handles overload: long requests that will miss their
 // objective run after all others, and requests whose client would time out before the first
-// event are refused. RemainingTarget and ClientTimeout of the query must be set.
+// event are refused. If all engines are full, as when others limit their requests, each further
+// stream would only preempt those that run. RemainingTarget and ClientTimeout of the query must be set.
 func (f *Fleet) Classify(now time.Time, q Query, rank int) Class {
 	q.Urgency = min(rank, UrgencyLate-1)
 	latest := q.ClientTimeout
@@ -36,5 +44,27 @@
 		latest = time.Duration(lateTimeoutShare * float64(latest))
 		firstEvent, _, ok = f.Predict(now, q)
 	}
-	return Class{Urgency: q.Urgency, FirstEvent: firstEvent, Accepted: !ok || firstEvent < latest}
+	saturated := ok && f.saturated(now, q)
+	return Class{Urgency: q.Urgency, FirstEvent: firstEvent, Accepted: !ok || firstEvent < latest && !saturated, Saturated: saturated}
+}
+
+// saturated reports whether all usable engines that could run a request are full.
+func (f *Fleet) saturated(now time.Time, q Query) bool {
+	if q.Prompt == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	full := false
+	for _, m := range f.services[q.Service] {
+		if m.runner.Role == port.RolePrefill || q.Excluded[m.runner.ID] || !f.usable(now, m) {
+			continue
+		}
+		l := f.estimatedLoad(m, now)
+		if !m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
+			return false
+		}
+		full = true
+	}
+	return full
 }
--- a/internal/placement/classify_test.go
+++ b/internal/placement/classify_test.go
@@ -40,3 +40,28 @@
 		})
 	}
 }
+
+// Guards against streams that are sent to full engines, where they preempt those that run, because the
+// request limits of the other engines defer them; and against refusals while an engine has room.
+func TestStreamsAreRefusedIfAllEnginesAreFull(t *testing.T) {
+	f := newFleet(port.RolePrefill, port.RoleDecode, port.RoleDecode)
+	query := placement.Query{Service: service, Prompt: prompt(1_000), RemainingTarget: time.Second, Objective: time.Second, ClientTimeout: 4 * time.Second}
+	fill := func() {
+		for range limits.Slots {
+			if _, ok := f.PlaceDecode(start, query, port.Runner{DataCentre: "north"}); !ok {
+				t.Fatal("no decode engine was chosen")
+			}
+		}
+	}
+	f.RecordLimit(start, "engine-1", 0, start, port.RequestLimit{Named: true, Rate: 1})
+	if got := f.Classify(start, query, 0); !got.Accepted || got.Saturated {
+		t.Error("a stream is refused although an engine has room")
+	}
+	fill()
+	if got := f.Classify(start, query, 0); got.Accepted || !got.Saturated {
+		t.Error("a stream is accepted although one engine is full and the other one limited")
+	}
+	if got := f.Classify(start.Add(3*time.Second), query, 0); !got.Accepted || got.Saturated {
+		t.Error("a stream is refused although the limit of an engine allows it")
+	}
+}
