Blame earlier parts of prompts that crashed repeats of different requests

Cause: crashes within 250 ms count as one, as runners that terminate together hold the same popular parts; but a repeat that crashes the next runner is no such chance. An earlier part with which no request is remembered to have completed is now blamed as well once repeats with two different parts behind it crashed runners, beside the later ones, so that a trial separates them.

The model says whether a loss is that of a repeat, as the gateway does since it counts repeats of lookups; its checks are unchanged.

--- a/internal/crashes/attribution.go
+++ b/internal/crashes/attribution.go
@@ -25,6 +25,9 @@
 	// remembered to have completed.
 	minBlamedBelow             = 2
 	minBlamedBelowAfterSuccess = 3
+	// minRepeated is the number of different successors of a part in repeats of requests that crashed
+	// runners from which on the part is blamed.
+	minRepeated = 2
 	// spacing is the time between crashes that count separately against a prompt part or a common
 	// content. Runners that terminate together, as when a host fails, hold the same popular ones.
 	spacing = 250 * time.Millisecond
@@ -148,7 +151,7 @@
 			return
 		}
 		blamed, crashes := best, trialCrashes(best.unexplained)
-		if len(best.followers) == 1 {
+		if len(best.followers) == 1 || best.crashes < best.need {
 			// The crashes accuse the one request as well, so that the part is tried early.
 			crashes = minCrashes
 		}
@@ -163,36 +166,52 @@
 }
 
 // blameEarlierParts blames an earlier part in place of several blamed parts that follow it: one cause is
-// likelier than many. Of several such parts it begins with the latest, which refuses fewer requests.
+// likelier than many. Of several such parts it begins with the latest, which refuses fewer requests. A
+// part that crashed repeats is blamed beside those that follow it, so that a trial separates them.
 func (a *attribution) blameEarlierParts() {
 	for {
 		var best *commonPart
 		for _, c := range a.commonParts() {
-			need := minBlamedBelow
-			if a.completions.count(c.trait) > 0 {
-				need = minBlamedBelowAfterSuccess
-			}
-			if len(c.later) >= need && (best == nil || cmp.Or(cmp.Compare(best.depth, c.depth), cmp.Compare(c.trait, best.trait)) < 0) {
+			if (a.replacesLater(c) || a.crashedRepeats(c)) && (best == nil || cmp.Or(cmp.Compare(best.depth, c.depth), cmp.Compare(c.trait, best.trait)) < 0) {
 				best = c
 			}
 		}
 		if best == nil {
 			return
 		}
-		for t := range best.later {
-			delete(a.blamed, t)
+		if a.replacesLater(best) {
+			for t := range best.later {
+				delete(a.blamed, t)
+			}
 		}
 		// The crashes accuse the later parts as well, so that this one is tried early.
 		a.blamed[best.trait] = minCrashes
 	}
 }
 
+// replacesLater reports whether enough parts that follow a part are blamed to blame it in their place.
+func (a *attribution) replacesLater(c *commonPart) bool {
+	need := minBlamedBelow
+	if a.completions.count(c.trait) > 0 {
+		need = minBlamedBelowAfterSuccess
+	}
+	return len(c.later) >= need
+}
+
+// crashedRepeats reports whether repeats of requests with a part crashed runners with different parts
+// following it, and none with it is remembered to have completed.
+func (a *attribution) crashedRepeats(c *commonPart) bool {
+	return a.completions.count(c.trait) == 0 && len(c.repeated) >= minRepeated
+}
+
 // commonPart is a prompt part that blamed parts follow.
 type commonPart struct {
 	trait Trait
 	// depth is the position of the part in the prompt.
 	depth int
 	later map[Trait]bool
+	// repeated holds what follows the part in the losses of repeats; see suspectPart.
+	repeated map[string]bool
 }
 
 // commonParts returns the parts that explain no losses and that blamed parts follow.
@@ -205,12 +224,19 @@
 					continue
 				}
 				if out[t] == nil {
-					out[t] = &commonPart{trait: t, depth: i, later: map[Trait]bool{}}
+					out[t] = &commonPart{trait: t, depth: i, later: map[Trait]bool{}, repeated: map[string]bool{}}
 				}
 				out[t].later[later] = true
 			}
 		}
 	}
+	for _, l := range a.losses {
+		for i, t := range l.Traits.Parts {
+			if c := out[t]; c != nil && l.Retry {
+				c.repeated[l.follower(i)] = true
+			}
+		}
+	}
 	return out
 }
 
@@ -264,12 +290,21 @@
 	// followers holds what follows the part in these losses: the next part, or the content after the
 	// last part. If it is the same in all of them, it explains the crashes as well.
 	followers map[string]bool
+	// repeated holds the followers in the losses of repeats.
+	repeated map[string]bool
 }
 
 // guilty reports whether the losses suffice to blame the part. If what follows it is always the same,
 // that explains the crashes as well, and many of them are needed.
 func (s *suspectPart) guilty() bool {
-	return s.crashes >= s.need && (len(s.followers) > 1 || s.distinct() >= minCrashesOfOneRequest)
+	return s.crashes >= s.need && (len(s.followers) > 1 || s.distinct() >= minCrashesOfOneRequest) || s.guiltyByRepeats()
+}
+
+// guiltyByRepeats reports whether repeats of different requests with the part crashed runners and none
+// with it is remembered to have completed: they do not hold it by chance, however short the time between
+// the crashes.
+func (s *suspectPart) guiltyByRepeats() bool {
+	return s.need == minCrashes && len(s.repeated) >= minRepeated
 }
 
 // distinct returns the number of crashes with short gaps between them.
@@ -292,7 +327,7 @@
 			}
 			s, ok := out[t]
 			if !ok {
-				s = &suspectPart{trait: t, depth: i, before: l.Traits.Parts[:i], need: minCrashes, followers: map[string]bool{}}
+				s = &suspectPart{trait: t, depth: i, before: l.Traits.Parts[:i], need: minCrashes, followers: map[string]bool{}, repeated: map[string]bool{}}
 				if a.completions.count(t) > 0 {
 					s.need = minCrashesAfterSuccess
 				}
@@ -300,6 +335,9 @@
 			}
 			s.unexplained = append(s.unexplained, l)
 			s.followers[l.follower(i)] = true
+			if l.Retry {
+				s.repeated[l.follower(i)] = true
+			}
 		}
 	}
 	for _, s := range out {
--- a/internal/crashes/model_test.go
+++ b/internal/crashes/model_test.go
@@ -159,12 +159,12 @@
 		})
 		return
 	}
-	m.crash(at, t, parts, deadly, decision == Allow && !retry)
+	m.crash(at, t, parts, deadly, decision == Allow && !retry, retry)
 }
 
 // crash lets the runner of a request terminate, with a second request that it holds, and confirms it
 // later. The daemon sends the request to another runner if retry is set.
-func (m *fleetModel) crash(at int, t Traits, parts []string, deadly string, retry bool) {
+func (m *fleetModel) crash(at int, t Traits, parts []string, deadly string, again, retry bool) {
 	m.runners++
 	runner, lost := fmt.Sprint("r", m.runners), m.now
 	if deadly != "" {
@@ -179,8 +179,8 @@
 		}
 	}
 	m.after(100*time.Millisecond+m.until(900*time.Millisecond), func() {
-		for _, traits := range held {
-			l := Loss{Traits: traits, Runner: runner, Start: 1, At: lost}
+		for i, traits := range held {
+			l := Loss{Traits: traits, Runner: runner, Start: 1, At: lost, Retry: retry && i == 0}
 			rest, _, ok := m.daemon[at].Accept(l)
 			if !ok {
 				continue
@@ -189,7 +189,7 @@
 			m.report(at, func(e *Evidence) { m.receive(e, l) })
 		}
 	})
-	if retry {
+	if again {
 		m.after(modelStep, func() { m.send(at, t, parts, true) })
 	}
 }
