Share the check of a sequence of orders between the lease tests

The model of a store that comes back older repeated the checks of the model before it; both call one now, unchanged.

--- a/internal/gateway/restored_test.go
+++ b/internal/gateway/restored_test.go
@@ -27,12 +27,7 @@
 		daemons := map[string]*orderLease{}
 		var copied []port.KeyedRecord
 		var copiedAt time.Duration
-		var last struct {
-			holder  string
-			at      time.Duration
-			fencing int64
-		}
-		orders, restores := 0, 0
+		history, restores := orderHistory{}, 0
 		for range 4000 {
 			clock.now += time.Duration(rng.Int64N(int64(600 * time.Millisecond)))
 			switch {
@@ -51,19 +46,11 @@
 			if err != nil {
 				continue
 			}
-			orders++
-			arrival := clock.now + time.Duration(rng.Int64N(int64(orderTimeout)))
-			if last.holder != "" && last.holder != name && arrival-last.at < testLease {
-				t.Fatalf("orders of %s and %s arrive %s apart", last.holder, name, arrival-last.at)
-			}
-			if fencing < last.fencing || fencing == last.fencing && name != last.holder {
-				t.Fatalf("%s sends an order with fencing token %d after %s with %d", name, fencing, last.holder, last.fencing)
-			}
-			last.holder, last.at, last.fencing = name, arrival, fencing
-			clock.now = arrival
+			clock.now += time.Duration(rng.Int64N(int64(orderTimeout)))
+			history.add(t, name, clock.now, fencing)
 		}
-		if orders < 100 || restores < 10 {
-			t.Errorf("only %d orders could be sent in 4,000 attempts, with %d returns of the store", orders, restores)
+		if history.orders < 100 || restores < 10 {
+			t.Errorf("only %d orders could be sent in 4,000 attempts, with %d returns of the store", history.orders, restores)
 		}
 	})
 }
--- a/internal/gateway/role_lease_test.go
+++ b/internal/gateway/role_lease_test.go
@@ -101,6 +101,28 @@
 	}
 }
 
+// orderHistory checks the orders of several daemons in the sequence in which they arrive.
+type orderHistory struct {
+	orders  int
+	holder  string
+	at      time.Duration
+	fencing int64
+}
+
+// add ends the test if an order arrives less than a lease after that of another daemon, or with a
+// fencing token that does not follow.
+func (h *orderHistory) add(t *testing.T, holder string, at time.Duration, fencing int64) {
+	t.Helper()
+	if h.holder != "" && h.holder != holder && at-h.at < testLease {
+		t.Fatalf("orders of %s and %s arrive %s apart", h.holder, holder, at-h.at)
+	}
+	if fencing < h.fencing || fencing == h.fencing && holder != h.holder {
+		t.Fatalf("%s sends an order with fencing token %d after %s with %d", holder, fencing, h.holder, h.fencing)
+	}
+	h.orders++
+	h.holder, h.at, h.fencing = holder, at, fencing
+}
+
 // Guards against orders of two daemons that arrive less than one lease duration apart, and against
 // fencing tokens that do not increase, while the store fails and loses responses, daemons restart
 // and orders arrive late.
@@ -112,12 +134,7 @@
 		log := &faultyLog{failCall: withProbability(0.2), loseResponse: withProbability(0.2)}
 		names := []string{"a", "b", "c"}
 		daemons := map[string]*orderLease{}
-		var last struct {
-			holder  string
-			at      time.Duration
-			fencing int64
-		}
-		orders := 0
+		history := orderHistory{}
 		for range 2000 {
 			clock.now += time.Duration(rng.Int64N(int64(time.Second)))
 			name := names[rng.IntN(len(names))]
@@ -128,20 +145,12 @@
 			if err != nil {
 				continue
 			}
-			orders++
 			// The order arrives some time after the lease was checked.
-			arrival := clock.now + time.Duration(rng.Int64N(int64(orderTimeout)))
-			if last.holder != "" && last.holder != name && arrival-last.at < testLease {
-				t.Fatalf("orders of %s and %s arrive %s apart", last.holder, name, arrival-last.at)
-			}
-			if fencing < last.fencing || fencing == last.fencing && name != last.holder {
-				t.Fatalf("%s sends an order with fencing token %d after %s with %d", name, fencing, last.holder, last.fencing)
-			}
-			last.holder, last.at, last.fencing = name, arrival, fencing
-			clock.now = arrival
+			clock.now += time.Duration(rng.Int64N(int64(orderTimeout)))
+			history.add(t, name, clock.now, fencing)
 		}
-		if orders < 100 {
-			t.Errorf("only %d orders could be sent in 2,000 attempts", orders)
+		if history.orders < 100 {
+			t.Errorf("only %d orders could be sent in 2,000 attempts", history.orders)
 		}
 	})
 }
--- a/internal/placement/limits.go
+++ b/internal/placement/limits.go
@@ -26,12 +26,10 @@
 	News bool
 }
 
-const (
-	// Daemons of the cell of a limited runner go first, as they know best what the others send, then
-	// those of its data centre, then the others: patienceStep is the number of tokens for which each
-	// group waits longer, and over which its daemons are spread.
-	patienceStep = requestlimit.MaxPatience / 3
-)
+// patienceStep is the number of tokens for which each group of daemons waits longer than the one before,
+// and over which its daemons are spread. Those of the cell of a limited runner go first, as they know best
+// what the others send, then those of its data centre, then the others.
+const patienceStep = requestlimit.MaxPatience / 3
 
 // SetLimitShare sets the part of the limits of runners that this daemon and those that it hears may
 // use, from 0 to 1.
