Accept large prompts at idle engines

A prompt that alone fills most of an engine's KV cache was refused as if all engines were full, also while they ran nothing: the refusal of streams at full engines counted the request itself. Found by a test that failed now and then (TestRequestLimitHoldsForEveryKindOfSend, a prompt of 90,000 tokens at engines of 100,000). An engine that runs nothing is not full now; the new test failed before.

--- a/internal/placement/classify.go
+++ b/internal/placement/classify.go
@@ -48,7 +48,8 @@
 	return Class{Urgency: q.Urgency, FirstEvent: firstEvent, Accepted: !ok || firstEvent < latest && !saturated, Saturated: saturated}
 }
 
-// saturated reports whether all usable engines that could run a request are full.
+// saturated reports whether all usable engines that could run a request are full. An engine that runs
+// nothing is not, however large the request.
 func (f *Fleet) saturated(now time.Time, q Query) bool {
 	if q.Prompt == nil {
 		return false
@@ -61,7 +62,7 @@
 			continue
 		}
 		l := f.estimatedLoad(m, now)
-		if !m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
+		if l.Running == 0 || !m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
 			return false
 		}
 		full = true
--- a/internal/placement/classify_test.go
+++ b/internal/placement/classify_test.go
@@ -65,3 +65,13 @@
 		t.Error("a stream is refused although the limit of an engine allows it")
 	}
 }
+
+// Guards against prompts that no engine accepts although it runs nothing, because they alone fill most of
+// its KV cache.
+func TestIdleEnginesAcceptLargePrompts(t *testing.T) {
+	f := newFleet(port.RolePrefill, port.RoleDecode)
+	large := placement.Query{Service: service, Prompt: prompt(limits.KVTokens * 9 / 10), RemainingTarget: time.Minute, Objective: time.Minute, ClientTimeout: 4 * time.Minute}
+	if got := f.Classify(start, large, 0); !got.Accepted || got.Saturated {
+		t.Error("an idle engine refuses a prompt that fits into its KV cache")
+	}
+}
