--- a/internal/requestlimit/limit.go
+++ b/internal/requestlimit/limit.go
@@ -24,10 +24,11 @@
 	capacity = 1 + MaxPatience
 	// maxDebtTime bounds the debt of a bucket, as the time in which it is paid off.
 	maxDebtTime = 4 * time.Second
+	// MaxRate bounds a limit, in requests per second.
+	MaxRate = 1e6
 	// minRate is the rate, in requests per second, at which a runner with a lower limit gets
-	// requests: without any, its answers could not end the limit. MaxRate bounds a limit.
+	// requests: without any, its answers could not end the limit.
 	minRate = 0.25
-	MaxRate = 1e6
 	// After the end of a limit the rate doubles every recoveryDoubling for recoveryTime, starting
 	// from minRecoveryRate at least, so that the daemons do not all return at once.
 	recoveryDoubling = 400 * time.Millisecond
