Do not take a passed-on configuration for a read of the registry

Cause: a daemon that installs a configuration sends it on with the digest of its list of runners. If the store refuses the daemons that read the registry for a data centre, sender and receiver hold equally old lists; the matching digest made the receivers trust theirs for 1.2 s more with each new version. Change: such a message says that it passes on a configuration only.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,7 +125,7 @@
 	g.records = newCrashRecords(g.log, deps.Store, g.crashes, func(t crashes.Trait) bool { return g.peers.trialOwner(t) == nil }, s.FirstStart)
 	g.records.era = g.storeEra.current
 	g.discovery.relayFresh, g.discovery.forward = r.fresh, r.forward
-	g.config.relayFresh, g.config.onInstalled = r.fresh, func() { r.forward(nil) }
+	g.config.relayFresh, g.config.onInstalled = r.fresh, r.forwardConfig
 	if source, ok := deps.Runners.(port.NoticeSource); ok {
 		source.Watch(g.applyNotice)
 	}
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -24,7 +24,7 @@
 	maxRelayDaemons = 3
 )
 
-// registryMessage is sent after each read of the store. Config is the version of the sender's
+// registryMessage is sent after each read of the registry and after each change of the configuration. Config is the version of the sender's
 // configuration, Runners the digest of its list of runners, and Changes holds the records that
 // have changed since the last message to the receiver. Era is the newest known era of the store.
 type registryMessage struct {
@@ -34,6 +34,9 @@
 	Runners uint64        `json:"runners"`
 	Era     int64         `json:"era,omitempty"`
 	Changes []relayRecord `json:"changes,omitempty"`
+	// ConfigOnly is set if the sender has not just read the registry of runners: the message does not
+	// show that Runners is current.
+	ConfigOnly bool `json:"config_only,omitempty"`
 }
 
 // relayRecord is the wire form of a port.KeyedRecord; an empty Value removes the key. LastStart and
@@ -110,6 +113,9 @@
 	return out
 }
 
+// forwardConfig tells the daemons of this data centre of a new version of the configuration.
+func (r *registryRelay) forwardConfig() { r.sendToLocalPeers(registryMessage{ConfigOnly: true}, nil) }
+
 // forward sends the changes that were read, and a digest of the whole state, to the daemons of
 // this data centre. It does nothing if maxRelayDaemons responsive daemons precede this one.
 func (r *registryRelay) forward(changes []port.KeyedRecord) {
@@ -122,6 +128,12 @@
 		}
 		records = append(records, record)
 	}
+	r.sendToLocalPeers(registryMessage{}, records)
+}
+
+// sendToLocalPeers completes a message and sends it, with changes, unless maxRelayDaemons responsive
+// daemons precede this one.
+func (r *registryRelay) sendToLocalPeers(m registryMessage, records []relayRecord) {
 	r.peers.mu.Lock()
 	local := r.localPeers()
 	position := r.position(local)
@@ -129,7 +141,8 @@
 	if position >= maxRelayDaemons {
 		return
 	}
-	m := registryMessage{From: r.peers.name, Address: r.peers.address, Config: r.config.version(), Runners: r.discovery.digest(), Era: r.peers.storeEra.current()}
+	m.From, m.Address, m.Config = r.peers.name, r.peers.address, r.config.version()
+	m.Runners, m.Era = r.discovery.digest(), r.peers.storeEra.current()
 	for _, l := range local {
 		r.send(l, m, records)
 	}
@@ -189,7 +202,7 @@
 	matches := r.discovery.digest() == m.Runners && r.config.version() >= m.Config
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m.From < r.peers.name {
+	if m.From < r.peers.name && !m.ConfigOnly {
 		r.lastReceived, r.stateMatches = time.Now(), matches
 	}
 	return nil, nil
--- a/internal/gateway/relay_registry_test.go
+++ b/internal/gateway/relay_registry_test.go
@@ -104,3 +104,41 @@
 	c <- params.(registryMessage)
 	return nil
 }
+
+// recordingPeer keeps the last message that a method was called with.
+type recordingPeer struct{ messages chan any }
+
+func (p recordingPeer) Call(_ context.Context, _ string, params, _ any) error {
+	p.messages <- params
+	return nil
+}
+
+// Guards against daemons that keep runners in use that have left, because a daemon that the store refuses
+// passes on a configuration and seems to vouch for its old list of runners.
+func TestPassingOnAConfigurationDoesNotVouchForRunners(t *testing.T) {
+	messages := make(chan any, 1)
+	sender, receiver := newTestGateway(RetryLimits{}), newTestGateway(RetryLimits{})
+	sender.peers.name = "a"
+	sender.peers.dial = func(string) port.Peer { return recordingPeer{messages} }
+	sender.peers.addPeers(map[string]daemonEntry{"d": {Address: "10.0.0.9:1", DataCentre: "north"}}, true)
+	sender.config.install([]byte(`{"Version":7}`), "peer")
+	var m registryMessage
+	select {
+	case params := <-messages:
+		m = params.(registryMessage)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the configuration is not passed on")
+	}
+	params, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	receiver.peers.dial = func(string) port.Peer { return unresponsivePeer{} }
+	receiver.config.install([]byte(`{"Version":7}`), "store")
+	if _, err := receiver.peers.relay.handle(context.Background(), params); err != nil {
+		t.Fatal(err)
+	}
+	if m.Config != 7 || receiver.peers.relay.fresh() {
+		t.Errorf("version %d is passed on, runners count as current: %t, want version 7 only", m.Config, receiver.peers.relay.fresh())
+	}
+}
