Follow whether a daemon reaches the runners of each service

Logs and metrics could not tell a daemon that has lost its paths to all runners from runners that terminated: each request line shows failed connections, no line shows that all of them fail. Package internal/reach concludes it from the contacts of the daemon, and probes other runners by opening a connection while a failed contact leaves it in doubt. Nothing else uses it yet.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -58,6 +58,9 @@
 	// response. Other responses are skipped. first is set for the first response on a
 	// connection, which cannot belong to an earlier request.
 	Matches func(first bool, header http.Header) bool
+	// Dialed is called after the opening of a connection was tried, unless it is nil. began is when the
+	// attempt began; err is nil if the connection was opened.
+	Dialed func(began time.Time, err error)
 }
 
 // Response is the response to a Request.
@@ -109,7 +112,7 @@
 // arrived. ctx also bounds the reading of the body. The caller must read the body to its
 // end or close it.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Response, error) {
-	cn, err := c.connect(ctx, address, r.MaxIdle)
+	cn, err := c.connect(ctx, address, &r)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", port.ErrNotSent, err)
 	}
@@ -126,10 +129,21 @@
 	return response, nil
 }
 
+// Open opens a connection and adds it to the idle ones. dialed is called like Request.Dialed.
+func (c *Client) Open(ctx context.Context, address string, dialed func(began time.Time, err error)) error {
+	cn, err := c.dial(ctx, address, dialed)
+	if err != nil {
+		return fmt.Errorf("%w: %w", port.ErrNotSent, err)
+	}
+	cn.keepAlive = defaultKeepAlive
+	c.putIdle(cn)
+	return nil
+}
+
 // connect returns an idle connection that is verified to be open, or a new one.
-func (c *Client) connect(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
-	for maxIdle > 0 {
-		cn := c.takeIdle(address, maxIdle)
+func (c *Client) connect(ctx context.Context, address string, r *Request) (*conn, error) {
+	for r.MaxIdle > 0 {
+		cn := c.takeIdle(address, r.MaxIdle)
 		if cn == nil {
 			break
 		}
@@ -138,12 +152,21 @@
 		}
 		cn.Close()
 	}
+	return c.dial(ctx, address, r.Dialed)
+}
+
+// dial opens a connection.
+func (c *Client) dial(ctx context.Context, address string, dialed func(began time.Time, err error)) (*conn, error) {
 	if c.connectTimeout > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, c.connectTimeout)
 		defer cancel()
 	}
+	began := time.Now()
 	raw, err := c.network.DialContext(ctx, "tcp", address)
+	if dialed != nil {
+		dialed(began, err)
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -46,7 +46,7 @@
 	errClientDisconnected = errors.New("client closed its connection")
 	errCrashSuspect       = errors.New("request was in flight when several runners terminated")
 	errInterrupted        = errors.New("response of the runner ended early")
-	errStalled            = errors.New("runner made no progress")
+	errStalled            = port.ErrSilent
 )
 
 // call is one request of a client and the state of its attempts.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,6 +70,7 @@
 	originRecords *originRecords
 	storeEra      *storeEra
 	planner       *rolePlanner
+	reach         *runnerReach
 
 	stopping atomic.Bool
 	// outOfRotation is set once the balancer has had the time to see that the daemon stops.
@@ -139,6 +140,10 @@
 	if source, ok := deps.Runners.(port.NoticeSource); ok {
 		source.Watch(g.applyNotice)
 	}
+	g.reach = newRunnerReach(g.log, deps.Runners)
+	if source, ok := deps.Runners.(port.ContactSource); ok {
+		source.WatchContacts(g.reach.record)
+	}
 	g.planner = &rolePlanner{
 		log: g.log, fleet: g.fleet, runners: g.runners, isPlanner: r.isFirstResponsive, demands: map[string]*poolDemand{},
 		lease: newOrderLease(deps.Store, deps.Clock, s.DataCentre, s.Name+"@"+s.Listen.Peers, s.OrderLease),
@@ -158,6 +163,7 @@
 // setRunners applies a new list of runners.
 func (g *Gateway) setRunners(list []port.Runner) {
 	g.fleet.SetRunners(list)
+	g.reach.setRunners(list)
 	g.origins.setRunners(time.Now(), list)
 	g.crashes.confirmFromRunners(list, time.Now())
 	addresses := g.fleet.Addresses()
@@ -201,6 +207,7 @@
 	for task, run := range map[string]func(context.Context){
 		"configuration": g.config.run, "discovery": g.discovery.run, "load sharing": g.peers.run, "membership": g.peers.runMembership,
 		"role planning": g.planner.run, "crash records": g.records.run, "origin records": g.originRecords.run,
+		"reach of runners": g.reach.run,
 	} {
 		g.background(task, func(ctx context.Context) { g.supervise(ctx, task, run) })
 	}
@@ -274,6 +281,7 @@
 		vars.Set("runners", expvar.Func(func() any { return g.fleet.Size() }))
 		vars.Set("known_stream_origins", expvar.Func(func() any { return g.origins.size() }))
 		vars.Set("store_era", expvar.Func(func() any { return g.storeEra.current() }))
+		vars.Set("unreached_services", expvar.Func(func() any { return g.reach.unreachedSince() }))
 		vars.Set("blocked_traits", expvar.Func(func() any { return g.crashes.blocks() }))
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		// A failed write means that the client disconnected.
--- /dev/null
+++ b/internal/gateway/reach.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/reach"
+)
+
+const (
+	// reachInterval is how often a daemon that may not reach the runners of a service checks which probes
+	// are due.
+	reachInterval = 50 * time.Millisecond
+	// probeTimeout bounds the opening of a connection to a runner whose reach is in doubt.
+	probeTimeout = 500 * time.Millisecond
+)
+
+// runnerReach follows whether this daemon reaches the runners of each service; see package reach. It
+// probes runners only while that is in doubt. It is safe for concurrent use.
+type runnerReach struct {
+	log     *zap.Logger
+	runners port.Runners
+	// uncertain holds a token once probes may be due.
+	uncertain chan struct{}
+	// unreached holds the unreached services and since when they are, for the request path.
+	unreached atomic.Pointer[map[string]time.Time]
+
+	mu      sync.Mutex
+	tracker *reach.Tracker
+}
+
+func newRunnerReach(log *zap.Logger, runners port.Runners) *runnerReach {
+	r := &runnerReach{log: log, runners: runners, uncertain: make(chan struct{}, 1), tracker: reach.NewTracker()}
+	r.unreached.Store(&map[string]time.Time{})
+	return r
+}
+
+// setRunners applies a new list of runners.
+func (r *runnerReach) setRunners(list []port.Runner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, service := range r.tracker.SetRunners(list) {
+		r.publish(time.Now(), service)
+	}
+}
+
+// record records a contact with a runner.
+func (r *runnerReach) record(to port.Runner, c port.Contact, began time.Time) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.tracker.State(to.Service)
+	r.tracker.Record(now, to, c, began)
+	after := r.tracker.State(to.Service)
+	if (before == reach.Unreached) != (after == reach.Unreached) {
+		r.publish(now, to.Service)
+	}
+	if after != reach.Reached {
+		r.wake()
+	}
+}
+
+// wake lets run check which probes are due.
+func (r *runnerReach) wake() {
+	select {
+	case r.uncertain <- struct{}{}:
+	default:
+	}
+}
+
+// publish makes a change of a service visible. r.mu must be held.
+func (r *runnerReach) publish(now time.Time, service string) {
+	next := map[string]time.Time{}
+	for _, name := range r.tracker.Unreached() {
+		next[name] = now
+		if since, ok := (*r.unreached.Load())[name]; ok {
+			next[name] = since
+		}
+	}
+	since := (*r.unreached.Load())[service]
+	r.unreached.Store(&next)
+	if _, ok := next[service]; ok {
+		r.log.Warn("no runner of a service is reached", zap.String("service", service), zap.Strings("runners", r.tracker.Failed(service)))
+		return
+	}
+	r.log.Info("runners of a service are reached again", zap.String("service", service), zap.Duration("after", now.Sub(since)))
+}
+
+// unreachedSince returns the unreached services and since when they are.
+func (r *runnerReach) unreachedSince() map[string]time.Time { return *r.unreached.Load() }
+
+// run probes runners until ctx is done.
+func (r *runnerReach) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.uncertain:
+		}
+		r.settle(ctx)
+	}
+}
+
+// settle probes runners until the state of each service is certain or ctx is done.
+func (r *runnerReach) settle(ctx context.Context) {
+	ticker := time.NewTicker(reachInterval)
+	defer ticker.Stop()
+	for {
+		r.mu.Lock()
+		certain := !r.tracker.Uncertain()
+		due := r.tracker.Probes(time.Now())
+		r.mu.Unlock()
+		for _, to := range due {
+			go func() {
+				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+				defer cancel()
+				// The contact is recorded by the function that watches them.
+				_ = r.runners.Probe(ctx, to)
+			}()
+		}
+		if certain {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -246,10 +246,37 @@
 	Free(ctx context.Context, h KVCacheHandle) error
 	// Order sends an order once. ErrNotRun and ErrWrongInstance mean that it was refused.
 	Order(ctx context.Context, to Runner, o RoleOrder) error
+	// Probe opens a connection to a runner and keeps it for later requests.
+	Probe(ctx context.Context, to Runner) error
 	// Retain closes idle connections to addresses for which keep returns false.
 	Retain(keep func(address string) bool)
 }
 
+// ErrSilent ends an attempt whose runner made no progress. It is the cause of the context of the attempt.
+var ErrSilent = errors.New("runner made no progress")
+
+// Contact is the result of an attempt to reach a runner.
+type Contact int
+
+// Results of attempts to reach a runner.
+const (
+	// ContactOpened means that a connection was opened.
+	ContactOpened Contact = iota
+	// ContactFailed means that no connection could be opened.
+	ContactFailed
+	// ContactResponded means that the begin of a response arrived.
+	ContactResponded
+	// ContactSilent means that a request was lost with its connection, or was given up without a response.
+	ContactSilent
+)
+
+// ContactSource is a Runners that reports each contact.
+type ContactSource interface {
+	// WatchContacts sets the function that is called with each contact with a runner that began at began.
+	// It must be called before the first request.
+	WatchContacts(func(to Runner, c Contact, began time.Time))
+}
+
 // RunnerNotice is what a runner says of itself in a response.
 type RunnerNotice struct {
 	// RequestID and Status identify the response.
