Hand requests to daemons that reach the runners

Cause: a daemon's own connections were its only way to a runner, and nothing it is connected to could take its place. However fast it notices the loss, what it accepts fails.

A daemon that does not reach the runners of a service now hands requests for it to one that has just said it does (internal/handover chooses, internal/adapter/handover carries them). The receiver alone decides and is charged, as if the client had come there. The hand-over is one step before placement; requests that were refused by all runners tried before the daemon was certain take the same step at their end. Requests are handed on once, over a port that clients do not reach.

Why it works: the cut daemon still reaches the other daemons, so that a request costs one hop more.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -61,6 +61,10 @@
 	version       string
 	configVersion int64
 	traits        crashes.Traits
+	// handedOver is what another daemon says of a request that it handed over, nil for others.
+	handedOver *port.Handover
+	// receiversTried is set once the request was to be handed to other daemons.
+	receiversTried bool
 	// admitted is set if the request arrived before the end of the service.
 	admitted bool
 	// trial is the blocked trait of which the request is a trial, or empty.
@@ -294,6 +298,9 @@
 	if timeout {
 		err = fmt.Errorf("%w: %w", errDeadlineExceeded, err)
 	}
+	if c.handOverUnreached(ctx, err) {
+		return
+	}
 	// A partial response must not look complete, even to a client that is disconnecting; without any
 	// response, the server would send an empty success.
 	c.abortConnection = c.headerWritten || clientDisconnected(ctx)
@@ -315,6 +322,7 @@
 		}
 	}
 	if status == http.StatusServiceUnavailable {
+		c.declineHandover(err)
 		c.writer.Header().Set("Retry-After", formatRetryAfter(c.predictRetryAfter()))
 	}
 	c.writer.WriteHeader(status)
@@ -385,7 +393,7 @@
 		fields = append(fields, zap.Error(err))
 	}
 	fields = append(fields, more...)
-	if outcome == "answered" {
+	if outcome == "answered" || outcome == outcomeHandedOver {
 		c.gateway.log.Info("request finished", fields...)
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,8 +47,10 @@
 	Requests port.RequestCodec
 	Runners  port.Runners
 	Peers    port.PeerDialer
-	Clock    port.Clock
-	Logger   *zap.Logger
+	// Handovers is nil if requests are not handed to other daemons.
+	Handovers port.Handovers
+	Clock     port.Clock
+	Logger    *zap.Logger
 }
 
 // Gateway is one daemon that forwards requests to runners without interpreting them.
@@ -71,6 +73,7 @@
 	storeEra      *storeEra
 	planner       *rolePlanner
 	reach         *runnerReach
+	receivers     *receivers
 
 	stopping atomic.Bool
 	// outOfRotation is set once the balancer has had the time to see that the daemon stops.
@@ -78,6 +81,7 @@
 	serviceEnd    *serviceEnd
 	gate          serviceGate
 	clientConns   *clientConns
+	handoverConns *clientConns
 	tomb          tomb.Tomb
 	// bodyBytes counts the bytes of request bodies in memory.
 	bodyBytes atomic.Int64
@@ -86,10 +90,12 @@
 
 	retries *retryLimits
 
-	clientServer  *http.Server
-	probeServer   *http.Server
-	metricsServer *http.Server
-	peerServer    *peer.Server
+	clientServer *http.Server
+	// handoverServer serves the requests that other daemons hand over.
+	handoverServer *http.Server
+	probeServer    *http.Server
+	metricsServer  *http.Server
+	peerServer     *peer.Server
 	// peerListener is closed separately, because closing peerServer closes only its
 	// connections.
 	peerListener net.Listener
@@ -101,7 +107,7 @@
 		deps: deps, metrics: newMetrics(), runners: deps.Runners,
 		fleet:      placement.NewFleet(s.DataCentre, s.Name),
 		retries:    newRetryLimits(s.Retries, time.Now(), s.FirstStart),
-		serviceEnd: newServiceEnd(), clientConns: newClientConns(),
+		serviceEnd: newServiceEnd(), clientConns: newClientConns(), handoverConns: newClientConns(),
 	}
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
@@ -141,6 +147,9 @@
 		source.Watch(g.applyNotice)
 	}
 	g.reach = newRunnerReach(g.log, deps.Runners)
+	g.receivers = newReceivers(g.peers, g.reach, g.receiverWord)
+	g.reach.ask = g.receivers.ask
+	g.peers.receivers = g.receivers
 	if source, ok := deps.Runners.(port.ContactSource); ok {
 		source.WatchContacts(g.reach.record)
 	}
@@ -198,6 +207,8 @@
 func (g *Gateway) Start() error {
 	g.clientServer = g.newServer(http.HandlerFunc(g.serveClient))
 	g.clientServer.ConnState = g.clientConns.watchState
+	g.handoverServer = g.newServer(http.HandlerFunc(g.serveHandover))
+	g.handoverServer.ConnState = g.handoverConns.watchState
 	g.probeServer = g.newServer(g.probeHandler())
 	g.metricsServer = g.newServer(g.metricsHandler())
 	g.peerServer = peer.NewServer(g.recoverHandlers(g.peers.handlers()))
@@ -227,14 +238,21 @@
 		{"ready", addresses.Ready, g.probeServer.Serve},
 		{"peers", addresses.Peers, g.peerServer.Serve},
 		{"metrics", addresses.Metrics, g.metricsServer.Serve},
+		{"handovers", addresses.Handovers, func(l net.Listener) error { return g.handoverServer.Serve(g.handoverConns.listen(l)) }},
 		{"clients", addresses.Clients, func(l net.Listener) error { return g.clientServer.Serve(g.clientConns.listen(l)) }},
 	}
 	listeners := make([]net.Listener, len(serve))
 	for i, s := range serve {
+		if s.address == "" {
+			g.log.Warn("daemon does not listen, because its settings have no address", zap.String("for", s.name))
+			continue
+		}
 		l, err := g.deps.Network.Listen(s.address)
 		if err != nil {
 			for _, open := range listeners[:i] {
-				open.Close()
+				if open != nil {
+					open.Close()
+				}
 			}
 			return trace.Wrap(err, "listen on %s for %s", s.address, s.name)
 		}
@@ -244,6 +262,9 @@
 		}
 	}
 	for i, s := range serve {
+		if listeners[i] == nil {
+			continue
+		}
 		g.tomb.Go(func() error {
 			if err := s.serve(listeners[i]); err != nil && err != http.ErrServerClosed && g.tomb.Alive() && !g.stopping.Load() {
 				return trace.Wrap(err, "serve %s", s.name)
@@ -308,6 +329,7 @@
 	g.tomb.Kill(nil)
 	// Close errors are irrelevant for abandoned connections.
 	_ = g.clientServer.Close()
+	_ = g.handoverServer.Close()
 	_ = g.probeServer.Close()
 	_ = g.metricsServer.Close()
 	_ = g.peerListener.Close()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,6 +33,9 @@
 	// takeUps counts the streams that clients take up, by how their origin was found, or as
 	// "version-gone" if no runner of their software version could continue them.
 	takeUps *expvar.Map
+	// handovers counts requests handed to other daemons: answered there, declined or failed; and those
+	// received from other daemons.
+	handovers *expvar.Map
 	// limitNotices counts responses that named a request limit of their runner.
 	limitNotices *expvar.Int
 
@@ -44,7 +47,7 @@
 
 func newMetrics() *metrics {
 	return &metrics{
-		requests: new(expvar.Map).Init(), takeUps: new(expvar.Map).Init(), incomplete: new(expvar.Map).Init(),
+		requests: new(expvar.Map).Init(), takeUps: new(expvar.Map).Init(), handovers: new(expvar.Map).Init(), incomplete: new(expvar.Map).Init(),
 		inFlight: new(expvar.Int), bodyBytes: new(expvar.Int), panics: new(expvar.Int),
 		leavingRunners: new(expvar.Int), quietNotices: new(expvar.Int), limitNotices: new(expvar.Int),
 		firstEventLatency: map[int]*hdrhistogram.Histogram{}, totalLatency: map[int]*hdrhistogram.Histogram{},
@@ -94,6 +97,7 @@
 	v := new(expvar.Map).Init()
 	v.Set("requests", m.requests)
 	v.Set("take_ups", m.takeUps)
+	v.Set("handovers", m.handovers)
 	v.Set("incomplete_responses", m.incomplete)
 	v.Set("requests_in_flight", m.inFlight)
 	v.Set("body_bytes_in_flight", m.bodyBytes)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -117,6 +117,7 @@
 	relay      *registryRelay
 	trials     *trials
 	origins    *streamOrigins
+	receivers  *receivers
 	// listIsCurrent reports whether the list of runners is known to be current.
 	listIsCurrent func() bool
 	storeEra      *storeEra
@@ -388,7 +389,7 @@
 
 // handlers returns the methods that peers may call.
 func (p *peers) handlers() map[string]port.PeerHandler {
-	return map[string]port.PeerHandler{methodLoad: p.handleLoad, methodConfig: p.handleConfig, methodRegistry: p.relay.handle, methodTrial: p.trials.handle, methodOrigin: p.handleOrigin}
+	return map[string]port.PeerHandler{methodLoad: p.handleLoad, methodConfig: p.handleConfig, methodRegistry: p.relay.handle, methodTrial: p.trials.handle, methodOrigin: p.handleOrigin, methodReach: p.receivers.handle}
 }
 
 func (p *peers) handleLoad(ctx context.Context, params json.RawMessage) (any, error) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -185,12 +185,18 @@
 // deliverPlain forwards a complete response.
 func (c *call) deliverPlain(response *port.ForwardResponse, body []byte) {
 	c.executions++
-	c.firstEventLatency = time.Since(c.request.Received)
-	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.writeResponseHeader(response)
-	if _, err := c.writer.Write(body); err != nil {
+	if err := c.deliverWhole(response, body); err != nil {
 		c.finish("answered", response.Status, err, c.recordIncomplete(incompleteClientLeft)...)
 		return
 	}
 	c.finish("answered", response.Status, nil)
 }
+
+// deliverWhole writes a complete response to the client. An error means that the client has left.
+func (c *call) deliverWhole(response *port.ForwardResponse, body []byte) error {
+	c.firstEventLatency = time.Since(c.request.Received)
+	c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.writeResponseHeader(response)
+	_, err := c.writer.Write(body)
+	return err
+}
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -27,6 +27,8 @@
 	runners port.Runners
 	// uncertain holds a token once probes may be due.
 	uncertain chan struct{}
+	// ask asks other daemons about services that may be unreached.
+	ask func(ctx context.Context, services []string)
 	// unreached holds the unreached services and since when they are, for the request path.
 	unreached atomic.Pointer[map[string]time.Time]
 
@@ -88,7 +90,38 @@
 		r.log.Warn("no runner of a service is reached", zap.String("service", service), zap.Strings("runners", r.tracker.Failed(service)))
 		return
 	}
-	r.log.Info("runners of a service are reached again", zap.String("service", service), zap.Duration("after", now.Sub(since)))
+	r.log.Info("runners of a service are reached again", zap.String("service", service), zap.Duration("unavailable", now.Sub(since)))
+}
+
+// isUnreached reports whether no runner of a service is reached.
+func (r *runnerReach) isUnreached(service string) bool {
+	_, ok := (*r.unreached.Load())[service]
+	return ok
+}
+
+// isReached reports whether a service is neither unreached nor in doubt.
+func (r *runnerReach) isReached(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.State(service) == reach.Reached
+}
+
+// vouch returns those of the given services that were reached a moment ago. Of the others, runners are
+// probed, so that a later question can be answered.
+func (r *runnerReach) vouch(services []string) []string {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for _, service := range services {
+		if r.tracker.Vouch(now, service) {
+			out = append(out, service)
+		}
+	}
+	if r.tracker.Uncertain() {
+		r.wake()
+	}
+	return out
 }
 
 // unreachedSince returns the unreached services and since when they are.
@@ -110,11 +143,17 @@
 func (r *runnerReach) settle(ctx context.Context) {
 	ticker := time.NewTicker(reachInterval)
 	defer ticker.Stop()
+	var askedAt time.Time
 	for {
 		r.mu.Lock()
 		certain := !r.tracker.Uncertain()
 		due := r.tracker.Probes(time.Now())
+		uncertain := r.tracker.InDoubt()
 		r.mu.Unlock()
+		if len(uncertain) > 0 && time.Since(askedAt) >= askInterval {
+			askedAt = time.Now()
+			r.ask(ctx, uncertain)
+		}
 		for _, to := range due {
 			go func() {
 				ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/handover"
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -28,7 +29,11 @@
 
 // serveClient handles one request of a client. A panic is logged and counted, and ends only this
 // request: with 502, because a runner may have executed it, or as an interrupted response.
-func (g *Gateway) serveClient(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) serveClient(w http.ResponseWriter, r *http.Request) { g.serveRequest(w, r, nil) }
+
+// serveRequest implements serveClient, also for a request that another daemon hands over. note is nil for
+// others.
+func (g *Gateway) serveRequest(w http.ResponseWriter, r *http.Request, note *port.Handover) {
 	admitted := g.gate.enter()
 	defer g.gate.leave()
 	g.metrics.inFlight.Add(1)
@@ -48,7 +53,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}()
-	c, release := g.readCall(w, r)
+	c, release := g.readCall(w, r, note)
 	defer release()
 	if c == nil {
 		return
@@ -68,11 +73,15 @@
 
 // readCall reads a request whole and returns its call, or rejects it and returns nil. The returned
 // function releases the memory of the request.
-func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request) (*call, func()) {
+func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, note *port.Handover) (*call, func()) {
 	received, release := time.Now(), func() {}
 	g.markClosing(w.Header())
+	if note != nil {
+		// The sender accepted the request, so that a rejection here is no answer to the client.
+		handover.Decline(w.Header(), "rejected")
+	}
 	table := g.config.table.Load()
-	if table == nil {
+	if table == nil || !g.takesHandover(note) {
 		w.Header().Set("Retry-After", formatRetryAfter(noConfigRetryAfter))
 		g.reject(w, r, http.StatusServiceUnavailable, "no configuration received yet")
 		return nil, release
@@ -83,6 +92,10 @@
 		return nil, release
 	}
 	request.Received = received
+	if note != nil {
+		request.Received = received.Add(-time.Duration(note.ElapsedMS) * time.Millisecond)
+		request.Remaining = time.Duration(note.RemainingMS) * time.Millisecond
+	}
 	route := table.find(request.Host, request.Target)
 	if route == nil {
 		g.reject(w, r, http.StatusNotFound, "no route")
@@ -96,7 +109,12 @@
 		g.reject(w, r, status, "body was not accepted")
 		return nil, release
 	}
-	return g.newCall(w, request, route, table), release
+	c := g.newCall(w, request, route, table)
+	if note != nil {
+		handover.Accept(w.Header())
+		c.applyHandover(note)
+	}
+	return c, release
 }
 
 func (g *Gateway) newCall(w http.ResponseWriter, r *port.ForwardRequest, route *port.ForwardRoute, t *routeTable) *call {
@@ -123,6 +141,9 @@
 		c.fail(ctx, errStopping)
 		return
 	}
+	if c.handOver(ctx) {
+		return
+	}
 	if c.route.Repeat == port.RepeatStream {
 		c.serveStream(ctx)
 		return
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -31,6 +31,8 @@
 	Ready   string
 	Peers   string
 	Metrics string
+	// Handovers takes requests that other daemons hand over; empty if there is no port for it.
+	Handovers string
 }
 
 // RetryLimits bound the retries of all daemons together.
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -134,9 +134,10 @@
 // exit.
 func (g *Gateway) closeConnections(exit time.Time) {
 	g.clientConns.retire()
-	for !g.clientConns.ended() {
+	g.handoverConns.retire()
+	for !g.clientConns.ended() || !g.handoverConns.ended() {
 		if time.Now().After(exit) {
-			g.log.Warn("connections were still open when the daemon stopped", zap.Int("connections", g.clientConns.count()),
+			g.log.Warn("connections were still open when the daemon stopped", zap.Int("connections", g.clientConns.count()+g.handoverConns.count()),
 				zap.Int("active-requests", g.gate.requests()))
 			return
 		}
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -22,6 +22,8 @@
 	// ErrKVCacheUnavailable reports that the KV cache named by a request cannot be
 	// fetched. The request did not run.
 	ErrKVCacheUnavailable = errors.New("KV cache cannot be fetched")
+	// ErrDeclined reports that another daemon did not take a request. The request did not run there.
+	ErrDeclined = errors.New("daemon declined the request")
 )
 
 // Repeat states how often a request may run.
@@ -252,6 +254,32 @@
 	Retain(keep func(address string) bool)
 }
 
+// Handover is what a daemon says of a request that it hands to another one, which serves it as if the
+// client had sent it there.
+type Handover struct {
+	// From is the name of the daemon that received the request from the client.
+	From string `json:"from"`
+	// ElapsedMS is the time since then, RemainingMS the client timeout measured from then; 0 when unknown.
+	ElapsedMS   int64 `json:"elapsed"`
+	RemainingMS int64 `json:"remaining,omitempty"`
+	// ConfigVersion is the version of the configuration at that daemon, ConfigFrom the peer address from
+	// which it can be fetched.
+	ConfigVersion int64  `json:"config"`
+	ConfigFrom    string `json:"config_from,omitempty"`
+	// Sends is the number of attempts that were sent to runners, Executions those that may have been
+	// executed. Counted is set if the request is counted for the shared retry limit.
+	Sends      int  `json:"sends,omitempty"`
+	Executions int  `json:"executions,omitempty"`
+	Counted    bool `json:"counted,omitempty"`
+}
+
+// Handovers hands requests to other daemons.
+type Handovers interface {
+	// Forward sends a request once to the daemon at host:port address. After ErrNotSent and ErrDeclined
+	// the request did not run there, after any other error it may have run.
+	Forward(ctx context.Context, address string, r *ForwardRequest, n Handover) (*ForwardResponse, error)
+}
+
 // ErrSilent ends an attempt whose runner made no progress. It is the cause of the context of the attempt.
 var ErrSilent = errors.New("runner made no progress")
 
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -179,6 +179,18 @@
 	return out
 }
 
+// InDoubt returns the services that are unreached or in doubt, sorted.
+func (t *Tracker) InDoubt() []string {
+	var out []string
+	for name, s := range t.services {
+		if s.state != Reached {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Failed returns the ids of the runners to which no connection has opened since the service was last
 // reached, sorted.
 func (t *Tracker) Failed(name string) []string {
