Count failures against runners only if others are reached

A daemon that loses its paths sees all runners fail at once and blamed them: it reported the failures to the other daemons, took refused connections as the confirmation of crashes, which blocks the parts of the prompts that were in flight, and avoided the runners for up to 4 s after the paths were back, so that it refused requests.

A failure without a response now counts once another contact with the service succeeds, and never if the service turns out to be unreached; when it is reached again, the daemon's avoidance ends. The same holds for plain calls, prefills, runs and replacements.

The logs of the code before show 'runner terminated during a request' for each request in flight.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -171,6 +171,29 @@
 	return placement.Failed
 }
 
+// endAttempt ends an attempt with an outcome. A failure counts against its runner, here and at the other
+// daemons, once it is certain that it is not this daemon that reaches no runner.
+func (g *Gateway) endAttempt(inFlight *placement.InFlightRequest, outcome placement.Outcome) {
+	if outcome != placement.Failed {
+		inFlight.End(time.Now(), outcome)
+		return
+	}
+	inFlight.End(time.Now(), placement.NoContact)
+	g.confirmFailure(inFlight)
+}
+
+// confirmFailure counts a recorded failure of a request once it is certain that it is the runner's.
+func (g *Gateway) confirmFailure(inFlight *placement.InFlightRequest) {
+	g.reach.confirm(inFlight.Runner().Service, func() { inFlight.CountFailure(time.Now()) })
+}
+
+// recordSilence records that a stream has received no events since a time.
+func (g *Gateway) recordSilence(inFlight *placement.InFlightRequest, now, since time.Time) {
+	inFlight.RecordSilence(now)
+	g.reach.record(inFlight.Runner(), port.ContactSilent, since)
+	g.confirmFailure(inFlight)
+}
+
 // countRequest counts the request for the shared retry limit when it is sent for the first time.
 func (c *call) countRequest() {
 	if !c.counted {
@@ -254,7 +277,7 @@
 func (c *call) recordConnectionLoss(err error, r port.Runner, events int) {
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		c.gateway.crashes.confirmRefused(r.ID, time.Now())
+		c.gateway.reach.confirm(r.Service, func() { c.gateway.crashes.confirmRefused(r.ID, time.Now()) })
 	case mayBeConnectionLoss(err):
 		c.gateway.crashes.recordLoss(connectionLoss{
 			traits: c.traits, requestID: c.request.ID, promptParts: partIDs(c.request.Prompt), firstEvent: events > 0,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 	}
 	g.reach = newRunnerReach(g.log, deps.Runners)
 	g.receivers = newReceivers(g.peers, g.reach, g.receiverWord)
-	g.reach.ask = g.receivers.ask
+	g.reach.ask, g.reach.onReturn = g.receivers.ask, g.fleet.EndAvoidance
 	g.peers.receivers = g.receivers
 	if source, ok := deps.Runners.(port.ContactSource); ok {
 		source.WatchContacts(g.reach.record)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -98,7 +98,7 @@
 		}
 		return response, body, nil
 	}
-	inFlight.End(time.Now(), placementOutcome(ctx, err))
+	c.gateway.endAttempt(inFlight, placementOutcome(ctx, err))
 	if err != nil {
 		c.logStep("%v", err)
 	}
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -32,12 +32,20 @@
 	// unreached holds the unreached services and since when they are, for the request path.
 	unreached atomic.Pointer[map[string]time.Time]
 
+	// onReturn is called with a service whose runners are reached again.
+	onReturn func(service string)
+
 	mu      sync.Mutex
 	tracker *reach.Tracker
+	// unconfirmed holds what to do with failures of services in doubt once others are reached.
+	unconfirmed map[string][]func()
 }
 
+// maxUnconfirmed bounds the failures of a service in doubt that are kept.
+const maxUnconfirmed = 256
+
 func newRunnerReach(log *zap.Logger, runners port.Runners) *runnerReach {
-	r := &runnerReach{log: log, runners: runners, uncertain: make(chan struct{}, 1), tracker: reach.NewTracker()}
+	r := &runnerReach{log: log, runners: runners, uncertain: make(chan struct{}, 1), tracker: reach.NewTracker(), unconfirmed: map[string][]func(){}}
 	r.unreached.Store(&map[string]time.Time{})
 	return r
 }
@@ -55,15 +63,41 @@
 func (r *runnerReach) record(to port.Runner, c port.Contact, began time.Time) {
 	now := time.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	before := r.tracker.State(to.Service)
 	r.tracker.Record(now, to, c, began)
 	after := r.tracker.State(to.Service)
 	if (before == reach.Unreached) != (after == reach.Unreached) {
 		r.publish(now, to.Service)
 	}
+	var confirmed []func()
+	if after != reach.InDoubt {
+		confirmed = r.unconfirmed[to.Service]
+		delete(r.unconfirmed, to.Service)
+	}
+	r.mu.Unlock()
 	if after != reach.Reached {
 		r.wake()
+		return
+	}
+	for _, f := range confirmed {
+		f()
+	}
+	if before == reach.Unreached {
+		r.onReturn(to.Service)
+	}
+}
+
+// confirm calls f once it is certain that a failed contact with a runner of a service is not due to this
+// daemon: at once, when another runner is reached, or never if none is.
+func (r *runnerReach) confirm(service string, f func()) {
+	r.mu.Lock()
+	state := r.tracker.State(service)
+	if state == reach.InDoubt && len(r.unconfirmed[service]) < maxUnconfirmed {
+		r.unconfirmed[service] = append(r.unconfirmed[service], f)
+	}
+	r.mu.Unlock()
+	if state == reach.Reached {
+		f()
 	}
 }
 
--- a/internal/gateway/replacement.go
+++ b/internal/gateway/replacement.go
@@ -23,6 +23,7 @@
 // replacement is an attempt that continues a stream from its last event in place of an attempt without
 // progress, which goes on until the replacement is accepted.
 type replacement struct {
+	gateway     *Gateway
 	inFlight    *placement.InFlightRequest
 	reservation retry.Reservation
 	// predicted is the predicted time to the first event.
@@ -52,7 +53,7 @@
 	if !ok {
 		return nil
 	}
-	r := &replacement{inFlight: plan.Run, predicted: plan.FirstEvent, done: make(chan struct{})}
+	r := &replacement{gateway: c.gateway, inFlight: plan.Run, predicted: plan.FirstEvent, done: make(chan struct{})}
 	if plan.FirstEvent < q.ClientTimeout && plan.Run.EngineResponsive(now) {
 		r.reservation, ok = c.gateway.retryWindow(c.service).Reserve(now)
 		if ok {
@@ -89,7 +90,7 @@
 		}
 	}
 	r.cancel(nil)
-	r.inFlight.End(time.Now(), outcome)
+	r.gateway.endAttempt(r.inFlight, outcome)
 }
 
 // accepted reports whether the runner continues the stream.
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -27,7 +27,7 @@
 	replaceable bool
 	// reportSilence is called once gaps between events are longer than those of engines that work; nil
 	// if nobody has to know.
-	reportSilence func(now time.Time)
+	reportSilence func(now, since time.Time)
 }
 
 // stallMonitor handles an attempt without progress. Before the client has received events, it ends the
@@ -84,7 +84,7 @@
 	}
 	gap := time.Since(m.gapBegan)
 	if m.begun && gap >= m.silentGap && m.limits.reportSilence != nil {
-		m.limits.reportSilence(time.Now())
+		m.limits.reportSilence(time.Now(), m.gapBegan)
 	}
 	if gap < m.maxGap {
 		m.timer.Reset(m.maxGap - gap)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -222,7 +222,7 @@
 		// Nothing replaces a prefill that ends together with its request.
 		place.settle(sent && (ctx.Err() == nil || c.arrived))
 		c.arrived = c.arrived || sent
-		plan.Prefill.End(now, placementOutcome(ctx, err))
+		c.gateway.endAttempt(plan.Prefill, placementOutcome(ctx, err))
 		return nil, port.KVCacheHandle{}, err
 	}
 	// Only the first prefill that an engine accepts is no arrival of its own.
@@ -272,7 +272,8 @@
 	monitor := &stallMonitor{}
 	if c.canRetryAfterExecution() {
 		monitor = c.startStallMonitor(ctx, cancel, stallLimits{
-			runner: runner.ID, firstTimeout: max(minStallTimeout, stallFactor*c.predictedFirstEvent), reportSilence: inFlight.RecordSilence,
+			runner: runner.ID, firstTimeout: max(minStallTimeout, stallFactor*c.predictedFirstEvent),
+			reportSilence: func(now, since time.Time) { c.gateway.recordSilence(inFlight, now, since) },
 		})
 	}
 	defer monitor.stop()
@@ -294,7 +295,7 @@
 		// The client received the error, but it counts against the engine.
 		outcome = placement.Erred
 	}
-	inFlight.End(time.Now(), outcome)
+	c.gateway.endAttempt(inFlight, outcome)
 	if err != nil && provesNotExecuted(err) && !errors.Is(err, port.ErrNotSent) {
 		c.freeCache(cache)
 	}
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -398,8 +398,8 @@
 	return time.Duration(m.failureRate.probability(now) * float64(penalty))
 }
 
-func (m *member) recordFailure(now time.Time) {
-	m.recordOutcome(now, 1)
+// avoid records a failure without counting it: the runner is avoided by this daemon only.
+func (m *member) avoid(now time.Time) {
 	m.failures++
 	m.successes = 0
 	avoidance := minSuspectTime << min(m.failures-1, 8)
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -135,6 +135,8 @@
 	lastEvent time.Time
 	// silent is set if silence of the request's stream was recorded as a failure of the runner.
 	silent bool
+	// failureCounted is set if a failure of the request counts against the runner.
+	failureCounted bool
 }
 
 // begin registers a request at a member. The caller holds f.mu.
@@ -291,6 +293,9 @@
 	Abandoned
 	// Failed requests received no valid response.
 	Failed
+	// NoContact requests received no response, perhaps because this daemon does not reach the runner. See
+	// CountFailure.
+	NoContact
 	// Refused requests were not run.
 	Refused
 	// Erred requests received a complete response that reports a server error.
@@ -321,7 +326,10 @@
 	case Completed:
 		m.recordSuccess(now)
 	case Failed:
-		r.recordFailureLocked(now)
+		r.avoidLocked(now)
+		r.countFailureLocked(now)
+	case NoContact:
+		r.avoidLocked(now)
 	case Refused, Erred:
 		m.recordError(now)
 	case Misdirected:
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -23,28 +23,57 @@
 	return false
 }
 
-// RecordSilence records that the stream receives no events for too long, as a failure of the runner:
-// it is avoided, although the stream may go on. A later failure of the request is not counted again.
+// RecordSilence records that the stream receives no events for too long: this daemon avoids the runner,
+// although the stream may go on. A later failure of the request has no effect. CountFailure makes it a
+// failure of the runner.
 func (r *InFlightRequest) RecordSilence(now time.Time) {
 	f := r.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !r.ended {
-		r.recordFailureLocked(now)
+		r.avoidLocked(now)
 		r.silent = true
 	}
 }
 
-// recordFailureLocked records a failure of the runner, unless RecordSilence did. The caller holds f.mu.
-func (r *InFlightRequest) recordFailureLocked(now time.Time) {
+// avoidLocked lets this daemon avoid the runner, unless RecordSilence did. The caller holds f.mu.
+func (r *InFlightRequest) avoidLocked(now time.Time) {
 	if r.silent {
 		return
 	}
-	r.member.recordFailure(now)
+	r.member.avoid(now)
 	r.member.dirty = true
 	r.fleet.pathFailed(r.member.runner.DataCentre, now)
 }
 
+// CountFailure counts the failure of a request that RecordSilence or the outcome NoContact recorded, and
+// lets peers know of it. Calls after the first have no effect.
+func (r *InFlightRequest) CountFailure(now time.Time) {
+	f := r.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.countFailureLocked(now)
+}
+
+func (r *InFlightRequest) countFailureLocked(now time.Time) {
+	if r.failureCounted {
+		return
+	}
+	r.failureCounted = true
+	r.member.recordOutcome(now, 1)
+	r.member.dirty = true
+}
+
+// EndAvoidance lets requests go to all runners of a service again that failures let this daemon avoid,
+// because the failures were its own.
+func (f *Fleet) EndAvoidance(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.services[service] {
+		m.failures, m.suspectUntil = 0, time.Time{}
+	}
+}
+
 // EngineResponsive reports whether the runner of the request appears to respond: it is neither silent
 // nor avoided because of failures.
 func (r *InFlightRequest) EngineResponsive(now time.Time) bool {
