Let a daemon that reaches the engines plan their roles

The first responsive daemon of a data centre plans the roles of its engines and gives the orders. If it had lost its paths to the engines, it stayed the planner, its orders failed, and no other daemon took over. Daemons now tell those of their data centre which services they do not reach, and the first one that reaches all of them plans.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -149,12 +149,12 @@
 	g.reach = newRunnerReach(g.log, deps.Runners)
 	g.receivers = newReceivers(g.peers, g.reach, g.receiverWord)
 	g.reach.ask, g.reach.onReturn = g.receivers.ask, g.fleet.EndAvoidance
-	g.peers.receivers = g.receivers
+	g.peers.receivers, g.peers.reach = g.receivers, g.reach
 	if source, ok := deps.Runners.(port.ContactSource); ok {
 		source.WatchContacts(g.reach.record)
 	}
 	g.planner = &rolePlanner{
-		log: g.log, fleet: g.fleet, runners: g.runners, isPlanner: r.isFirstResponsive, demands: map[string]*poolDemand{},
+		log: g.log, fleet: g.fleet, runners: g.runners, isPlanner: r.isFirstReaching, demands: map[string]*poolDemand{},
 		lease: newOrderLease(deps.Store, deps.Clock, s.DataCentre, s.Name+"@"+s.Listen.Peers, s.OrderLease),
 	}
 	g.planner.lease.firstStart = s.FirstStart
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -76,6 +76,9 @@
 	nextSend time.Time
 	// lastContact is when the peer last responded or called.
 	lastContact time.Time
+	// unreached holds the services whose runners the peer does not reach, told what it was last told of
+	// this daemon.
+	unreached, told []string
 	// cellPeer is set for the daemons with which this one exchanges the loads of the same engines;
 	// see placement.CellPeers. probe is set for the few daemons of each remote data centre
 	// through which its reachability is monitored.
@@ -117,6 +120,7 @@
 	relay      *registryRelay
 	trials     *trials
 	origins    *streamOrigins
+	reach      *runnerReach
 	receivers  *receivers
 	// listIsCurrent reports whether the list of runners is known to be current.
 	listIsCurrent func() bool
@@ -292,9 +296,11 @@
 		p.checkReachability(now)
 		p.fleet.SetLimitShare(p.heardShare(now))
 	}
+	unreached := p.reach.unreachedServices()
 	for _, l := range p.links {
 		watched := full && (l.cellPeer || l.probe)
-		due := !now.Before(l.nextSend) && (watched || l.previous != nil || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0 || len(l.pendingOrigins) > 0)
+		news := l.dataCentre == p.dataCentre && !slices.Equal(l.told, unreached)
+		due := !now.Before(l.nextSend) && (watched || news || l.previous != nil || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0 || len(l.pendingOrigins) > 0)
 		if due && !l.callInFlight {
 			p.send(ctx, l)
 		}
@@ -335,7 +341,7 @@
 
 // send sends the pending loads and crash reports to a peer. p.mu must be held.
 func (p *peers) send(ctx context.Context, l *peerLink) {
-	m := loadMessage{From: p.name, Started: p.started, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Crashes: l.pendingCrashes, Origins: l.pendingOrigins}
+	m := loadMessage{From: p.name, Started: p.started, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Crashes: l.pendingCrashes, Origins: l.pendingOrigins, Unreached: p.reach.unreachedServices()}
 	m.UsedSlack, m.Previous = p.retries.usedSlack(time.Now()), l.previous
 	for _, load := range l.pendingLoads {
 		m.Runners = append(m.Runners, load)
@@ -362,7 +368,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.callInFlight = false
-	if err != nil {
+	if err == nil {
+		l.told = m.Unreached
+	} else {
 		l.pendingCrashes = append(m.Crashes, l.pendingCrashes...)
 		l.pendingOrigins = append(m.Origins, l.pendingOrigins...)
 	}
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -21,6 +21,8 @@
 	Runners    []runnerLoad     `json:"runners,omitempty"`
 	Crashes    []crashes.Report `json:"crashes,omitempty"`
 	Leaving    bool             `json:"leaving,omitempty"`
+	// Unreached holds the services whose runners the sender does not reach.
+	Unreached []string `json:"unreached,omitempty"`
 	// Origins holds the origins of streams that the receiver keeps.
 	Origins []originReport `json:"origins,omitempty"`
 	// UsedSlack is the part of the constant retry limit that the sender has used; see
@@ -171,6 +173,7 @@
 		l.started = m.Started
 	}
 	l.usedSlack, l.usedSlackAt = m.UsedSlack, now
+	l.unreached = m.Unreached
 }
 
 // queueCrashReports queues crash reports and drops the oldest ones beyond maxPendingCrashReports.
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -133,6 +135,11 @@
 	return ok
 }
 
+// unreachedServices returns the unreached services, sorted.
+func (r *runnerReach) unreachedServices() []string {
+	return slices.Sorted(maps.Keys(*r.unreached.Load()))
+}
+
 // isReached reports whether a service is neither unreached nor in doubt.
 func (r *runnerReach) isReached(service string) bool {
 	r.mu.Lock()
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -92,12 +92,13 @@
 	return position
 }
 
-// isFirstResponsive reports whether this daemon is the first one by name among the responsive
-// daemons of its data centre.
-func (r *registryRelay) isFirstResponsive() bool {
+// isFirstReaching reports whether this daemon is the first one by name among the responsive daemons of
+// its data centre that reach all services. One that does not reach the engines cannot give them orders.
+func (r *registryRelay) isFirstReaching() bool {
 	r.peers.mu.Lock()
 	defer r.peers.mu.Unlock()
-	return r.position(r.localPeers()) == 0
+	reaching := slices.DeleteFunc(r.localPeers(), func(l *peerLink) bool { return len(l.unreached) > 0 })
+	return len(r.peers.reach.unreachedServices()) == 0 && r.position(reaching) == 0
 }
 
 // localPeers returns the links to the daemons of this data centre, sorted by name. peers.mu
--- a/internal/gateway/relay_registry_test.go
+++ b/internal/gateway/relay_registry_test.go
@@ -22,6 +22,42 @@
 	}
 }
 
+// Guards against orders to engines that nobody gives, because the daemon that plans does not reach them.
+func TestPlannerReachesTheEngines(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		own, unreached []string
+		backoff        time.Duration
+		plans          bool
+	}{
+		{"the first daemon plans", nil, nil, 0, false},
+		{"the first one does not respond", nil, nil, time.Second, true},
+		{"the first one does not reach a service", nil, []string{"llm"}, 0, true},
+		{"neither does this one", []string{"llm"}, []string{"llm"}, 0, false},
+	} {
+		g := newTestGateway(RetryLimits{})
+		g.peers.name = "e"
+		g.peers.links["d"] = &peerLink{name: "d", dataCentre: g.peers.dataCentre, backoff: c.backoff}
+		params, err := json.Marshal(loadMessage{From: "d", DataCentre: g.peers.dataCentre, Unreached: c.unreached})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.backoff == 0 {
+			if _, err := g.peers.handleLoad(t.Context(), params); err != nil {
+				t.Fatal(err)
+			}
+		}
+		unreached := map[string]time.Time{}
+		for _, service := range c.own {
+			unreached[service] = epoch
+		}
+		g.reach.unreached.Store(&unreached)
+		if got := g.peers.relay.isFirstReaching(); got != c.plans {
+			t.Errorf("%s: plans %t, want %t", c.name, got, c.plans)
+		}
+	}
+}
+
 // Guards against a daemon that relies on the reads of another one although it missed a change,
 // and against two daemons that rely on each other, so that neither reads the store.
 func TestRelayIsFreshOnlyIfStatesMatch(t *testing.T) {
