Read the registry before a stream counts as of the only version

The conclusion now needs a read of the registry that began after the take-up arrived. A runner is registered before it sends an event, so that such a read shows its version. Without the store, a daemon that hears no other one refuses.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,6 +126,7 @@
 		log: g.log, started: time.Now().UnixMilli(), departed: map[string]peerProcess{}, name: s.Name, address: s.Listen.Peers, dataCentre: s.DataCentre, store: deps.Store, dial: deps.Peers,
 		fleet: g.fleet, config: g.config, crashes: g.crashes, retries: g.retries, storeEra: g.storeEra, origins: g.origins,
 		listIsCurrent:    func() bool { return g.discovery.current(time.Now(), maxListAge) },
+		refreshList:      g.discovery.refresh,
 		onDaemonsChanged: g.setDaemons, onRegistryRead: g.retries.share.RegistryRead,
 		links:        map[string]*peerLink{},
 		runRecovered: g.runRecovered,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -124,7 +124,9 @@
 	receivers  *receivers
 	// listIsCurrent reports whether the list of runners is known to be current.
 	listIsCurrent func() bool
-	storeEra      *storeEra
+	// refreshList reads the list of runners anew; see discovery.refresh.
+	refreshList func(ctx context.Context) bool
+	storeEra    *storeEra
 	// runRecovered runs a function whose panic must not end the process.
 	runRecovered func(task string, f func()) bool
 	// onDaemonsChanged is called with all daemons when the set of daemons changes.
--- a/internal/gateway/take_up.go
+++ b/internal/gateway/take_up.go
@@ -103,23 +103,36 @@
 	q := originQuestion{ID: id, Service: service}
 	answers = append(answers, askOrigin(ctx, p.originKeepers(id, true), q)...)
 	origin, basis = continuity.Decide(service, answers)
-	current := slices.ContainsFunc(answers, func(a continuity.Answer) bool { return a.Current })
-	if basis == continuity.Recorded || basis == continuity.OnlyVersion && current {
+	if basis == continuity.OnlyVersion && p.refreshSoon(ctx) {
+		// The stream may have begun at a version that has joined since the lists of these daemons were read.
+		answers = append(answers, p.answerOrigin(id, service))
+		if origin, basis = continuity.Decide(service, answers); basis == continuity.OnlyVersion {
+			return origin, basis, "this data centre, and the registry"
+		}
+	}
+	if basis == continuity.Recorded {
 		return origin, basis, "this data centre"
 	}
 	remote := askOrigin(ctx, p.originKeepers(id, false), q)
 	answers = append(answers, remote...)
 	origin, basis = continuity.Decide(service, answers)
-	current = current || slices.ContainsFunc(remote, func(a continuity.Answer) bool { return a.Current })
-	if basis == continuity.OnlyVersion && !current && p.cutOff(len(answers) > 1, len(remote) > 0) {
+	othersCurrent := slices.ContainsFunc(answers[1:], func(a continuity.Answer) bool { return a.Current })
+	if basis == continuity.OnlyVersion && !othersCurrent && p.cutOff(len(answers) > 1, len(remote) > 0) {
 		basis = continuity.Unknown
 	}
 	return origin, basis, "all data centres"
 }
 
-// cutOff reports whether daemons without a current list may have missed a software version that others
-// know: if no other daemon answered, or none of another data centre. While the store is away for all
-// daemons, no version can appear.
+// refreshSoon reads the list of runners anew and reports whether that succeeded within originAskTimeout.
+func (p *peers) refreshSoon(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, originAskTimeout)
+	defer cancel()
+	return p.refreshList(ctx)
+}
+
+// cutOff reports whether daemons that cannot read the registry may have missed a software version that
+// others know: if no other daemon answered, or none of another data centre. While the store is away for
+// all daemons, no version can appear.
 func (p *peers) cutOff(anyAnswered, remoteAnswered bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/take_up_test.go
+++ b/internal/gateway/take_up_test.go
@@ -53,30 +53,45 @@
 	return nil
 }
 
-// Guards against daemons that are cut off together and take each other's stale lists for proof that a
-// service has one version, and against streams that cannot go on while the store is away for all daemons.
+// Guards against daemons that are cut off or out of step and take a stale list, their own or each other's,
+// for proof that a service has one version, and against streams that cannot go on while the store is away for all daemons.
 func TestDaemonsCutOffTogetherDoNotGuess(t *testing.T) {
 	stale := func() *streamOrigins {
 		o := newStreamOrigins(zap.NewNop(), time.Now(), true)
 		o.setRunners(time.Now(), []port.Runner{{ID: "a", Service: "llm", Version: "old"}})
 		return o
 	}
+	joined := func(o *streamOrigins) {
+		o.setRunners(time.Now(), []port.Runner{{ID: "a", Service: "llm", Version: "old"}, {ID: "b", Service: "llm", Version: "new"}})
+	}
 	cases := []struct {
-		name    string
+		name string
+		// current is set if the list was read a moment ago, reads what a read of the registry does now; nil
+		// if it fails.
 		current bool
+		reads   func(*streamOrigins)
 		// local and remote are the daemons of this data centre and of another one, nil for one that
 		// does not answer.
 		local, remote []*streamOrigins
 		want          continuity.Basis
 	}{
-		{"list is current", true, nil, nil, continuity.OnlyVersion},
-		{"no other daemon answers", false, []*streamOrigins{nil, nil}, nil, continuity.Unknown},
-		{"the data centre is cut off", false, []*streamOrigins{stale(), stale()}, []*streamOrigins{nil, nil}, continuity.Unknown},
-		{"the store is away for all", false, []*streamOrigins{stale(), stale()}, []*streamOrigins{stale()}, continuity.OnlyVersion},
+		{"list is current", true, func(*streamOrigins) {}, nil, nil, continuity.OnlyVersion},
+		{"list is current, no other daemon answers", true, func(*streamOrigins) {}, []*streamOrigins{nil, nil}, nil, continuity.OnlyVersion},
+		{"no other daemon answers", false, nil, []*streamOrigins{nil, nil}, nil, continuity.Unknown},
+		{"out of step for a moment, no other daemon answers", true, nil, []*streamOrigins{nil, nil}, nil, continuity.Unknown},
+		{"a version joined since all lists were read", true, joined, []*streamOrigins{stale(), stale()}, []*streamOrigins{stale()}, continuity.Unknown},
+		{"the data centre is cut off", false, nil, []*streamOrigins{stale(), stale()}, []*streamOrigins{nil, nil}, continuity.Unknown},
+		{"the store is away for all", false, nil, []*streamOrigins{stale(), stale()}, []*streamOrigins{stale()}, continuity.OnlyVersion},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			p := &peers{name: "d", dataCentre: "x", origins: stale(), links: map[string]*peerLink{}, listIsCurrent: func() bool { return c.current }}
+			p.refreshList = func(context.Context) bool {
+				if c.reads != nil {
+					c.reads(p.origins)
+				}
+				return c.reads != nil
+			}
 			for dataCentre, daemons := range map[string][]*streamOrigins{"x": c.local, "y": c.remote} {
 				for i, o := range daemons {
 					name := fmt.Sprint(dataCentre, i)
@@ -115,7 +130,7 @@
 func TestOriginThatWasNotRecordedIsNotKept(t *testing.T) {
 	o := newStreamOrigins(zap.NewNop(), time.Now(), true)
 	o.setRunners(time.Now(), []port.Runner{{ID: "a", Service: "llm", Version: "old"}})
-	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{}, listIsCurrent: func() bool { return true }}
+	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{}, listIsCurrent: func() bool { return true }, refreshList: func(context.Context) bool { return true }}
 	g := &Gateway{log: zap.NewNop(), metrics: newMetrics(), origins: o, peers: p}
 	c := &call{gateway: g, route: &port.ForwardRoute{Repeat: port.RepeatStream, Destinations: []port.Destination{{Service: "llm", Weight: 1}}},
 		request: &port.ForwardRequest{ID: "2", TakesUp: "1", ResumeAfter: "3", Received: time.Now()}, service: "llm"}
@@ -203,7 +218,7 @@
 	o.setRoutes(time.Now(), []port.ForwardRoute{routeTo("before")})
 	o.setRoutes(time.Now(), []port.ForwardRoute{routeTo("after")})
 	route := routeTo("after")
-	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{}, listIsCurrent: func() bool { return true }}
+	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{}, listIsCurrent: func() bool { return true }, refreshList: func(context.Context) bool { return true }}
 	g := &Gateway{log: zap.NewNop(), metrics: newMetrics(), origins: o, peers: p}
 	c := &call{gateway: g, route: &route,
 		request: &port.ForwardRequest{ID: "2", TakesUp: "1", ResumeAfter: "3", Received: time.Now()}, service: "after"}
