Keep to notices in answers that another daemon has passed on

A daemon that was cut off passes on answers of runners that its receiver got. If such an answer announced the runner's leaving, the daemon learned it only from the receiver's load reports. If these did not arrive, it sent requests to the leaving runner once it reached the runners again (DRAIN). Request limits are the same.

The receiver now names the runner in its response, and the sender reads the notices in it.

--- a/internal/adapter/handover/handover.go
+++ b/internal/adapter/handover/handover.go
@@ -20,6 +20,8 @@
 	headerNote = "Bergamot-Handover"
 	// headerDeclined is set in the response of a daemon that does not take the request. Its value is why.
 	headerDeclined = "Bergamot-Declined"
+	// headerRunner holds the answeredBy of a runner's response.
+	headerRunner = "Bergamot-Runner"
 	// maxIdle is the longest idle time of a connection that is reused. It is shorter than the keep-alive
 	// probes of a connection that became unresponsive, and than the time for which daemons keep idle ones.
 	maxIdle = 2 * time.Second
@@ -28,10 +30,21 @@
 // Client hands requests to other daemons. It implements port.Handovers.
 type Client struct {
 	client *exchange.Client
+	// observe is called with each response of a runner.
+	observe func(port.Runner, *exchange.Response)
 }
 
-// NewClient returns a client that sends over the connections of client.
-func NewClient(client *exchange.Client) *Client { return &Client{client: client} }
+// answeredBy identifies the start of a runner.
+type answeredBy struct {
+	ID        string `json:"id"`
+	StartedMS int64  `json:"started"`
+}
+
+// NewClient returns a client that sends over the connections of client. observe is called with each
+// response of a runner before it is returned; only the ID and the start of the runner are set.
+func NewClient(client *exchange.Client, observe func(port.Runner, *exchange.Response)) *Client {
+	return &Client{client: client, observe: observe}
+}
 
 // Forward implements port.Handovers.
 func (c *Client) Forward(ctx context.Context, address string, r *port.ForwardRequest, n port.Handover) (*port.ForwardResponse, error) {
@@ -50,6 +63,11 @@
 		_ = response.Body.Close()
 		return nil, fmt.Errorf("%w: %s", port.ErrDeclined, reason)
 	}
+	var by answeredBy
+	if json.Unmarshal([]byte(response.Header.Get(headerRunner)), &by) == nil {
+		c.observe(port.Runner{ID: by.ID, StartedMS: by.StartedMS}, response)
+	}
+	response.Header.Del(headerRunner)
 	return &port.ForwardResponse{Status: response.Status, Header: port.EndToEnd(response.Header), Body: response.Body, Framed: response.Framed}, nil
 }
 
@@ -71,6 +89,15 @@
 	return &n, nil
 }
 
+// NameRunner names the runner whose response a receiver passes on, and removes a mark of Decline that the
+// runner itself has set.
+func NameRunner(h http.Header, r port.Runner) {
+	Accept(h)
+	// A struct of a string and a number can always be encoded.
+	name, _ := json.Marshal(answeredBy{ID: r.ID, StartedMS: r.StartedMS})
+	h.Set(headerRunner, string(name))
+}
+
 // Decline marks a response as one of a daemon that has not run the request and will not.
 func Decline(h http.Header, reason string) { h.Set(headerDeclined, reason) }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/handover"
 	"bergamotsill.example/bergamotsill/internal/crashes"
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/placement"
@@ -61,6 +62,8 @@
 	version       string
 	configVersion int64
 	traits        crashes.Traits
+	// runner is the one to which the current attempt was sent.
+	runner port.Runner
 	// handedOver is what another daemon says of a request that it handed over, nil for others.
 	handedOver *port.Handover
 	// receiversTried is set once the request was to be handed to other daemons.
@@ -481,6 +484,9 @@
 		h[name] = values
 	}
 	c.gateway.markClosing(h)
+	if c.handedOver != nil {
+		handover.NameRunner(h, c.runner)
+	}
 	c.headerWritten = true
 	c.status, c.contentType = response.Status, response.Header.Get("Content-Type")
 	c.writer.WriteHeader(response.Status)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -70,6 +70,7 @@
 // status is returned as errRunnerFailed if another attempt is allowed, else as a response.
 func (c *call) attemptPlain(ctx context.Context, inFlight *placement.InFlightRequest) (*port.ForwardResponse, []byte, error) {
 	runner := inFlight.Runner()
+	c.runner = runner
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	monitor := &stallMonitor{}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -262,6 +262,7 @@
 // After port.ErrNotSent the KV cache can still be used.
 func (c *call) runStream(ctx context.Context, inFlight *placement.InFlightRequest, cache port.KVCacheHandle, sent *replacement) (*replacement, error) {
 	runner := inFlight.Runner()
+	c.runner = runner
 	c.logStep("run at %s, %d tokens to prefill, parts from %q", runner.ID, inFlight.UncachedTokens(), inFlight.FetchFrom())
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	if sent != nil {
