Give no orders to engines that asked for no requests, and free nothing there

The plan of roles chose the least loaded engines for orders, and an engine that asked this daemon for no requests is idle; a KV cache that nobody takes was freed at it as well. Such engines now count as not serving in the plan, and their KV caches expire by themselves.

--- a/internal/gateway/role_planner.go
+++ b/internal/gateway/role_planner.go
@@ -148,7 +148,7 @@
 		MinPerRole: map[port.Role]int{port.RolePrefill: minPrefillEngines, port.RoleDecode: minDecodeEngines},
 	}
 	for _, e := range pool.Engines {
-		in.Engines = append(in.Engines, roles.Engine{ID: e.Runner.ID, Role: e.Role, Since: e.RoleChangedAt, Serving: !e.ChangingRole && !e.OrderUnanswered})
+		in.Engines = append(in.Engines, roles.Engine{ID: e.Runner.ID, Role: e.Role, Since: e.RoleChangedAt, Serving: !e.ChangingRole && !e.OrderUnanswered && !e.Quiet})
 	}
 	return in
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -246,6 +246,10 @@
 	if cache.Empty() {
 		return
 	}
+	if c.gateway.fleet.Quiet(time.Now(), cache.Runner.ID) {
+		c.logStep("KV cache at %s is not freed: the runner wants no requests", cache.Runner.ID)
+		return
+	}
 	c.gateway.background("free KV cache", func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, freeCacheTimeout)
 		defer cancel()
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -64,6 +64,14 @@
 	return began
 }
 
+// Quiet reports whether a runner wants no requests of this daemon.
+func (f *Fleet) Quiet(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.memberOf(id)
+	return ok && now.Before(m.quietUntil)
+}
+
 // maxQuietSpread bounds the time over which daemons return to a runner that asked for no requests.
 const maxQuietSpread = time.Second
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -19,6 +19,8 @@
 	ChangingRole bool
 	// OrderUnanswered is set while an order without a response may still be carried out.
 	OrderUnanswered bool
+	// Quiet is set while the engine wants no requests of this daemon.
+	Quiet bool
 	// Occupancy is the occupied share of the engine's slots or of its KV cache, whichever is
 	// larger.
 	Occupancy float64
@@ -79,6 +81,7 @@
 	if e.ChangingRole {
 		e.Role = m.pendingRole
 	}
+	e.Quiet = now.Before(m.quietUntil)
 	e.OrderUnanswered = now.Before(m.unansweredUntil)
 	l := m.load(now)
 	e.Occupancy = float64(l.Running) / float64(max(1, m.runner.Slots))
