Test the own interface of a daemon cut off from upstreams

The fault of the gateway exists here too: 0 of 20 calls are served while the other daemons reach all upstreams. Not fixed: members of the membership protocol do not name the address of the caller interface, and calls that run once have claims.

--- a/internal/daemon/cuts_test.go
+++ b/internal/daemon/cuts_test.go
@@ -507,3 +507,32 @@
 	}
 	return true
 }
+
+// Guards against callers who are refused at a daemon that has lost its paths to all upstreams, although
+// other daemons reach these.
+func TestCallersOfADaemonCutOffFromUpstreamsAreServed(t *testing.T) {
+	inCluster(t, 1, func(c *cluster) {
+		upstreams := []string{"engine-1", "engine-2", "service-1"}
+		for _, name := range upstreams[:2] {
+			c.addEngine(name, "anand", standin.EngineOptions{})
+		}
+		c.addService("service-1", "anand")
+		names := c.addDaemons(3, "anand")
+		c.publish("r1", 0, document())
+		c.awaitReady()
+		time.Sleep(6 * time.Second)
+		forEachPair(names[:1], upstreams, c.net.Block)
+		time.Sleep(3 * time.Second)
+		served, calls := 0, 0
+		for i := range 10 {
+			for _, got := range []reply{c.complete(names[0], fmt.Sprintf("cut %d tokens=3", i)), c.confirm(names[0], fmt.Sprintf("cut-%d", i), "delivery")} {
+				if calls++; got.status == 200 {
+					served++
+				}
+			}
+		}
+		if served < calls {
+			c.t.Errorf("the daemon that is cut off from upstreams serves %d of %d calls", served, calls)
+		}
+	})
+}
