Let receivers decline requests that may have run, and name the adapter

A receiver that could do nothing for a request answered 502 if the sender had sent it before, so that no other daemon was tried. It now declines whatever the sender has done. A handover whose outcome is unknown counts as a send of the retry limit; one that the client ended says nothing of the receiver. The adapter is internal/adapter/forwarding, so that it is not mistaken for the decision in internal/handover.

Found by reading; the tests of handovers pass.

--- a/internal/adapter/handover/handover.go
+++ b/internal/adapter/forwarding/client.go
@@ -1,6 +1,6 @@
-// Package handover carries requests of clients from one daemon to another one over HTTP/1.1. The receiver
+// Package forwarding carries requests of clients from one daemon to another one over HTTP/1.1. The receiver
 // listens on an internal address, which clients do not reach.
-package handover
+package forwarding
 
 import (
 	"context"
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -12,7 +12,7 @@
 
 	"go.uber.org/zap"
 
-	"bergamotsill.example/bergamotsill/internal/adapter/handover"
+	"bergamotsill.example/bergamotsill/internal/adapter/forwarding"
 	"bergamotsill.example/bergamotsill/internal/crashes"
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/placement"
@@ -347,8 +347,8 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
+	c.declineHandover(err)
 	if status == http.StatusServiceUnavailable {
-		c.declineHandover(err)
 		c.writer.Header().Set("Retry-After", formatRetryAfter(c.predictRetryAfter()))
 	}
 	c.writer.WriteHeader(status)
@@ -485,7 +485,7 @@
 	}
 	c.gateway.markClosing(h)
 	if c.handedOver != nil {
-		handover.NameRunner(h, c.runner)
+		forwarding.NameRunner(h, c.runner)
 	}
 	c.headerWritten = true
 	c.status, c.contentType = response.Status, response.Header.Get("Content-Type")
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -9,8 +9,8 @@
 
 	"go.uber.org/zap"
 
-	"bergamotsill.example/bergamotsill/internal/adapter/handover"
-	handoverchoice "bergamotsill.example/bergamotsill/internal/handover"
+	"bergamotsill.example/bergamotsill/internal/adapter/forwarding"
+	"bergamotsill.example/bergamotsill/internal/handover"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -43,7 +43,7 @@
 		return false
 	}
 	c.receiversTried = true
-	need := handoverchoice.Need{Service: c.service, Config: c.configVersion, Excluded: map[string]bool{}}
+	need := handover.Need{Service: c.service, Config: c.configVersion, Excluded: map[string]bool{}}
 	for range maxReceivers {
 		to, ok := c.gateway.receivers.directory.Choose(time.Now(), need, c.gateway.random)
 		if !ok {
@@ -62,11 +62,14 @@
 		declined := errors.Is(err, port.ErrNotSent) || errors.Is(err, port.ErrDeclined)
 		if declined {
 			c.gateway.metrics.handovers.Add("declined", 1)
-			c.gateway.receivers.directory.Decline(to.Name, c.service)
 		} else {
 			c.gateway.metrics.handovers.Add("failed", 1)
+			c.sends++
 			c.executions++
 		}
+		if declined && ctx.Err() == nil {
+			c.gateway.receivers.directory.Decline(to.Name, c.service)
+		}
 		again := declined || c.route.Repeatable() && !c.headerWritten && c.executions < c.route.MaxAttempts
 		if !again || ctx.Err() != nil {
 			c.fail(ctx, err)
@@ -78,7 +81,7 @@
 
 // forwardTo hands the request to a daemon and forwards its response. A request that may be repeated is
 // given up if the daemon is lost before the response begins.
-func (c *call) forwardTo(ctx context.Context, to handoverchoice.Receiver) error {
+func (c *call) forwardTo(ctx context.Context, to handover.Receiver) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stopWatching := func() bool { return true }
@@ -146,10 +149,10 @@
 
 // serveHandover handles one request that another daemon hands over.
 func (g *Gateway) serveHandover(w http.ResponseWriter, r *http.Request) {
-	note, err := handover.ReadNote(r)
+	note, err := forwarding.ReadNote(r)
 	if err != nil {
 		g.log.Warn("handover cannot be decoded", zap.String("peer-address", r.RemoteAddr), zap.Error(err))
-		handover.Decline(w.Header(), "malformed")
+		forwarding.Decline(w.Header(), "malformed")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -184,8 +187,8 @@
 	}
 	switch {
 	case errors.Is(err, errStopping):
-		handover.Decline(c.writer.Header(), "daemon stops")
+		forwarding.Decline(c.writer.Header(), "daemon stops")
 	case !c.gateway.reach.isReached(c.service):
-		handover.Decline(c.writer.Header(), "runners are not reached")
+		forwarding.Decline(c.writer.Header(), "runners are not reached")
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"bergamotsill.example/bergamotsill/internal/adapter/handover"
+	"bergamotsill.example/bergamotsill/internal/adapter/forwarding"
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -78,7 +78,7 @@
 	g.markClosing(w.Header())
 	if note != nil {
 		// The sender accepted the request, so that a rejection here is no answer to the client.
-		handover.Decline(w.Header(), "rejected")
+		forwarding.Decline(w.Header(), "rejected")
 	}
 	table := g.config.table.Load()
 	if table == nil || !g.takesHandover(note) {
@@ -111,7 +111,7 @@
 	}
 	c := g.newCall(w, request, route, table)
 	if note != nil {
-		handover.Accept(w.Header())
+		forwarding.Accept(w.Header())
 		c.applyHandover(note)
 	}
 	return c, release
