--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -39,7 +39,7 @@
 // tryReceivers hands the request to other daemons until one takes it. It reports whether the call is
 // finished. A request that was handed over is not handed over again.
 func (c *call) tryReceivers(ctx context.Context) bool {
-	if c.handedOver != nil || c.receiversTried || c.headerWritten {
+	if c.gateway.deps.Handovers == nil || c.handedOver != nil || c.receiversTried || c.headerWritten {
 		return false
 	}
 	c.receiversTried = true
@@ -114,15 +114,10 @@
 	defer func() { _ = response.Body.Close() }()
 	buffer := make([]byte, 0, relayBuffer)
 	for {
-		if len(buffer) == cap(buffer) {
-			grown, ok := c.growBuffer(buffer, relayBuffer)
-			if !ok {
-				return errResponseMemory
-			}
-			buffer = grown
+		var err error
+		if buffer, err = c.readMore(buffer, response.Body); errors.Is(err, errResponseMemory) {
+			return err
 		}
-		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
 		if whole := completeEventsLen(buffer); whole > 0 {
 			if !c.headerWritten {
 				c.firstEventLatency = time.Since(c.request.Received)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -54,15 +54,10 @@
 	defer func() { _ = response.Body.Close() }()
 	buffer := make([]byte, 0, relayBuffer)
 	for {
-		if len(buffer) == cap(buffer) {
-			grown, ok := c.growBuffer(buffer, relayBuffer)
-			if !ok {
-				return errResponseMemory
-			}
-			buffer = grown
+		var err error
+		if buffer, err = c.readMore(buffer, response.Body); errors.Is(err, errResponseMemory) {
+			return err
 		}
-		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
 		if whole := completeEventsLen(buffer); whole > 0 {
 			// Comments are forwarded, but they are not progress and do not start a response.
 			events := containsEvent(buffer[:whole])
@@ -96,6 +91,20 @@
 	}
 }
 
+// readMore appends bytes of a body to a buffer and makes room for them. The error is errResponseMemory if
+// the memory for responses is full, or that of the body.
+func (c *call) readMore(buffer []byte, body io.Reader) ([]byte, error) {
+	if len(buffer) == cap(buffer) {
+		grown, ok := c.growBuffer(buffer, relayBuffer)
+		if !ok {
+			return buffer, errResponseMemory
+		}
+		buffer = grown
+	}
+	n, err := body.Read(buffer[len(buffer):cap(buffer)])
+	return buffer[:len(buffer)+n], err
+}
+
 // recordEvents records the arrival of events for the log and the placement model.
 func (c *call) recordEvents(inFlight *placement.InFlightRequest) {
 	now := time.Now()
--- a/internal/placement/pool_test.go
+++ b/internal/placement/pool_test.go
@@ -57,7 +57,9 @@
 // Guards against orders and other calls to an engine that asked this daemon for no requests.
 func TestQuietEnginesGetNoOrders(t *testing.T) {
 	f := newChangeable(port.RoleDecode)
-	quiet := func(now time.Time) [2]bool { return [2]bool{f.Pools(now)[0].Engines[0].Quiet, f.Quiet(now, "engine-0")} }
+	quiet := func(now time.Time) [2]bool {
+		return [2]bool{f.Pools(now)[0].Engines[0].Quiet, f.Quiet(now, "engine-0")}
+	}
 	f.MarkQuiet(start, "engine-0", 0, 3*time.Second)
 	if got := quiet(start.Add(2 * time.Second)); got != [2]bool{true, true} {
 		t.Errorf("2 s after it asked for 3 s: quiet %v", got)
