Hand no requests over while only engines of one role are down

Requests whose prompts crash engines can take all decode engines down at once.

A service is unreached only if runners of each role fail. A request that failed while that was in doubt waits for the probes, 0.5 s at most, and is handed over only if the service is unreached. The note of a handover says whether the prompt was prefilled, and a receiver declines only if no runner has received the request.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -95,6 +95,8 @@
 	// runner may have received the request otherwise.
 	prefilled bool
 	arrived   bool
+	// prefillSends is the number of prefills that an engine may have received.
+	prefillSends int
 	// headerWritten is set once a response header was written to the client; status is its
 	// status code.
 	headerWritten bool
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -30,10 +30,14 @@
 }
 
 // handOverUnreached is like handOver for a request that failed with err before it was executed, while it
-// is not certain yet that the service is unreached.
+// was not certain yet whether the service is reached.
 func (c *call) handOverUnreached(ctx context.Context, err error) bool {
 	unreached := errors.Is(err, errNoRunner) || errors.Is(err, port.ErrNotSent)
-	return unreached && c.executions == 0 && ctx.Err() == nil && !c.gateway.reach.isReached(c.service) && c.tryReceivers(ctx)
+	if !unreached || c.executions > 0 || c.handedOver != nil || c.receiversTried {
+		return false
+	}
+	c.gateway.reach.awaitCertain(ctx, c.service)
+	return ctx.Err() == nil && c.handOver(ctx)
 }
 
 // tryReceivers hands the request to other daemons until one takes it. It reports whether the call is
@@ -66,6 +70,7 @@
 			c.gateway.metrics.handovers.Add("failed", 1)
 			c.sends++
 			c.executions++
+			c.prefilled, c.arrived = true, true
 		}
 		if declined && ctx.Err() == nil {
 			c.gateway.receivers.directory.Decline(to.Name, c.service)
@@ -171,13 +176,14 @@
 func (c *call) applyHandover(note *port.Handover) {
 	c.handedOver = note
 	c.sends, c.executions, c.counted = note.Executions, note.Executions, note.Counted
+	c.prefilled, c.arrived = note.Prefilled, note.Arrived
 	c.logStep("handed over by %s after %d ms", note.From, note.ElapsedMS)
 }
 
 // declineHandover lets the sender try another daemon, if this one refuses the request for a reason of its
-// own.
+// own and no runner has received it.
 func (c *call) declineHandover(err error) {
-	if c.handedOver == nil || c.executions > c.handedOver.Executions {
+	if c.handedOver == nil || c.sends > c.handedOver.Executions || c.prefillSends > 0 {
 		return
 	}
 	switch {
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/reach"
 )
@@ -20,6 +21,8 @@
 	reachInterval = 50 * time.Millisecond
 	// probeTimeout bounds the opening of a connection to a runner whose reach is in doubt.
 	probeTimeout = 500 * time.Millisecond
+	// certainCheckInterval is how often a request that waits for the result of probes checks it.
+	certainCheckInterval = 10 * time.Millisecond
 )
 
 // runnerReach follows whether this daemon reaches the runners of each service; see package reach. It
@@ -141,10 +144,21 @@
 }
 
 // isReached reports whether a service is neither unreached nor in doubt.
-func (r *runnerReach) isReached(service string) bool {
+func (r *runnerReach) isReached(service string) bool { return r.state(service) == reach.Reached }
+
+func (r *runnerReach) state(service string) reach.State {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.tracker.State(service) == reach.Reached
+	return r.tracker.State(service)
+}
+
+// awaitCertain waits until a service is no longer in doubt, at most for probeTimeout and until ctx is done.
+func (r *runnerReach) awaitCertain(ctx context.Context, service string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	for ctx.Err() == nil && r.state(service) == reach.InDoubt {
+		clock.Sleep(ctx, certainCheckInterval)
+	}
 }
 
 // vouch returns those of the given services that were reached a moment ago. Of the others, runners are
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -222,12 +222,16 @@
 		// Nothing replaces a prefill that ends together with its request.
 		place.settle(sent && (ctx.Err() == nil || c.arrived))
 		c.arrived = c.arrived || sent
+		if sent {
+			c.prefillSends++
+		}
 		c.gateway.endAttempt(plan.Prefill, placementOutcome(ctx, err))
 		return nil, port.KVCacheHandle{}, err
 	}
 	// Only the first prefill that an engine accepts is no arrival of its own.
 	place.settle(c.prefilled)
 	c.prefilled, c.arrived = true, true
+	c.prefillSends++
 	plan.Prefill.MarkPrefilled(now)
 	plan.Prefill.End(now, placement.Completed)
 	inFlight, ok := c.gateway.fleet.PlaceDecode(now, c.placementQuery(), source)
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -9,7 +9,8 @@
 
 const (
 	// requiredFailures is the number of runners to which no connection may open, while none opens to any
-	// other one, before their service counts as unreached; all of them if the service has fewer.
+	// other one, before their service counts as unreached; all of them if the service has fewer. At least
+	// one of each role must be among them, because requests can crash all engines of one.
 	requiredFailures = 3
 	// requiredOpens is the number of connections that must open without a failure before an unreached
 	// service counts as reached again.
@@ -152,13 +153,18 @@
 func (s *service) decide() {
 	switch {
 	case s.state == Unreached || len(s.failed) == 0:
-	case len(s.failed) >= min(requiredFailures, len(s.runners)):
+	case len(s.failed) >= min(requiredFailures, len(s.runners)) && !slices.ContainsFunc(s.runners, s.isOfReachedRole):
 		s.state, s.opens = Unreached, 0
 	default:
 		s.state = InDoubt
 	}
 }
 
+// isOfReachedRole reports whether no runner of the role of r has failed.
+func (s *service) isOfReachedRole(r port.Runner) bool {
+	return !slices.ContainsFunc(s.runners, func(o port.Runner) bool { return o.Role == r.Role && s.failed[o.ID] })
+}
+
 // State returns the state of a service.
 func (t *Tracker) State(name string) State {
 	if s, ok := t.services[name]; ok {
@@ -256,16 +262,16 @@
 		return nil
 	}
 	s.probedAt, s.verify = now, false
-	var out []port.Runner
-	for range s.runners {
-		r := s.runners[s.next%len(s.runners)]
-		s.next++
-		if s.state == InDoubt && s.failed[r.ID] {
-			continue
-		}
-		if out = append(out, r); len(out) == count {
-			break
+	var preferred, others []port.Runner
+	for i := range s.runners {
+		switch r := s.runners[(s.next+i)%len(s.runners)]; {
+		case s.state != InDoubt || s.isOfReachedRole(r):
+			preferred = append(preferred, r)
+		case !s.failed[r.ID]:
+			others = append(others, r)
 		}
 	}
-	return out
+	s.next += count
+	out := append(preferred, others...)
+	return out[:min(count, len(out))]
 }
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -21,7 +21,8 @@
 		took int
 	}
 	cases := []struct {
-		name     string
+		name string
+		// runners is the number of runners; those of a negative number have two roles in turn.
 		runners  int
 		contacts []contact
 		want     State
@@ -29,6 +30,8 @@
 		alone bool
 	}{
 		{"nothing", 3, nil, Reached, false},
+		{"all of one role", -6, []contact{{0, fail, 1}, {2, fail, 1}, {4, fail, 1}}, InDoubt, false},
+		{"of each role", -6, []contact{{0, fail, 1}, {2, fail, 1}, {3, fail, 1}}, Unreached, false},
 		{"one runner crashed", 4, []contact{{0, fail, 1}, {0, fail, 1}, {0, fail, 1}, {0, fail, 1}}, InDoubt, false},
 		{"crashed, another one opens", 4, []contact{{0, fail, 1}, {1, open, 1}}, Reached, true},
 		{"failure that began before another one opened", 4, []contact{{1, open, 1}, {0, fail, 50}}, Reached, true},
@@ -46,8 +49,12 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var runners []port.Runner
-			for i := range c.runners {
-				runners = append(runners, port.Runner{ID: fmt.Sprint(i), Service: "s"})
+			for i := range max(c.runners, -c.runners) {
+				r := port.Runner{ID: fmt.Sprint(i), Service: "s"}
+				if c.runners < 0 {
+					r.Role = []port.Role{port.RoleDecode, port.RolePrefill}[i%2]
+				}
+				runners = append(runners, r)
 			}
 			tr := NewTracker()
 			tr.SetRunners(runners)
@@ -93,10 +100,10 @@
 	tr.Record(now, runners[1], port.ContactFailed, now)
 	tr.Record(now, runners[2], port.ContactFailed, now)
 	step(100*time.Millisecond, "")
-	step(400*time.Millisecond, "0")
+	step(400*time.Millisecond, "2")
 	step(100*time.Millisecond, "")
 	tr.Record(now, runners[0], port.ContactOpened, now)
-	step(0, "1")
+	step(0, "0")
 	tr.Record(now, runners[1], port.ContactOpened, now)
 	if step(time.Second, ""); tr.Uncertain() || !tr.Vouch(now, "s") {
 		t.Error("the service is not certain after two connections")
@@ -104,7 +111,7 @@
 	if now = now.Add(vouchAge); tr.Vouch(now, "s") {
 		t.Error("an old contact proves the reach")
 	}
-	step(time.Second, "2")
+	step(time.Second, "1")
 	for _, r := range runners[:3] {
 		tr.Record(now, r, port.ContactFailed, now)
 	}
