Probe at once when a service comes into doubt

The confirmation of a crash by a refused connection waits until another runner is reached. The probes that tell waited up to 150 ms for their turn, so that parts of prompts that crash engines were blocked later.

The new steps of TestProbesSettleTheState fail on the code before.

--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -223,6 +223,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-r.uncertain:
 		case <-ticker.C:
 		}
 	}
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -129,9 +129,7 @@
 		if s.opened.After(began) || s.responded.After(began) {
 			return true
 		}
-		if s.state == Reached {
-			s.state = InDoubt
-		}
+		s.doubt()
 		return false
 	}
 	return true
@@ -156,7 +154,14 @@
 	case len(s.failed) >= min(requiredFailures, len(s.runners)) && !slices.ContainsFunc(s.runners, s.isOfReachedRole):
 		s.state, s.opens = Unreached, 0
 	default:
-		s.state = InDoubt
+		s.doubt()
+	}
+}
+
+// doubt puts a reached service in doubt. Probes are due at once.
+func (s *service) doubt() {
+	if s.state == Reached {
+		s.state, s.probedAt = InDoubt, time.Time{}
 	}
 }
 
