Use the field's words for what daemons report of their reach

No change of behaviour: handover.Status is what a daemon reports of itself, Tracker.RecentlyReached says whether a contact proves the reach.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 		source.Watch(g.applyNotice)
 	}
 	g.reach = newRunnerReach(g.log, deps.Runners)
-	g.receivers = newReceivers(g.peers, g.reach, g.receiverWord)
+	g.receivers = newReceivers(g.peers, g.reach, g.receiverStatus)
 	g.reach.ask, g.reach.onReturn = g.receivers.ask, g.fleet.EndAvoidance
 	g.peers.receivers, g.peers.reach = g.receivers, g.reach
 	if source, ok := deps.Runners.(port.ContactSource); ok {
--- a/internal/gateway/reach.go
+++ b/internal/gateway/reach.go
@@ -161,15 +161,15 @@
 	}
 }
 
-// vouch returns those of the given services that were reached a moment ago. Of the others, runners are
+// recentlyReached returns those of the given services that were reached a moment ago. Of the others, runners are
 // probed, so that a later question can be answered.
-func (r *runnerReach) vouch(services []string) []string {
+func (r *runnerReach) recentlyReached(services []string) []string {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []string
 	for _, service := range services {
-		if r.tracker.Vouch(now, service) {
+		if r.tracker.RecentlyReached(now, service) {
 			out = append(out, service)
 		}
 	}
--- a/internal/gateway/receivers.go
+++ b/internal/gateway/receivers.go
@@ -33,7 +33,7 @@
 	reach     *runnerReach
 	directory *handover.Directory
 	// self returns what this daemon says of itself, apart from the services that it reaches.
-	self func() handover.Word
+	self func() handover.Status
 
 	mu sync.Mutex
 	// asked holds the daemons that have not answered the last question yet.
@@ -49,7 +49,7 @@
 	end context.CancelFunc
 }
 
-func newReceivers(p *peers, r *runnerReach, self func() handover.Word) *receivers {
+func newReceivers(p *peers, r *runnerReach, self func() handover.Status) *receivers {
 	return &receivers{
 		peers: p, reach: r, self: self, directory: handover.NewDirectory(handover.Daemon{Name: p.name, DataCentre: p.dataCentre}),
 		asked: map[string]bool{}, present: map[string]presence{},
@@ -89,7 +89,7 @@
 func (r *receivers) askOne(ctx context.Context, l *peerLink, services []string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	var w handover.Word
+	var w handover.Status
 	err := l.client.Call(ctx, methodReach, reachQuestion{Services: services}, &w)
 	r.peers.recordCallResult(l, err)
 	r.mu.Lock()
@@ -103,7 +103,7 @@
 		}
 		return
 	}
-	r.directory.Hear(time.Now(), handover.Daemon{Name: l.name, DataCentre: l.dataCentre}, w)
+	r.directory.Update(time.Now(), handover.Daemon{Name: l.name, DataCentre: l.dataCentre}, w)
 	if _, ok := r.present[l.name]; !ok {
 		ctx, end := context.WithCancel(context.Background())
 		r.present[l.name] = presence{ctx: ctx, end: end}
@@ -131,17 +131,17 @@
 	}
 	w := r.self()
 	if w.Address != "" {
-		w.Reached = r.reach.vouch(q.Services)
+		w.Reached = r.reach.recentlyReached(q.Services)
 	}
 	return w, nil
 }
 
-// receiverWord returns what this daemon says of itself as a receiver of requests.
-func (g *Gateway) receiverWord() handover.Word {
+// receiverStatus returns what this daemon says of itself as a receiver of requests.
+func (g *Gateway) receiverStatus() handover.Status {
 	if !g.Ready() {
-		return handover.Word{}
+		return handover.Status{}
 	}
-	return handover.Word{Address: g.settings.Load().Listen.Handovers, Load: g.gate.requests(), Config: g.config.version()}
+	return handover.Status{Address: g.settings.Load().Listen.Handovers, Load: g.gate.requests(), Config: g.config.version()}
 }
 
 // note returns what the receiver of the request has to know.
--- a/internal/handover/directory.go
+++ b/internal/handover/directory.go
@@ -12,13 +12,13 @@
 )
 
 const (
-	// wordAge is the age up to which what a daemon said of itself counts. It allows for two questions
+	// statusAge is the age up to which a status counts. It allows for two questions
 	// without an answer.
-	wordAge = time.Second
+	statusAge = time.Second
 	// remoteCost is the cost of a daemon of another data centre, in requests in progress.
 	remoteCost = 4
 	// jitter is the largest random cost in requests in progress. It separates the choices of daemons that
-	// have heard the same.
+	// have the same information.
 	jitter = 2
 	// askedLocally and askedRemotely are the numbers of daemons of this data centre and of each other one
 	// that are asked at a time.
@@ -26,8 +26,8 @@
 	askedRemotely = 2
 )
 
-// Word is what a daemon says of itself as a receiver of requests.
-type Word struct {
+// Status is what a daemon says of itself as a receiver of requests.
+type Status struct {
 	// Address is the host:port at which it takes requests; empty if it takes none.
 	Address string `json:"address,omitempty"`
 	// Reached holds the services whose runners it has just reached.
@@ -64,46 +64,46 @@
 type Directory struct {
 	self Daemon
 
-	mu    sync.Mutex
-	words map[string]*entry
+	mu       sync.Mutex
+	statuses map[string]*entry
 	// round counts the questions, so that daemons that cannot help make room for others.
 	round int
 }
 
 type entry struct {
 	Daemon
-	word    Word
-	heardAt time.Time
+	status    Status
+	updatedAt time.Time
 	// added is the number of requests handed to the daemon since.
 	added int
 }
 
 // NewDirectory returns an empty directory of the daemon self.
 func NewDirectory(self Daemon) *Directory {
-	return &Directory{self: self, words: map[string]*entry{}}
+	return &Directory{self: self, statuses: map[string]*entry{}}
 }
 
-// Hear records what a daemon says of itself.
-func (d *Directory) Hear(now time.Time, from Daemon, w Word) {
+// Update records what a daemon says of itself.
+func (d *Directory) Update(now time.Time, from Daemon, w Status) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.words[from.Name] = &entry{Daemon: from, word: w, heardAt: now}
+	d.statuses[from.Name] = &entry{Daemon: from, status: w, updatedAt: now}
 }
 
 // Forget drops what a daemon has said, because it did not respond.
 func (d *Directory) Forget(name string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.words, name)
+	delete(d.statuses, name)
 }
 
 // Decline records that a daemon did not take a request for a service. It counts as not reaching the
-// service until it speaks again.
+// service until it reports again.
 func (d *Directory) Decline(name, service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if e, ok := d.words[name]; ok {
-		e.word.Reached = slices.DeleteFunc(slices.Clone(e.word.Reached), func(s string) bool { return s == service })
+	if e, ok := d.statuses[name]; ok {
+		e.status.Reached = slices.DeleteFunc(slices.Clone(e.status.Reached), func(s string) bool { return s == service })
 	}
 }
 
@@ -114,11 +114,11 @@
 	defer d.mu.Unlock()
 	var best *entry
 	lowest := math.Inf(1)
-	for _, e := range d.words {
-		if n.Excluded[e.Name] || e.word.Config < n.Config || !e.helps(now) || !slices.Contains(e.word.Reached, n.Service) {
+	for _, e := range d.statuses {
+		if n.Excluded[e.Name] || e.status.Config < n.Config || !e.helps(now) || !slices.Contains(e.status.Reached, n.Service) {
 			continue
 		}
-		cost := float64(e.word.Load+e.added) + jitter*random()
+		cost := float64(e.status.Load+e.added) + jitter*random()
 		if e.DataCentre != d.self.DataCentre {
 			cost += remoteCost
 		}
@@ -130,12 +130,12 @@
 		return Receiver{}, false
 	}
 	best.added++
-	return Receiver{Name: best.Name, Address: best.word.Address}, true
+	return Receiver{Name: best.Name, Address: best.status.Address}, true
 }
 
 // helps reports whether the daemon takes requests of some service.
 func (e *entry) helps(now time.Time) bool {
-	return e.word.Address != "" && len(e.word.Reached) > 0 && now.Sub(e.heardAt) <= wordAge
+	return e.status.Address != "" && len(e.status.Reached) > 0 && now.Sub(e.updatedAt) <= statusAge
 }
 
 // Ask returns the names of the daemons to ask now, of all those that respond: some of each data centre,
@@ -163,7 +163,7 @@
 	order := rendezvous.Top(d.self.Name, names, len(names))
 	var out []string
 	for _, name := range order {
-		if e, ok := d.words[name]; ok && e.helps(now) && len(out) < count {
+		if e, ok := d.statuses[name]; ok && e.helps(now) && len(out) < count {
 			out = append(out, name)
 		}
 	}
--- a/internal/handover/directory_test.go
+++ b/internal/handover/directory_test.go
@@ -10,12 +10,12 @@
 // leave the data centre without need.
 func TestChoose(t *testing.T) {
 	now := time.Unix(1000, 0)
-	word := func(load int, services ...string) Word {
-		return Word{Address: "10.0.0.1:1", Reached: services, Load: load, Config: 7}
+	status := func(load int, services ...string) Status {
+		return Status{Address: "10.0.0.1:1", Reached: services, Load: load, Config: 7}
 	}
 	type heard struct {
 		name, dataCentre string
-		word             Word
+		status           Status
 		age              time.Duration
 	}
 	cases := []struct {
@@ -25,19 +25,19 @@
 		want  string
 	}{
 		{"nobody", nil, Need{Service: "s"}, ""},
-		{"least loaded", []heard{{"a", "here", word(9, "s"), 0}, {"b", "here", word(3, "s"), 0}}, Need{Service: "s"}, "b"},
-		{"does not reach the service", []heard{{"a", "here", word(9, "s"), 0}, {"b", "here", word(3, "r"), 0}}, Need{Service: "s"}, "a"},
-		{"old word", []heard{{"a", "here", word(9, "s"), 0}, {"b", "here", word(3, "s"), 2 * wordAge}}, Need{Service: "s"}, "a"},
-		{"takes no requests", []heard{{"a", "here", Word{Reached: []string{"s"}}, 0}}, Need{Service: "s"}, ""},
-		{"older configuration", []heard{{"a", "here", word(3, "s"), 0}}, Need{Service: "s", Config: 8}, ""},
-		{"excluded", []heard{{"a", "here", word(3, "s"), 0}}, Need{Service: "s", Excluded: map[string]bool{"a": true}}, ""},
-		{"near with the same load", []heard{{"a", "there", word(3, "s"), 0}, {"b", "here", word(3, "s"), 0}}, Need{Service: "s"}, "b"},
-		{"far with much less load", []heard{{"a", "there", word(3, "s"), 0}, {"b", "here", word(20, "s"), 0}}, Need{Service: "s"}, "a"},
+		{"least loaded", []heard{{"a", "here", status(9, "s"), 0}, {"b", "here", status(3, "s"), 0}}, Need{Service: "s"}, "b"},
+		{"does not reach the service", []heard{{"a", "here", status(9, "s"), 0}, {"b", "here", status(3, "r"), 0}}, Need{Service: "s"}, "a"},
+		{"old status", []heard{{"a", "here", status(9, "s"), 0}, {"b", "here", status(3, "s"), 2 * statusAge}}, Need{Service: "s"}, "a"},
+		{"takes no requests", []heard{{"a", "here", Status{Reached: []string{"s"}}, 0}}, Need{Service: "s"}, ""},
+		{"older configuration", []heard{{"a", "here", status(3, "s"), 0}}, Need{Service: "s", Config: 8}, ""},
+		{"excluded", []heard{{"a", "here", status(3, "s"), 0}}, Need{Service: "s", Excluded: map[string]bool{"a": true}}, ""},
+		{"near with the same load", []heard{{"a", "there", status(3, "s"), 0}, {"b", "here", status(3, "s"), 0}}, Need{Service: "s"}, "b"},
+		{"far with much less load", []heard{{"a", "there", status(3, "s"), 0}, {"b", "here", status(20, "s"), 0}}, Need{Service: "s"}, "a"},
 	}
 	for _, c := range cases {
 		d := NewDirectory(Daemon{"self", "here"})
 		for _, h := range c.heard {
-			d.Hear(now.Add(-h.age), Daemon{h.name, h.dataCentre}, h.word)
+			d.Update(now.Add(-h.age), Daemon{h.name, h.dataCentre}, h.status)
 		}
 		got, ok := d.Choose(now, c.need, func() float64 { return 0.5 })
 		if got.Name != c.want || ok != (c.want != "") {
@@ -48,7 +48,7 @@
 	d := NewDirectory(Daemon{"self", "here"})
 	counts := map[string]int{}
 	for _, name := range []string{"a", "b", "c"} {
-		d.Hear(now, Daemon{name, "here"}, word(0, "s"))
+		d.Update(now, Daemon{name, "here"}, status(0, "s"))
 	}
 	for range 30 {
 		r, _ := d.Choose(now, Need{Service: "s"}, func() float64 { return 0 })
@@ -87,7 +87,7 @@
 	if len(asked) != len(daemons) {
 		t.Errorf("%d of %d daemons are asked", len(asked), len(daemons))
 	}
-	d.Hear(now, Daemon{"near3", "here"}, Word{Address: "10.0.0.1:1", Reached: []string{"s"}})
+	d.Update(now, Daemon{"near3", "here"}, Status{Address: "10.0.0.1:1", Reached: []string{"s"}})
 	for range 10 {
 		if names := d.Ask(now, daemons); names[0] != "near3" && names[askedRemotely] != "near3" {
 			t.Errorf("a daemon that helps is not asked again: %v", names)
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -21,8 +21,8 @@
 	doubtInterval = 100 * time.Millisecond
 	// returnInterval is the time between two probes of an unreached service.
 	returnInterval = 500 * time.Millisecond
-	// vouchAge is the age up to which a contact proves that the service is reached.
-	vouchAge = 2 * time.Second
+	// recentAge is the age up to which a contact proves that the service is reached.
+	recentAge = 2 * time.Second
 )
 
 // State says whether a daemon reaches the runners of a service.
@@ -215,9 +215,9 @@
 	return out
 }
 
-// Vouch reports whether a recent contact proves that the service is reached. If there is none, it
+// RecentlyReached reports whether a recent contact proves that the service is reached. If there is none, it
 // requests a probe.
-func (t *Tracker) Vouch(now time.Time, name string) bool {
+func (t *Tracker) RecentlyReached(now time.Time, name string) bool {
 	s, ok := t.services[name]
 	if !ok || s.state != Reached {
 		return false
@@ -226,7 +226,7 @@
 	if s.responded.After(latest) {
 		latest = s.responded
 	}
-	if latest.IsZero() || now.Sub(latest) > vouchAge {
+	if latest.IsZero() || now.Sub(latest) > recentAge {
 		s.verify = true
 		return false
 	}
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -105,7 +105,7 @@
 	tr.Record(now, runners[0], port.ContactOpened, now)
 	step(0, "0")
 	tr.Record(now, runners[1], port.ContactOpened, now)
-	if step(time.Second, ""); tr.Uncertain() || !tr.Vouch(now, "s") {
+	if step(time.Second, ""); tr.Uncertain() || !tr.RecentlyReached(now, "s") {
 		t.Error("the service is not certain after two connections")
 	}
 	tr.Record(now, runners[0], port.ContactFailed, now)
@@ -114,7 +114,7 @@
 	tr.Record(now, runners[0], port.ContactFailed, now)
 	step(time.Millisecond, "1 2")
 	tr.Record(now, runners[1], port.ContactOpened, now)
-	if now = now.Add(vouchAge + time.Second); tr.Vouch(now, "s") {
+	if now = now.Add(recentAge + time.Second); tr.RecentlyReached(now, "s") {
 		t.Error("an old contact proves the reach")
 	}
 	step(time.Second, "2")
