Let receivers continue the counts of the sender's attempts

A request that runners had refused was handed over as one that had not been sent. The note of a handover now names the sends.

TestReceiverContinuesTheCountsOfTheSender fails without it.

--- a/internal/adapter/forwarding/client.go
+++ b/internal/adapter/forwarding/client.go
@@ -83,7 +83,7 @@
 	if err := json.Unmarshal([]byte(text), &n); err != nil {
 		return nil, trace.BadParameter("header %s: %v", headerNote, err)
 	}
-	if n.Executions < 0 || n.ElapsedMS < 0 || n.RemainingMS < 0 {
+	if n.Sends < 0 || n.Executions < 0 || n.ElapsedMS < 0 || n.RemainingMS < 0 {
 		return nil, trace.BadParameter("header %s: a number is negative", headerNote)
 	}
 	return &n, nil
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -175,7 +175,7 @@
 // applyHandover makes a call continue what the sender has done.
 func (c *call) applyHandover(note *port.Handover) {
 	c.handedOver = note
-	c.sends, c.executions, c.counted = note.Executions, note.Executions, note.Counted
+	c.sends, c.executions, c.counted = note.Sends, note.Executions, note.Counted
 	c.prefilled, c.arrived = note.Prefilled, note.Arrived
 	c.logStep("handed over by %s after %d ms", note.From, note.ElapsedMS)
 }
@@ -183,7 +183,7 @@
 // declineHandover lets the sender try another daemon, if this one refuses the request for a reason of its
 // own and no runner has received it.
 func (c *call) declineHandover(err error) {
-	if c.handedOver == nil || c.sends > c.handedOver.Executions || c.prefillSends > 0 {
+	if c.handedOver == nil || c.sends > c.handedOver.Sends || c.prefillSends > 0 {
 		return
 	}
 	switch {
--- a/internal/gateway/receivers.go
+++ b/internal/gateway/receivers.go
@@ -149,7 +149,7 @@
 	s := c.gateway.settings.Load()
 	return port.Handover{
 		From: s.Name, ElapsedMS: time.Since(c.request.Received).Milliseconds(), RemainingMS: c.request.Remaining.Milliseconds(),
-		ConfigVersion: c.configVersion, ConfigFrom: s.Listen.Peers, Executions: c.executions, Counted: c.counted,
+		ConfigVersion: c.configVersion, ConfigFrom: s.Listen.Peers, Sends: c.sends, Executions: c.executions, Counted: c.counted,
 		Prefilled: c.prefilled, Arrived: c.arrived,
 	}
 }
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -266,9 +266,11 @@
 	// which it can be fetched.
 	ConfigVersion int64  `json:"config"`
 	ConfigFrom    string `json:"config_from,omitempty"`
-	// Executions is the number of attempts that may have been executed. Counted is set if the request is
+	// Sends is the number of attempts that runners received or refused, Executions those that may have
+	// been executed. Counted is set if the request is
 	// counted for the shared retry limit, Prefilled if an engine has prefilled its prompt, Arrived if a runner
 	// may have received it otherwise.
+	Sends      int  `json:"sends,omitempty"`
 	Executions int  `json:"executions,omitempty"`
 	Counted    bool `json:"counted,omitempty"`
 	Prefilled  bool `json:"prefilled,omitempty"`
