Reserve places for prefills while a service is in doubt

While a service is in doubt, failures of its engines do not count yet, so that first prefills at engines that had just failed were sent without a place of the shared retry limit, as at sound engines.

--- a/internal/gateway/prefill_place.go
+++ b/internal/gateway/prefill_place.go
@@ -28,7 +28,9 @@
 	now := time.Now()
 	p := prefillPlace{window: c.gateway.retryWindow(c.service)}
 	p.reservation, p.reserved = p.window.Reserve(now)
-	if !p.reserved && (c.arrived || prefill.FailureProbability(now) > soundFailureRate) {
+	// While the service is in doubt, failures do not count against engines yet.
+	sound := prefill.FailureProbability(now) <= soundFailureRate && c.gateway.reach.isReached(c.service)
+	if !p.reserved && (c.arrived || !sound) {
 		c.logRetryLimit()
 		return p, false
 	}
