--- a/internal/gateway/incomplete.go
+++ b/internal/gateway/incomplete.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
+	"bergamotsill.example/bergamotsill/internal/port"
 )
 
 // incompleteReason says why the connection of a request that was read whole ended without a complete
@@ -34,6 +35,20 @@
 	}
 }
 
+// recordUnframed records how a response ended that states no end of its body. err is nil if it counts as
+// whole.
+func (c *call) recordUnframed(response *port.ForwardResponse, err error) {
+	if response == nil || response.Framed {
+		return
+	}
+	outcome := "ended"
+	if err != nil {
+		outcome = "broken"
+	}
+	c.gateway.metrics.unframed.Add(outcome, 1)
+	c.logStep("response without a length: %s", outcome)
+}
+
 // incompleteReason returns why a response that ends with err is incomplete. The context is the one
 // in which the request was served.
 func (c *call) incompleteReason(ctx context.Context, err error) incompleteReason {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,8 @@
 	// incomplete counts requests that were read whole and whose connection ended without a complete
 	// response, by incompleteReason.
 	incomplete *expvar.Map
+	// unframed counts responses with neither a length nor chunks, by whether they "ended" or were "broken" off.
+	unframed *expvar.Map
 	// panics counts tasks, peer calls and request handlers that panicked.
 	panics *expvar.Int
 	// leavingRunners counts runners that announced that they leave, quietNotices responses that
@@ -47,7 +49,7 @@
 
 func newMetrics() *metrics {
 	return &metrics{
-		requests: new(expvar.Map).Init(), takeUps: new(expvar.Map).Init(), handovers: new(expvar.Map).Init(), incomplete: new(expvar.Map).Init(),
+		requests: new(expvar.Map).Init(), takeUps: new(expvar.Map).Init(), handovers: new(expvar.Map).Init(), incomplete: new(expvar.Map).Init(), unframed: new(expvar.Map).Init(),
 		inFlight: new(expvar.Int), bodyBytes: new(expvar.Int), panics: new(expvar.Int),
 		leavingRunners: new(expvar.Int), quietNotices: new(expvar.Int), limitNotices: new(expvar.Int),
 		firstEventLatency: map[int]*hdrhistogram.Histogram{}, totalLatency: map[int]*hdrhistogram.Histogram{},
@@ -99,6 +101,7 @@
 	v.Set("take_ups", m.takeUps)
 	v.Set("handovers", m.handovers)
 	v.Set("incomplete_responses", m.incomplete)
+	v.Set("unframed_responses", m.unframed)
 	v.Set("requests_in_flight", m.inFlight)
 	v.Set("body_bytes_in_flight", m.bodyBytes)
 	v.Set("panics", m.panics)
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -86,6 +86,7 @@
 	var body []byte
 	if err == nil {
 		body, err = c.readResponse(response)
+		c.recordUnframed(response, err)
 	}
 	if err != nil && errors.Is(context.Cause(attemptCtx), errStalled) {
 		err = errors.Join(errStalled, err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -295,6 +295,7 @@
 	}
 	if err == nil {
 		err = c.deliverResponse(inFlight, response, monitor)
+		c.recordUnframed(response, err)
 	}
 	if err != nil && errors.Is(context.Cause(attemptCtx), errStalled) {
 		err = errors.Join(errStalled, err)
