Take responses without a length for broken off if their server has ended

Callers saw streams that ended as complete before their last event, and plain responses that were whole to them although a part was missing.

Cause: a response with neither a length nor chunks ends with its connection. The kernel closes the connections of a process that was killed in order, so that the end of a runner looked like the end of its response. Class of fault: the absence of an error taken for a proof of completeness.

Change: at the end of such a response, the client of HTTP exchanges takes an idle connection to the server, or opens one, and requires that it stays open for 20 ms; it is used for a later request. A server that refuses or closes has ended, and the body ends with io.ErrUnexpectedEOF. A server that cannot be reached otherwise counts as running, so that a daemon that is cut off breaks off nothing. It holds for all users of the client: streams, plain calls, prefills, other daemons and the store.

--- a/internal/adapter/exchange/body.go
+++ b/internal/adapter/exchange/body.go
@@ -12,6 +12,8 @@
 	transfer *transfer
 	response *http.Response
 	reusable bool
+	// confirmEnd returns an error if the end of the connection is not the end of the body.
+	confirmEnd func() error
 
 	once sync.Once
 }
@@ -19,6 +21,11 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
+	if err == io.EOF {
+		if broken := b.confirmEnd(); broken != nil {
+			err = broken
+		}
+	}
 	switch {
 	case err == io.EOF:
 		b.once.Do(func() { b.transfer.finish(b.reusable, b.response.Header) })
--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -71,7 +71,7 @@
 	// the connection.
 	Body io.ReadCloser
 	// Framed is set if the response has a length or is sent in chunks. Otherwise the body
-	// ends with its connection.
+	// ends with its connection, if its server then still runs.
 	Framed bool
 }
 
@@ -116,7 +116,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", port.ErrNotSent, err)
 	}
-	x := &transfer{client: c, conn: cn, request: &r}
+	x := &transfer{ctx: ctx, client: c, conn: cn, request: &r}
 	x.stopContextWatch = context.AfterFunc(ctx, func() { cn.Close() })
 	response, err := x.roundTrip()
 	if err != nil {
@@ -229,6 +229,8 @@
 
 // transfer sends one request and receives its response over a connection.
 type transfer struct {
+	// ctx is the context of the request.
+	ctx              context.Context
 	client           *Client
 	conn             *conn
 	request          *Request
@@ -251,10 +253,19 @@
 		}
 		return nil, err
 	}
-	b := &body{transfer: x, response: response, reusable: x.reusable(response)}
+	b := &body{transfer: x, response: response, reusable: x.reusable(response), confirmEnd: func() error { return nil }}
+	if !framed(response) {
+		b.confirmEnd = sync.OnceValue(x.confirmEnd)
+	}
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: b, Framed: framed(response)}, nil
 }
 
+// confirmEnd returns an error if the end of the connection does not show that its server has sent the
+// whole response.
+func (x *transfer) confirmEnd() error {
+	return x.client.confirmRunning(x.ctx, x.conn.address, x.request.Dialed)
+}
+
 // write writes the request. A request with a long body is written in the background,
 // because the server may respond before it has read all of it.
 func (x *transfer) write() {
--- /dev/null
+++ b/internal/adapter/exchange/unframed.go
@@ -0,0 +1,59 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
+)
+
+const (
+	// confirmTime is how long a connection must stay open to show that its server runs: a process that
+	// ends closes its connections one after another.
+	confirmTime = 20 * time.Millisecond
+	// confirmTimeout bounds the opening of a connection for that.
+	confirmTimeout = 500 * time.Millisecond
+)
+
+// errServerEnded reports a response with neither a length nor chunks whose server has ended: the kernel
+// closes the connections of a process that was killed as if it had finished its responses.
+var errServerEnded = fmt.Errorf("%w: server ended with its response", io.ErrUnexpectedEOF)
+
+// confirmRunning returns errServerEnded if the server at an address has ended. A server that cannot be
+// reached otherwise counts as running.
+func (c *Client) confirmRunning(ctx context.Context, address string, dialed func(time.Time, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	// The second connection is a new one: servers may close idle connections at any time.
+	for _, maxIdle := range []time.Duration{defaultKeepAlive, 0} {
+		cn, err := c.connect(ctx, address, &Request{MaxIdle: maxIdle, Dialed: dialed})
+		switch {
+		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+			return errServerEnded
+		case err != nil:
+			return nil
+		}
+		clock.Sleep(ctx, confirmTime)
+		if idleAndOpen(cn.Conn) {
+			c.returnIdle(cn)
+			return nil
+		}
+		cn.Close()
+	}
+	return errServerEnded
+}
+
+// returnIdle returns a connection to the idle ones that was taken or opened and not used.
+func (c *Client) returnIdle(cn *conn) {
+	if !cn.reused {
+		cn.keepAlive = defaultKeepAlive
+	} else if cn.keepAlive -= time.Since(cn.idleSince); cn.keepAlive <= 0 {
+		cn.Close()
+		return
+	}
+	c.putIdle(cn)
+}
