Take a response without a length for broken off if sending its request failed

Callers of requests with long bodies could get a response as complete whose connection had been reset.

Cause: Linux reports the reset of a connection once, to the call that comes first. A request of more than 16 KiB is written while its response is read. If the write got the error, the read returned the end of the file, which completes a response without a length. Class of fault: the absence of an error taken for a proof of completeness.

Change: at the end of such a response the writing is ended, and the body ends with io.ErrUnexpectedEOF if it had failed. A server that only ends its side completes the response as before.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -263,6 +264,9 @@
 // confirmEnd returns an error if the end of the connection does not show that its server has sent the
 // whole response.
 func (x *transfer) confirmEnd() error {
+	if x.writeFailed() {
+		return errResetWhileSending
+	}
 	return x.client.confirmRunning(x.ctx, x.conn.address, x.request.Dialed)
 }
 
@@ -344,6 +348,16 @@
 // framed reports whether a response states where its body ends.
 func framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
 
+// writeFailed ends the writing of the request, whose response has ended, and reports whether it had failed
+// before. The kernel reports the reset of a connection only once: after a failed write, reading returns
+// io.EOF.
+func (x *transfer) writeFailed() bool {
+	// An error means that the connection is closed, which the writer reports.
+	_ = x.conn.SetWriteDeadline(time.Now())
+	<-x.writeDone
+	return x.writeErr != nil && !errors.Is(x.writeErr, os.ErrDeadlineExceeded)
+}
+
 // abort closes the connection.
 func (x *transfer) abort() {
 	x.stopContextWatch()
--- a/internal/adapter/exchange/unframed.go
+++ b/internal/adapter/exchange/unframed.go
@@ -23,6 +23,9 @@
 // closes the connections of a process that was killed as if it had finished its responses.
 var errServerEnded = fmt.Errorf("%w: server ended with its response", io.ErrUnexpectedEOF)
 
+// errResetWhileSending reports such a response whose connection was reset while the request was being sent.
+var errResetWhileSending = fmt.Errorf("%w: connection was lost while the request was being sent", io.ErrUnexpectedEOF)
+
 // confirmRunning returns errServerEnded if the server at an address has ended. A server that cannot be
 // reached otherwise counts as running.
 func (c *Client) confirmRunning(ctx context.Context, address string, dialed func(time.Time, error)) error {
