Take responses of ended services for broken off on the own interface

Cause: the client of plain services has the two faults of the HTTP exchanges: a response with neither a length nor chunks counted as whole when the process of its service had ended, and when the reset of its connection was reported to the write of the request. net/http reads such a body to the end of the connection, whatever ended it.

Change: the client confirms that the service still runs before such a response counts, and its connections remember a failed write.

The streams of engines on the own interface end with a marker and are not affected.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -255,10 +255,10 @@
 		return nil, err
 	}
 	b := &body{transfer: x, response: response, reusable: x.reusable(response), confirmEnd: func() error { return nil }}
-	if !framed(response) {
+	if !Framed(response) {
 		b.confirmEnd = sync.OnceValue(x.confirmEnd)
 	}
-	return &Response{Status: response.StatusCode, Header: response.Header, Body: b, Framed: framed(response)}, nil
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: b, Framed: Framed(response)}, nil
 }
 
 // confirmEnd returns an error if the end of the connection does not show that its server has sent the
@@ -314,7 +314,7 @@
 			return response, nil
 		}
 		x.skippedStray = true
-		if !framed(response) {
+		if !Framed(response) {
 			return nil, port.ErrInvalidResponse
 		}
 		x.conn.limitReads(maxStrayBytes)
@@ -342,11 +342,11 @@
 	default:
 		return false
 	}
-	return x.writeErr == nil && !x.skippedStray && !response.Close && framed(response)
+	return x.writeErr == nil && !x.skippedStray && !response.Close && Framed(response)
 }
 
-// framed reports whether a response states where its body ends.
-func framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+// Framed reports whether a response states where its body ends.
+func Framed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
 
 // writeFailed ends the writing of the request, whose response has ended, and reports whether it had failed
 // before. The kernel reports the reset of a connection only once: after a failed write, reading returns
--- a/internal/adapter/exchange/unframed.go
+++ b/internal/adapter/exchange/unframed.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/clock"
+	"bergamotsill.example/bergamotsill/internal/adapter/network"
 )
 
 const (
@@ -26,6 +27,14 @@
 // errResetWhileSending reports such a response whose connection was reset while the request was being sent.
 var errResetWhileSending = fmt.Errorf("%w: connection was lost while the request was being sent", io.ErrUnexpectedEOF)
 
+// ConfirmRunning returns io.ErrUnexpectedEOF if the server at an address has ended, as after a response
+// that is not Framed. A server that cannot be reached otherwise counts as running.
+func ConfirmRunning(ctx context.Context, nw network.Network, address string) error {
+	c := NewClient(nw, 0)
+	defer c.Retain(func(string) bool { return false })
+	return c.confirmRunning(ctx, address, nil)
+}
+
 // confirmRunning returns errServerEnded if the server at an address has ended. A server that cannot be
 // reached otherwise counts as running.
 func (c *Client) confirmRunning(ctx context.Context, address string, dialed func(time.Time, error)) error {
--- a/internal/adapter/service/conn.go
+++ b/internal/adapter/service/conn.go
@@ -26,7 +26,7 @@
 // Conn is one connection to a service. It implements port.ServiceConn. Its transport can
 // dial only once, so that net/http cannot resend a request over another connection.
 type Conn struct {
-	base      string
+	client    *Client
 	transport *http.Transport
 	dialed    atomic.Bool
 	writes    atomic.Int64
@@ -34,7 +34,7 @@
 
 // Open implements port.Service.
 func (c *Client) Open(ctx context.Context) (port.ServiceConn, error) {
-	conn := &Conn{base: c.base}
+	conn := &Conn{client: c}
 	conn.transport = &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: network.MaxHeadBytes,
@@ -46,7 +46,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &writeCountingConn{Conn: raw, writes: &conn.writes}, nil
+			return &requestConn{Conn: raw, writes: &conn.writes}, nil
 		},
 	}
 	if err := conn.probe(ctx); err != nil {
@@ -73,25 +73,13 @@
 
 // Call implements port.ServiceConn.
 func (c *Conn) Call(ctx context.Context, r port.ServiceRequest) (port.ServiceResponse, error) {
-	req, err := newRequest(ctx, c.base, r)
+	req, err := newRequest(ctx, c.client.base, r)
 	if err != nil {
 		return port.ServiceResponse{}, err
 	}
 	before := c.writes.Load()
-	return roundTrip(c.transport, req, func() bool { return c.writes.Load() > before })
+	return c.client.roundTrip(c.transport, req, func() bool { return c.writes.Load() > before })
 }
 
 // Close implements port.ServiceConn.
 func (c *Conn) Close() { c.transport.CloseIdleConnections() }
-
-// writeCountingConn counts the writes that were started.
-type writeCountingConn struct {
-	net.Conn
-	writes *atomic.Int64
-}
-
-// Write implements net.Conn.
-func (c *writeCountingConn) Write(p []byte) (int, error) {
-	c.writes.Add(1)
-	return c.Conn.Write(p)
-}
--- a/internal/adapter/service/service.go
+++ b/internal/adapter/service/service.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -17,6 +18,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/exchange"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -33,6 +35,7 @@
 
 // Client sends requests to one service. It implements port.Service.
 type Client struct {
+	address   string
 	base      string
 	network   network.Network
 	transport *http.Transport
@@ -43,10 +46,17 @@
 func NewDialer(nw network.Network) port.ServiceDialer {
 	return func(address string) port.Service {
 		return &Client{
+			address: address,
 			base:    "http://" + address,
 			network: nw,
 			transport: &http.Transport{
-				DialContext:        nw.DialContext,
+				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					raw, err := nw.DialContext(ctx, network, address)
+					if err != nil {
+						return nil, err
+					}
+					return &requestConn{Conn: raw, writes: new(atomic.Int64)}, nil
+				},
 				IdleConnTimeout:    idleConnTimeout,
 				DisableCompression: true,
 
@@ -66,7 +76,7 @@
 	if err != nil {
 		return port.ServiceResponse{}, err
 	}
-	return roundTrip(c.transport, req, sent.Load)
+	return c.roundTrip(c.transport, req, sent.Load)
 }
 
 // idempotencyHeaders are the headers by which net/http recognises a request as
@@ -119,7 +129,7 @@
 
 // roundTrip sends a request and reads the whole response. sent reports whether any byte of
 // the request may have been written; it is called after a failure.
-func roundTrip(transport *http.Transport, req *http.Request, sent func() bool) (port.ServiceResponse, error) {
+func (c *Client) roundTrip(transport *http.Transport, req *http.Request, sent func() bool) (port.ServiceResponse, error) {
 	resp, err := transport.RoundTrip(req)
 	if err != nil && !sent() {
 		return port.ServiceResponse{}, fmt.Errorf("%w: %v", port.ErrNotSent, err)
@@ -135,5 +145,10 @@
 	if len(data) > maxResponseBytes {
 		return port.ServiceResponse{}, ErrResponseTooLarge
 	}
+	if !exchange.Framed(resp) {
+		if err := exchange.ConfirmRunning(req.Context(), c.network, c.address); err != nil {
+			return port.ServiceResponse{}, trace.Wrap(err)
+		}
+	}
 	return port.ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Body: data}, nil
 }
