Hand calls of a daemon that reaches no upstream to other daemons

Cause: as on the gateway, there was one way to an upstream. Class of fault: a conclusion about upstreams from a daemon's own loss.

Change: a call that no upstream has received goes to a living daemon, with the note of the gateway's handovers, once. While a pool is not reached, calls are handed over at once, and a probe a second finds its return, so that no call waits for connections that hang. A daemon that declines gets no calls for the pool for a second. Only the daemon that serves a call counts it for the burn report.

--- a/internal/adapter/forwarding/client.go
+++ b/internal/adapter/forwarding/client.go
@@ -71,6 +71,9 @@
 	return &port.ForwardResponse{Status: response.Status, Header: port.EndToEnd(response.Header), Body: response.Body, Framed: response.Framed}, nil
 }
 
+// HasNote reports whether a request says that another daemon hands it over.
+func HasNote(r *http.Request) bool { return r.Header.Get(headerNote) != "" }
+
 // ReadNote removes and decodes what the sender says of a request. It returns BadParameter if that is
 // missing or malformed.
 func ReadNote(r *http.Request) (*port.Handover, error) {
--- a/internal/daemon/completions.go
+++ b/internal/daemon/completions.go
@@ -85,6 +85,9 @@
 	if p == nil {
 		return refusal.New(refusal.UnknownProfile, "profile %q does not exist", req.Model)
 	}
+	if err := d.need(c, p.Pool, time.Duration(p.TotalMS)*time.Millisecond); err != nil {
+		return err
+	}
 	out := &responder{w: w, id: c.id, model: req.Model, created: c.started.Unix(), chat: chat, stream: req.Stream}
 	maxTokens := p.MaxOutputTokens
 	if req.MaxTokens > 0 {
@@ -168,6 +171,9 @@
 	}
 }
 
+// eventStreamType is the content type of streamed responses.
+const eventStreamType = "text/event-stream"
+
 // responder writes one response in the format that the caller requested.
 type responder struct {
 	w       http.ResponseWriter
@@ -284,19 +290,21 @@
 func (r *responder) sendData(data []byte) error {
 	if !r.started {
 		r.started = true
-		r.w.Header().Set("Content-Type", "text/event-stream")
+		r.w.Header().Set("Content-Type", eventStreamType)
 		r.w.Header().Set("Cache-Control", "no-cache")
 	}
 	return r.send(fmt.Appendf(nil, "data: %s\n\n", data))
 }
 
-// send writes and flushes bytes within callerWriteTimeout.
-func (r *responder) send(data []byte) error {
-	controller := http.NewResponseController(r.w)
+func (r *responder) send(data []byte) error { return sendFlushed(r.w, data) }
+
+// sendFlushed writes and flushes bytes within callerWriteTimeout.
+func sendFlushed(w http.ResponseWriter, data []byte) error {
+	controller := http.NewResponseController(w)
 	if err := controller.SetWriteDeadline(time.Now().Add(callerWriteTimeout)); err != nil {
 		return err
 	}
-	if _, err := r.w.Write(data); err != nil {
+	if _, err := w.Write(data); err != nil {
 		return err
 	}
 	return controller.Flush()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,6 +79,7 @@
 	decisions     *decision.Ring
 	roleDecisions *decision.Ring
 	suspects      *suspects
+	receivers     *receivers
 	retryLimiter  *retryLimiter
 	// generationSeq numbers the text generation requests in their ids at engines.
 	generationSeq atomic.Int64
@@ -121,6 +122,7 @@
 	d.claims = newClaims(d)
 	d.suspects = newSuspects(d)
 	d.retryLimiter = newRetryLimiter(deps.Seed)
+	d.receivers = newReceivers(d)
 	return d
 }
 
--- a/internal/daemon/generate.go
+++ b/internal/daemon/generate.go
@@ -91,11 +91,11 @@
 	g.deadline = retry.Deadline(g.call.started, time.Duration(g.profile.TotalMS)*time.Millisecond)
 	g.excluded = map[string]bool{}
 	g.reconnects = map[string]int{}
+	g.call.count = func(err error) { d.countResult(g, err) }
 	var err error
 	g.permit, err = d.admission.acquire(ctx, g)
 	d.recordAdmission(g, g.permit, err)
 	if err != nil {
-		d.countResult(g, err)
 		return err
 	}
 	defer g.permit.release(g)
@@ -104,7 +104,6 @@
 	if err == nil {
 		err = g.response.Finish(g.assembler.Last())
 	}
-	d.countResult(g, err)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		d.metrics.CallersSilent.Add(1)
 	}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -11,6 +11,7 @@
 	"goji.io/pat"
 
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
+	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/refusal"
 )
 
@@ -36,6 +37,18 @@
 	reservedBytes int64
 	request       *http.Request
 	log           *zap.Logger
+	// pool is the pool of upstreams that the call needs, limit the longest time that it may take; zero
+	// until they are known.
+	pool  string
+	limit time.Duration
+	// handedOver is what another daemon says of a call that it handed over, nil for others. relayed is set
+	// if another daemon has answered the call.
+	handedOver *port.Handover
+	relayed    bool
+	// skipped is set if the call is handed over without trying an upstream.
+	skipped bool
+	// count counts the result for the burn report; nil if it does not count.
+	count func(error)
 }
 
 // callHandler serves one call. A returned error is sent as a refusal unless the response
@@ -68,6 +81,7 @@
 func (d *Daemon) serve(handle callHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c := d.newCall(r)
+		d.acceptHandover(c)
 		w.Header().Set(refusal.HeaderRequestID, c.id)
 		if d.stopping.Load() {
 			// Closing the kept-alive connection makes the caller reconnect through
@@ -82,9 +96,13 @@
 		defer func() { d.memory.release(c.reservedBytes) }()
 		err := d.prepareCall(w, c)
 		if err == nil {
-			err = handle(r.Context(), w, c)
+			err = d.serveAnywhere(r.Context(), w, c, handle)
 		}
 		d.finishCall(w, c, err)
+		if errors.Is(err, errRelayBroken) {
+			// Closes the connection without a regular end of the response.
+			panic(http.ErrAbortHandler)
+		}
 	}
 }
 
@@ -120,6 +138,9 @@
 // not started, it sends the refusal.
 func (d *Daemon) finishCall(w http.ResponseWriter, c *call, err error) {
 	d.recordResult(c, err)
+	if c.count != nil && !c.relayed {
+		c.count(err)
+	}
 	fields := []zap.Field{
 		zap.String("method", c.request.Method),
 		zap.String("path", c.request.URL.Path),
@@ -139,6 +160,7 @@
 	)...)
 	var partial *partialResponseError
 	if !errors.As(err, &partial) {
+		c.declineHandover(w, r)
 		r.Write(w, c.id)
 	}
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -16,6 +16,9 @@
 	Answered expvar.Int
 	// Refused counts calls that failed, by the code of the refusal.
 	Refused expvar.Map
+	// Handovers counts calls handed to other daemons: answered there, declined or failed; and those
+	// received from other daemons.
+	Handovers expvar.Map
 	// Attempts counts attempts at engines.
 	Attempts expvar.Int
 	// Resumed counts attempts at engines after the first attempt of a request.
@@ -111,9 +114,11 @@
 func newMetrics() *Metrics {
 	m := &Metrics{vars: new(expvar.Map).Init()}
 	m.Refused.Init()
+	m.Handovers.Init()
 	m.vars.Set("requests", &m.Requests)
 	m.vars.Set("answered", &m.Answered)
 	m.vars.Set("refused", &m.Refused)
+	m.vars.Set("handovers", &m.Handovers)
 	m.vars.Set("attempts", &m.Attempts)
 	m.vars.Set("resumed", &m.Resumed)
 	m.vars.Set("admitted", &m.Admitted)
--- a/internal/daemon/service.go
+++ b/internal/daemon/service.go
@@ -26,6 +26,9 @@
 	if route == nil {
 		return refusal.New(refusal.UnknownPath, "no service is routed at path %q", c.request.URL.Path).ForAttempt()
 	}
+	if err := d.need(c, route.Pool, d.settings.Claims.CallTimeout.Std()); err != nil {
+		return err
+	}
 	var response port.ServiceResponse
 	var err error
 	if route.Repeatable(c.request.Method, c.request.URL.Path) {
