--- a/internal/daemon/cuts_test.go
+++ b/internal/daemon/cuts_test.go
@@ -508,19 +508,25 @@
 	return true
 }
 
+// startBesideUpstreams starts two engines, a service and three daemons in one data centre.
+func (c *cluster) startBesideUpstreams() (upstreams, daemons []string) {
+	upstreams = []string{"engine-1", "engine-2", "service-1"}
+	for _, name := range upstreams[:2] {
+		c.addEngine(name, "anand", standin.EngineOptions{})
+	}
+	c.addService(upstreams[2], "anand")
+	daemons = c.addDaemons(3, "anand")
+	c.publish("r1", 0, document())
+	c.awaitReady()
+	time.Sleep(6 * time.Second)
+	return upstreams, daemons
+}
+
 // Guards against callers who are refused at a daemon that has lost its paths to all upstreams, although
 // other daemons reach these.
 func TestCallersOfADaemonCutOffFromUpstreamsAreServed(t *testing.T) {
 	inCluster(t, 1, func(c *cluster) {
-		upstreams := []string{"engine-1", "engine-2", "service-1"}
-		for _, name := range upstreams[:2] {
-			c.addEngine(name, "anand", standin.EngineOptions{})
-		}
-		c.addService("service-1", "anand")
-		names := c.addDaemons(3, "anand")
-		c.publish("r1", 0, document())
-		c.awaitReady()
-		time.Sleep(6 * time.Second)
+		upstreams, names := c.startBesideUpstreams()
 		forEachPair(names[:1], upstreams, c.net.Block)
 		time.Sleep(3 * time.Second)
 		served, calls := 0, 0
--- a/internal/daemon/handover_test.go
+++ b/internal/daemon/handover_test.go
@@ -23,16 +23,15 @@
 // Guards against calls of a daemon that reaches no upstream that are lost or called complete on the way
 // through another daemon, and against calls that daemons hand to each other without end.
 func TestHandedOverCalls(t *testing.T) {
-	upstreams := []string{"engine-1", "engine-2", "service-1"}
-	cases := map[string]func(c *cluster, names []string){
-		"stream": func(c *cluster, names []string) {
+	cases := map[string]func(c *cluster, upstreams, names []string){
+		"stream": func(c *cluster, upstreams, names []string) {
 			forEachPair(names[:1], upstreams, c.net.Block)
 			const prompt = "history tokens=300"
 			if got, text, complete, _ := c.stream(context.Background(), names[0], "r-1", prompt); !complete || text != standin.Answer(testModel, prompt, 4000) {
 				c.t.Errorf("the stream is answered with %d, complete %t, %v", got.status, complete, got.err)
 			}
 		},
-		"connections that hang": func(c *cluster, names []string) {
+		"connections that hang": func(c *cluster, upstreams, names []string) {
 			forEachPair(names[:1], upstreams, c.net.DropOneWay)
 			// The connections that are being opened fail only after the deadline of the first call.
 			c.complete(names[0], "slot tokens=3")
@@ -56,7 +55,7 @@
 				c.t.Errorf("completion after the cut answered with %d, handovers %s to %s", got.status, before, c.handovers(names[0], "answered"))
 			}
 		},
-		"receivers lost in mid-stream": func(c *cluster, names []string) {
+		"receivers lost in mid-stream": func(c *cluster, upstreams, names []string) {
 			forEachPair(names[:1], upstreams, c.net.Block)
 			go func() {
 				time.Sleep(3 * time.Second)
@@ -69,7 +68,7 @@
 				c.t.Errorf("the stream is answered with %d, %d bytes, complete %t, %v, want a broken connection", got.status, len(text), complete, got.err)
 			}
 		},
-		"nobody reaches upstreams": func(c *cluster, names []string) {
+		"nobody reaches upstreams": func(c *cluster, upstreams, names []string) {
 			forEachPair(names, upstreams, c.net.Block)
 			for i := range 10 {
 				got := c.confirm(names[0], fmt.Sprintf("key-%d", i), "delivery")
@@ -81,7 +80,7 @@
 				c.t.Errorf("%s handovers were declined within a second, want one by each other daemon", n)
 			}
 		},
-		"malformed note": func(c *cluster, names []string) {
+		"malformed note": func(c *cluster, _, names []string) {
 			header := http.Header{"Bergamot-Handover": {"{"}}
 			if !forwarding.HasNote(&http.Request{Header: header}) {
 				c.t.Error("the note is not recognised")
@@ -95,15 +94,8 @@
 	for name, scenario := range cases {
 		t.Run(name, func(t *testing.T) {
 			inCluster(t, 1, func(c *cluster) {
-				for _, name := range upstreams[:2] {
-					c.addEngine(name, "anand", standin.EngineOptions{})
-				}
-				c.addService("service-1", "anand")
-				names := c.addDaemons(3, "anand")
-				c.publish("r1", 0, document())
-				c.awaitReady()
-				time.Sleep(6 * time.Second)
-				scenario(c, names)
+				upstreams, names := c.startBesideUpstreams()
+				scenario(c, upstreams, names)
 			})
 		})
 	}
