Identify organisations by their keys and report their usage

Requests to routes that are not public need the key of an organisation where the configuration has organisations. Keys are kept as digests; runners receive the organisation's name. One daemon at a time reports the requests that runners began in each window, under a lease and from a record in the store.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -100,7 +100,9 @@
 	// headerWritten is set once a response header was written to the client; status is its
 	// status code.
 	headerWritten bool
-	status        int
+	// usageCounted is set once the request was counted for the usage of its organisation.
+	usageCounted bool
+	status       int
 	// contentType is the content type of that response.
 	contentType string
 	// lastEventID is the id of the last event that the client received, also on an earlier
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -84,9 +84,14 @@
 	previous := c.version()
 	c.rawRecord = value
 	c.apply(config)
-	c.table.Store(newRouteTable(config))
+	table := newRouteTable(config)
+	c.table.Store(table)
 	c.log.Info("configuration in force", zap.Int64("config-version", config.Version),
-		zap.Int64("previous-version", previous), zap.String("source", source), zap.Int("routes", len(config.Routes)))
+		zap.Int64("previous-version", previous), zap.String("source", source), zap.Int("routes", len(config.Routes)),
+		zap.Int("organisations", len(config.Organisations)))
+	if len(table.findings) > 0 {
+		c.log.Error("organisations of the configuration are in conflict", zap.Int64("config-version", config.Version), zap.Strings("findings", table.findings))
+	}
 	return true
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,8 +49,10 @@
 	Peers    port.PeerDialer
 	// Handovers is nil if requests are not handed to other daemons.
 	Handovers port.Handovers
-	Clock     port.Clock
-	Logger    *zap.Logger
+	// Duties is used only if the settings select duties.
+	Duties port.Duties
+	Clock  port.Clock
+	Logger *zap.Logger
 }
 
 // Gateway is one daemon that forwards requests to runners without interpreting them.
@@ -74,6 +76,8 @@
 	planner       *rolePlanner
 	reach         *runnerReach
 	receivers     *receivers
+	// usage is nil if usage is not reported.
+	usage *usageCounts
 
 	stopping atomic.Bool
 	// outOfRotation is set once the balancer has had the time to see that the daemon stops.
@@ -159,6 +163,10 @@
 		lease: newOrderLease(deps.Store, deps.Clock, s.DataCentre, s.Name+"@"+s.Listen.Peers, s.OrderLease),
 	}
 	g.planner.lease.firstStart = s.FirstStart
+	if s.Duties.ReportUsage {
+		g.usage = newUsageCounts(s, deps, g.peers, r.isFirstReaching)
+		g.peers.usage = g.usage
+	}
 	return g
 }
 
@@ -223,6 +231,9 @@
 	} {
 		g.background(task, func(ctx context.Context) { g.supervise(ctx, task, run) })
 	}
+	if g.usage != nil {
+		g.background("usage reports", func(ctx context.Context) { g.supervise(ctx, "usage reports", g.usage.run) })
+	}
 	l := g.settings.Load().Listen
 	g.log.Info("daemon started", zap.String("caller-address", l.Clients), zap.String("peer-address", l.Peers),
 		zap.Bool("first-start", g.settings.Load().FirstStart))
@@ -304,6 +315,9 @@
 		vars.Set("known_stream_origins", expvar.Func(func() any { return g.origins.size() }))
 		vars.Set("store_era", expvar.Func(func() any { return g.storeEra.current() }))
 		vars.Set("unreached_services", expvar.Func(func() any { return g.reach.unreachedSince() }))
+		if g.usage != nil {
+			vars.Set("usage", expvar.Func(g.usage.vars))
+		}
 		vars.Set("blocked_traits", expvar.Func(func() any { return g.crashes.blocks() }))
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		// A failed write means that the client disconnected.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -40,6 +40,8 @@
 	handovers *expvar.Map
 	// limitNotices counts responses that named a request limit of their runner.
 	limitNotices *expvar.Int
+	// unknownKeys counts requests that were rejected because no organisation holds their key.
+	unknownKeys *expvar.Int
 
 	mu sync.Mutex
 	// firstEventLatency and totalLatency are in milliseconds, by rank. Guarded by mu.
@@ -51,7 +53,7 @@
 	return &metrics{
 		requests: new(expvar.Map).Init(), takeUps: new(expvar.Map).Init(), handovers: new(expvar.Map).Init(), incomplete: new(expvar.Map).Init(), unframed: new(expvar.Map).Init(),
 		inFlight: new(expvar.Int), bodyBytes: new(expvar.Int), panics: new(expvar.Int),
-		leavingRunners: new(expvar.Int), quietNotices: new(expvar.Int), limitNotices: new(expvar.Int),
+		leavingRunners: new(expvar.Int), quietNotices: new(expvar.Int), limitNotices: new(expvar.Int), unknownKeys: new(expvar.Int),
 		firstEventLatency: map[int]*hdrhistogram.Histogram{}, totalLatency: map[int]*hdrhistogram.Histogram{},
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -68,8 +68,10 @@
 	pendingLoads   map[string]runnerLoad
 	pendingCrashes []crashes.Report
 	pendingOrigins []originReport
-	callInFlight   bool
-	backoff        time.Duration
+	// usageDue is set if the peer is to be told what this daemon has counted of the usage.
+	usageDue     bool
+	callInFlight bool
+	backoff      time.Duration
 	// nextSend is the earliest time of the next message to the peer.
 	nextSend time.Time
 	// lastContact is when the peer last responded or called.
@@ -120,6 +122,8 @@
 	origins    *streamOrigins
 	reach      *runnerReach
 	receivers  *receivers
+	// usage is nil if usage is not reported.
+	usage *usageCounts
 	// listIsCurrent reports whether the list of runners is known to be current.
 	listIsCurrent func() bool
 	// refreshList reads the list of runners anew; see discovery.refresh.
@@ -199,6 +203,7 @@
 	unreached := p.reach.unreachedServices()
 	for _, l := range p.links {
 		watched := full && (l.cellPeer || l.probe)
+		l.usageDue = l.usageDue || full && l.cellPeer && p.usage != nil
 		news := l.dataCentre == p.dataCentre && !slices.Equal(l.told, unreached)
 		due := !now.Before(l.nextSend) && (watched || news || l.previous != nil || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0 || len(l.pendingOrigins) > 0)
 		if due && !l.callInFlight {
@@ -243,6 +248,9 @@
 func (p *peers) send(ctx context.Context, l *peerLink) {
 	m := loadMessage{From: p.name, Started: p.started, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Crashes: l.pendingCrashes, Origins: l.pendingOrigins, Unreached: p.reach.unreachedServices()}
 	m.UsedSlack, m.Previous = p.retries.usedSlack(time.Now()), l.previous
+	if l.usageDue {
+		m.Usage, l.usageDue = p.usage.recent(), false
+	}
 	for _, load := range l.pendingLoads {
 		m.Runners = append(m.Runners, load)
 	}
@@ -297,7 +305,7 @@
 
 // handlers returns the methods that peers may call.
 func (p *peers) handlers() map[string]port.PeerHandler {
-	return map[string]port.PeerHandler{methodLoad: p.handleLoad, methodConfig: p.handleConfig, methodRegistry: p.relay.handle, methodTrial: p.trials.handle, methodOrigin: p.handleOrigin, methodReach: p.receivers.handle}
+	return map[string]port.PeerHandler{methodLoad: p.handleLoad, methodConfig: p.handleConfig, methodRegistry: p.relay.handle, methodTrial: p.trials.handle, methodOrigin: p.handleOrigin, methodReach: p.receivers.handle, methodUsage: p.handleUsage}
 }
 
 func (p *peers) handleLoad(ctx context.Context, params json.RawMessage) (any, error) {
@@ -305,6 +313,7 @@
 	if err := json.Unmarshal(params, &m); err != nil {
 		return nil, err
 	}
+	p.usage.merge(m.Usage)
 	if m.Leaving {
 		p.removePeer(m.From, m.UsedSlack)
 		return nil, nil
@@ -393,11 +402,12 @@
 		links = append(links, l)
 	}
 	p.mu.Unlock()
+	last := loadMessage{From: p.name, Leaving: true, UsedSlack: p.retries.usedSlack(time.Now()), Usage: p.usage.all()}
 	var group sync.WaitGroup
 	for _, l := range links {
 		group.Go(func() {
 			// A peer that misses the message detects that this daemon is unresponsive.
-			_ = l.client.Call(ctx, methodLoad, loadMessage{From: p.name, Leaving: true, UsedSlack: p.retries.usedSlack(time.Now())}, nil)
+			_ = l.client.Call(ctx, methodLoad, last, nil)
 		})
 	}
 	if err := p.store.Put(ctx, port.TopicDaemons, []port.KeyedRecord{{Key: p.name}}); err != nil {
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -6,6 +6,7 @@
 	"bergamotsill.example/bergamotsill/internal/crashes"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/usage"
 )
 
 // loadMessage reports the in-flight load of a daemon to its peers. From, DataCentre and Address
@@ -30,6 +31,8 @@
 	// of it, in the first message after its start.
 	UsedSlack float64        `json:"used_slack,omitempty"`
 	Previous  *previousSlack `json:"previous,omitempty"`
+	// Usage holds what the sender has counted of the usage, so that it is known if the sender ends.
+	Usage []usage.Report `json:"usage,omitempty"`
 }
 
 // previousSlack is the UsedSlack that a process reported last, AgeMS milliseconds ago.
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -85,6 +85,7 @@
 	})
 	var body []byte
 	if err == nil {
+		c.countUsage()
 		body, err = c.readResponse(response)
 		c.recordUnframed(response, err)
 	}
--- a/internal/gateway/receivers.go
+++ b/internal/gateway/receivers.go
@@ -150,6 +150,6 @@
 	return port.Handover{
 		From: s.Name, ElapsedMS: time.Since(c.request.Received).Milliseconds(), RemainingMS: c.request.Remaining.Milliseconds(),
 		ConfigVersion: c.configVersion, ConfigFrom: s.Listen.Peers, Sends: c.sends, Executions: c.executions, Counted: c.counted,
-		Prefilled: c.prefilled, Arrived: c.arrived,
+		Prefilled: c.prefilled, Arrived: c.arrived, Organisation: c.request.Organisation,
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -116,6 +116,7 @@
 	c.lastEventAt = now
 	if c.attemptEvents == 0 {
 		c.gateway.crashes.recordFirstEvent(c.traits, now)
+		c.countUsage()
 	}
 	c.attemptEvents++
 	inFlight.RecordEvent(now)
--- a/internal/gateway/restored_test.go
+++ b/internal/gateway/restored_test.go
@@ -42,7 +42,7 @@
 			if daemons[name] == nil || rng.Float64() < 0.03 {
 				daemons[name] = newOrderLease(log, clock, "north", name, testLease)
 			}
-			fencing, err := daemons[name].acquire(context.Background())
+			fencing, err := daemons[name].Acquire(context.Background())
 			if err != nil {
 				continue
 			}
--- a/internal/gateway/role_lease.go
+++ b/internal/gateway/role_lease.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/lease"
@@ -14,9 +13,6 @@
 // for the whole call, and engines respond immediately.
 const orderTimeout = 500 * time.Millisecond
 
-// errLeaseHeld reports that another daemon may send orders.
-var errLeaseHeld = errors.New("another daemon holds the lease")
-
 // orderLease is this daemon's view of the lease under which orders are sent to the engines of
 // its data centre. The record of the lease is read and written only when there is an order to
 // send, because calls to the store are billed; a lease expires by itself. It is used by one
@@ -52,10 +48,10 @@
 	}
 }
 
-// acquire returns the fencing token under which an order may be sent now, and claims the lease if
-// necessary. errLeaseHeld means that the caller may try again later; other errors are those of the
+// Acquire returns the fencing token under which an order may be sent now, and claims the lease if
+// necessary. lease.ErrHeld means that the caller may try again later; other errors are those of the
 // store.
-func (l *orderLease) acquire(ctx context.Context) (int64, error) {
+func (l *orderLease) Acquire(ctx context.Context) (int64, error) {
 	if l.coversOrder() {
 		return l.machine.Lease().Fencing, nil
 	}
@@ -68,7 +64,7 @@
 	if now < l.settledAt || l.machine.Lease().Holder != l.holder && !l.machine.Claimable(now) {
 		// The last read may be outdated by the time the lease can be claimed.
 		l.endKnown = false
-		return 0, errLeaseHeld
+		return 0, lease.ErrHeld
 	}
 	return l.claim(ctx)
 }
@@ -132,13 +128,13 @@
 		return 0, err
 	}
 	if !appended {
-		return 0, errLeaseHeld
+		return 0, lease.ErrHeld
 	}
 	l.machine.Apply(l.holder, end.Order(), record, l.clock.Now())
 	end.Offset++
 	l.end, l.endKnown = end, true
 	if !l.coversOrder() {
-		return 0, errLeaseHeld
+		return 0, lease.ErrHeld
 	}
 	return l.machine.Lease().Fencing, nil
 }
--- a/internal/gateway/role_lease_test.go
+++ b/internal/gateway/role_lease_test.go
@@ -72,30 +72,30 @@
 	a := newOrderLease(log, clock, "north", "a", testLease)
 	b := newOrderLease(log, clock, "north", "b", testLease)
 	southLease := newOrderLease(log, clock, "south", "c", testLease)
-	first, err := a.acquire(ctx)
+	first, err := a.Acquire(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := b.acquire(ctx); !errors.Is(err, errLeaseHeld) {
+	if _, err := b.Acquire(ctx); !errors.Is(err, lease.ErrHeld) {
 		t.Errorf("a second daemon acquires the lease: %v", err)
 	}
-	if _, err := southLease.acquire(ctx); err != nil {
+	if _, err := southLease.Acquire(ctx); err != nil {
 		t.Errorf("the lease of another data centre is not free: %v", err)
 	}
 	clock.now += testLease + testLease/2
 	if a.coversOrder() {
 		t.Error("the lease is valid after its end")
 	}
-	if _, err := b.acquire(ctx); !errors.Is(err, errLeaseHeld) {
+	if _, err := b.Acquire(ctx); !errors.Is(err, lease.ErrHeld) {
 		t.Errorf("a second daemon acquires the lease less than a lease duration after the last order of the first: %v", err)
 	}
 	clock.now += testLease
-	second, err := b.acquire(ctx)
+	second, err := b.Acquire(ctx)
 	if err != nil || second <= first {
 		t.Errorf("fencing token %d after %d, error %v", second, first, err)
 	}
 	restarted := newOrderLease(log, clock, "north", "b", testLease)
-	third, err := restarted.acquire(ctx)
+	third, err := restarted.Acquire(ctx)
 	if err != nil || third <= second {
 		t.Errorf("after a restart of its holder the lease has fencing token %d after %d, error %v", third, second, err)
 	}
@@ -141,7 +141,7 @@
 			if daemons[name] == nil || rng.Float64() < 0.05 {
 				daemons[name] = newOrderLease(log, clock, "north", name, testLease)
 			}
-			fencing, err := daemons[name].acquire(context.Background())
+			fencing, err := daemons[name].Acquire(context.Background())
 			if err != nil {
 				continue
 			}
@@ -162,7 +162,7 @@
 	l := newOrderLease(log, clock, "north", "a", testLease)
 	var err error
 	for range 20 {
-		if _, err = l.acquire(context.Background()); err == nil {
+		if _, err = l.Acquire(context.Background()); err == nil {
 			break
 		}
 		clock.now += time.Second
--- a/internal/gateway/role_planner.go
+++ b/internal/gateway/role_planner.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/lease"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/roles"
@@ -182,9 +183,9 @@
 		zap.Float64("utilisation-after", proposal.After), zap.Float64("prompt-demand", proposal.Slow.Prompt),
 		zap.Float64("output-demand", proposal.Slow.Output),
 	}
-	fencing, err := p.lease.acquire(ctx)
+	fencing, err := p.lease.Acquire(ctx)
 	if err != nil {
-		if !errors.Is(err, errLeaseHeld) {
+		if !errors.Is(err, lease.ErrHeld) {
 			p.log.Warn("lease for role orders was not acquired", append(fields, zap.Error(err))...)
 		}
 		return
--- a/internal/gateway/routes.go
+++ b/internal/gateway/routes.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"bergamotsill.example/bergamotsill/internal/credentials"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -14,10 +15,16 @@
 	config *port.RouteConfig
 	// hosts holds the routes of each host, longest prefix first.
 	hosts map[string][]*port.ForwardRoute
+	// organisations is nil if requests need no key; findings is what is wrong with them.
+	organisations *credentials.Directory
+	findings      []string
 }
 
 func newRouteTable(c *port.RouteConfig) *routeTable {
 	t := &routeTable{config: c, hosts: map[string][]*port.ForwardRoute{}}
+	if c.Organisations != nil {
+		t.organisations, t.findings = credentials.NewDirectory(c.Organisations)
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -101,6 +101,12 @@
 		g.reject(w, r, http.StatusNotFound, "no route")
 		return nil, release
 	}
+	route, ok := table.identify(request, route, note)
+	if !ok {
+		g.metrics.unknownKeys.Add(1)
+		g.reject(w, r, http.StatusUnauthorized, "no organisation holds the key")
+		return nil, release
+	}
 	release, status := g.readBody(w, r, request, table.config.Limits)
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", formatRetryAfter(memoryFullRetryAfter))
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -20,6 +20,7 @@
 	// OrderLease is the shortest time between orders of two daemons to one engine.
 	OrderLease time.Duration
 	Retries    RetryLimits
+	Duties     DutySettings
 	// FirstStart is set if no daemon of the system has run before.
 	FirstStart bool
 }
@@ -35,6 +36,17 @@
 	Handovers string
 }
 
+// DutySettings state which calls to the platform one daemon at a time makes for all.
+type DutySettings struct {
+	// Address is the host:port of the platform's API.
+	Address string
+	// ReportUsage and OrderRunners select the duties.
+	ReportUsage, OrderRunners bool
+	// UsageWindow is the length of the windows for which usage is reported, UsageLate the time after the end of a window
+	// within which its report is due.
+	UsageWindow, UsageLate time.Duration
+}
+
 // RetryLimits bound the retries of all daemons together.
 type RetryLimits struct {
 	// Ratio is the number of retries allowed per request.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -2,6 +2,11 @@
 // incarnation holds a lease, and decides when this daemon may rely on holding it.
 package lease
 
+import "errors"
+
+// ErrHeld reports that another daemon may rely on the lease.
+var ErrHeld = errors.New("another daemon holds the lease")
+
 // Kind is the kind of a record about a lease.
 type Kind string
 
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -78,6 +78,10 @@
 	Prompt *Prompt
 	// ResumeAfter is the id of the last event that the client has received, or empty.
 	ResumeAfter string
+	// Key identifies the key that the client sent. It is the zero value if the client sent none or several.
+	Key KeyDigest
+	// Organisation is the name of the organisation that holds the key, or empty if the route needs none.
+	Organisation string
 	// TakesUp is the ID of the client attempt in which the client received the first event of the
 	// stream that it continues, or empty.
 	TakesUp string
@@ -109,6 +113,8 @@
 	MaxAttempts int
 	// Resumable is set if another runner may continue a stream after its last event.
 	Resumable bool
+	// Public is set if requests of the route need no key of an organisation.
+	Public bool
 }
 
 // Repeatable reports whether requests of the route may run more than once.
@@ -137,6 +143,21 @@
 	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *EngineLimits
+	// Scaling is nil if the number of runners cannot be ordered.
+	Scaling *Scaling
+}
+
+// Scaling states what may be ordered of a service's runners in each data centre.
+type Scaling struct {
+	// Min and Max bound the number of runners of both kinds together.
+	Min, Max int
+	// BootTime is how long a new runner takes until it serves.
+	BootTime time.Duration
+	// ReclaimablePrice is the price of a runner that may be reclaimed, relative to that of any other runner in its
+	// data centre; 0 if there are none.
+	ReclaimablePrice float64
+	// Prices holds the price per second of a runner by data centre.
+	Prices map[string]float64
 }
 
 // ClientLimits holds the limits for connections and requests of clients.
@@ -153,6 +174,8 @@
 	Routes   []ForwardRoute
 	Services map[string]ForwardService
 	Limits   ClientLimits
+	// Organisations is nil if requests need no key.
+	Organisations []Organisation
 }
 
 // Runner is one entry of the runner registry.
@@ -169,6 +192,9 @@
 	// Version is the version of the runner's software. Streams of one version cannot continue at
 	// another one.
 	Version string
+	// Reclaimable is set if the platform may take the runner back, together with all other such runners of its
+	// data centre.
+	Reclaimable bool
 	// ColdLeft is how long the runner will remain slow because it has started
 	// recently.
 	ColdLeft time.Duration
@@ -275,6 +301,8 @@
 	Counted    bool `json:"counted,omitempty"`
 	Prefilled  bool `json:"prefilled,omitempty"`
 	Arrived    bool `json:"arrived,omitempty"`
+	// Organisation is the name of the organisation whose key the sender has verified, or empty if it verified none.
+	Organisation string `json:"organisation,omitempty"`
 }
 
 // Handovers hands requests to other daemons.
@@ -406,6 +434,10 @@
 	TopicCrashes = "crashes"
 	// TopicOrigins holds the software versions that services have had, and where streams began.
 	TopicOrigins = "origins"
+	// TopicUsage holds the last usage reports.
+	TopicUsage = "usage"
+	// TopicCapacity holds what was last ordered of the runners of a service, by data centre and service.
+	TopicCapacity = "capacity"
 	// KeyRouteConfig is the key of the route configuration in TopicOperators.
 	KeyRouteConfig = "config"
 )
