Order the runners of a service by demand, kind and price

A planner for each service and data centre keeps the wanted number of runners, most of them reclaimable ones where the platform has such, and replaces those that are reclaimed. It sends its orders under the lease of the role planner and stores what it has ordered for a successor.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -54,6 +54,14 @@
 	return 0
 }
 
+// scaling returns what may be ordered of a service's runners, or nil.
+func (c *configFollower) scaling(service string) *port.Scaling {
+	if t := c.table.Load(); t != nil {
+		return t.config.Services[service].Scaling
+	}
+	return nil
+}
+
 // publishedRecord returns the record of the version in force as it was published.
 func (c *configFollower) publishedRecord() []byte {
 	c.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -163,6 +163,9 @@
 		lease: newOrderLease(deps.Store, deps.Clock, s.DataCentre, s.Name+"@"+s.Listen.Peers, s.OrderLease),
 	}
 	g.planner.lease.firstStart = s.FirstStart
+	if s.Duties.OrderRunners {
+		g.planner.capacity = newCapacityPlanner(s, deps, g.log, g.planner.lease, g.config.scaling)
+	}
 	if s.Duties.ReportUsage {
 		g.usage = newUsageCounts(s, deps, g.peers, r.isFirstReaching)
 		g.peers.usage = g.usage
@@ -315,6 +318,9 @@
 		vars.Set("known_stream_origins", expvar.Func(func() any { return g.origins.size() }))
 		vars.Set("store_era", expvar.Func(func() any { return g.storeEra.current() }))
 		vars.Set("unreached_services", expvar.Func(func() any { return g.reach.unreachedSince() }))
+		if g.planner.capacity != nil {
+			vars.Set("capacity", expvar.Func(g.planner.capacity.vars))
+		}
 		if g.usage != nil {
 			vars.Set("usage", expvar.Func(g.usage.vars))
 		}
--- a/internal/gateway/role_planner.go
+++ b/internal/gateway/role_planner.go
@@ -58,6 +58,8 @@
 
 	// demands holds the demand by service. It is used by one goroutine only.
 	demands map[string]*poolDemand
+	// capacity is nil if runners are not ordered.
+	capacity *capacityPlanner
 }
 
 // poolDemand estimates the demand for the engines of one service.
@@ -80,10 +82,12 @@
 		}
 		if !p.isPlanner() {
 			clear(p.demands)
+			p.capacity.reset()
 			continue
 		}
 		now := time.Now()
 		for _, pool := range p.fleet.Pools(now) {
+			p.capacity.step(ctx, now, pool, p.demands[pool.Service])
 			if proposal, due := p.propose(now, pool); due {
 				p.sendOrder(ctx, pool, proposal)
 			}
@@ -94,6 +98,9 @@
 // propose returns a proposed role change and whether it is due.
 func (p *rolePlanner) propose(now time.Time, pool placement.Pool) (roles.Proposal, bool) {
 	change := pool.Limits.RoleChange
+	if change <= 0 {
+		return roles.Proposal{}, false
+	}
 	d, ok := p.demands[pool.Service]
 	if !ok {
 		d = &poolDemand{estimator: roles.NewEstimator(roles.EstimatorOptions{Fast: change, Slow: slowHalfLifeFactor * change})}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -28,10 +28,11 @@
 	LoadKnown bool
 }
 
-// Pool holds the engines of one service in this data centre.
+// Pool holds the runners of one service in this data centre.
 type Pool struct {
 	Service string
-	Limits  port.EngineLimits
+	// Limits is the zero value for plain services.
+	Limits port.EngineLimits
 	// Engines are ordered by occupancy, the least loaded first.
 	Engines []PoolEngine
 	// TotalPrefill is the finished prefill work of the engines with a known load, measured
@@ -44,20 +45,18 @@
 // comparedPromptTokens is the prompt length at which the prefill rates are compared.
 const comparedPromptTokens = 4000
 
-// Pools returns the engines of this data centre by service. It omits engines that are
-// draining or leaving and services whose engines cannot change roles.
+// Pools returns the runners of this data centre by service. It omits runners that are draining or leaving.
 func (f *Fleet) Pools(now time.Time) []Pool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var pools []Pool
 	for service, members := range f.services {
-		limits := f.limits[service]
-		if limits == nil || limits.RoleChange <= 0 {
-			continue
+		p := Pool{Service: service}
+		if limits := f.limits[service]; limits != nil {
+			p.Limits = *limits
+			serviceModels := f.modelsOf(service)
+			p.DecodePrefillRatio = float64(serviceModels.prefill.time(comparedPromptTokens, comparedPromptTokens)) / float64(serviceModels.decode.time(comparedPromptTokens, comparedPromptTokens))
 		}
-		p := Pool{Service: service, Limits: *limits}
-		serviceModels := f.modelsOf(service)
-		p.DecodePrefillRatio = float64(serviceModels.prefill.time(comparedPromptTokens, comparedPromptTokens)) / float64(serviceModels.decode.time(comparedPromptTokens, comparedPromptTokens))
 		for _, m := range members {
 			if m.runner.DataCentre != f.dataCentre || m.runner.Draining || m.leaving {
 				continue
