Keep one budget for the memory held for clients and runners

The number of client connections follows the memory and the descriptors of the VM: beyond it, connections that carry no request give way. Large heads count as well.

--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,11 @@
 build:
 	$(GO) build -o bin/ ./cmd/...
 
-# Runs all tests and passes over exactly the entries of KNOWN-RED.txt.
+# Runs all tests and passes over exactly the entries of KNOWN-RED.txt. Crowds of clients are tested alone, because they
+# measure the memory of a process.
 test:
 	$(GO) test -json -timeout 30m ./... | $(GO) run ./tools/testreport -known-red KNOWN-RED.txt
+	BERGAMOT_CROWDS=1 $(GO) test -json -count=1 -timeout 10m ./platform/crowd | $(GO) run ./tools/testreport -known-red KNOWN-RED.txt
 
 lint:
 	@test -z "$$(gofmt -l cmd internal tools)" || { gofmt -d cmd internal tools; exit 1; }
--- a/internal/gateway/client_conns.go
+++ b/internal/gateway/client_conns.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
+	"bergamotsill.example/bergamotsill/internal/memory"
 )
 
 // lastAcceptTime is how long a listener that ends waits for connections that the kernel has accepted.
@@ -30,9 +31,37 @@
 	// accepting is set while the listener is open.
 	accepting bool
 	retired   bool
+	// limit is the number of connections that may be open at once; 0 means that it is not limited.
+	limit int
+	// evicted counts the connections that were closed because of limit.
+	evicted int64
+	// memory is the budget for large request heads.
+	memory *memory.Budget
 }
 
-func newClientConns() *clientConns { return &clientConns{open: map[*clientConn]struct{}{}} }
+func newClientConns(b *memory.Budget) *clientConns {
+	return &clientConns{open: map[*clientConn]struct{}{}, memory: b}
+}
+
+// setLimit replaces the number of connections that may be open at once.
+func (s *clientConns) setLimit(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// clientConnStatus is what an operator sees of the connections of clients.
+type clientConnStatus struct {
+	Open    int   `json:"open"`
+	Limit   int   `json:"limit"`
+	Evicted int64 `json:"evicted"`
+}
+
+func (s *clientConns) status() clientConnStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return clientConnStatus{Open: len(s.open), Limit: s.limit, Evicted: s.evicted}
+}
 
 // listen returns a listener whose connections are tracked.
 func (s *clientConns) listen(l net.Listener) net.Listener {
@@ -46,15 +75,48 @@
 func (s *clientConns) add(c net.Conn) net.Conn {
 	conn := &clientConn{Conn: c, conns: s, awaitsRequest: true, idleSince: time.Now()}
 	s.mu.Lock()
-	s.open[conn] = struct{}{}
+	var victim *clientConn
+	if s.limit > 0 && len(s.open) >= s.limit {
+		if victim = s.victim(); victim == nil {
+			victim = conn
+		}
+		delete(s.open, victim)
+		s.evicted++
+	}
+	if victim != conn {
+		s.open[conn] = struct{}{}
+	}
 	retired := s.retired
 	s.mu.Unlock()
+	if victim != nil {
+		// The goroutine of net/http that reads the connection finds it closed.
+		_ = victim.Conn.Close()
+	}
 	if retired {
 		conn.retire()
 	}
 	return conn
 }
 
+// victim returns the connection that gives way to a new one: of those on which no whole request head has arrived, one that
+// never carried a request before one that did, and of these the one that waits for longest. It returns nil if all
+// connections carry a request. s.mu must be held.
+func (s *clientConns) victim() *clientConn {
+	var victim *clientConn
+	var used bool
+	var since time.Time
+	for c := range s.open {
+		inRequest, cUsed, cSince := c.state()
+		if inRequest {
+			continue
+		}
+		if victim == nil || used && !cUsed || used == cUsed && cSince.Before(since) {
+			victim, used, since = c, cUsed, cSince
+		}
+	}
+	return victim
+}
+
 func (s *clientConns) remove(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -173,6 +235,52 @@
 	// is retired and awaits a request; resumed is set when it is in force again.
 	readDeadline time.Time
 	resumed      bool
+	// inRequest is set from when a request head was read until the request is answered, used once that was the case.
+	inRequest, used bool
+	// headBytes is the size of the head that is being read, headMemory the memory reserved for it.
+	headBytes, headMemory int64
+}
+
+const (
+	// freeHeadBytes is the size of a request head up to which its memory counts as that of the connection.
+	freeHeadBytes = 8 << 10
+	// headFactor is the memory that a byte of a request head occupies in the buffers and the values of net/http.
+	headFactor = 2
+)
+
+// errHeadMemory closes a connection whose request head does not fit into the memory for heads.
+var errHeadMemory = errors.New("memory for request heads is full")
+
+// state returns whether the connection carries a request, whether it has carried one, and since when it waits.
+func (c *clientConn) state() (inRequest, used bool, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inRequest, c.used, c.idleSince
+}
+
+// countHead reserves memory for n more bytes of a request head.
+func (c *clientConn) countHead(n int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.inRequest {
+		return nil
+	}
+	c.headBytes += int64(n)
+	needed := headFactor * (c.headBytes - freeHeadBytes)
+	if needed <= c.headMemory {
+		return nil
+	}
+	if !c.conns.memory.Reserve(memory.Heads, needed-c.headMemory, false) {
+		return errHeadMemory
+	}
+	c.headMemory = needed
+	return nil
+}
+
+// releaseHead returns the memory of the last request head. c.mu must be held.
+func (c *clientConn) releaseHead() {
+	c.conns.memory.Release(memory.Heads, c.headMemory)
+	c.headBytes, c.headMemory = 0, 0
 }
 
 // Read implements net.Conn. It closes a retired connection that awaits a request and has no unread
@@ -182,6 +290,9 @@
 		n, err := c.Conn.Read(b)
 		if n > 0 {
 			c.beginRequest()
+			if memoryErr := c.countHead(n); memoryErr != nil {
+				return 0, memoryErr
+			}
 		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.repeatsRead() {
 			return n, err
@@ -230,6 +341,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitsRequest, c.idleSince = true, time.Now()
+	c.inRequest = false
+	c.releaseHead()
 	c.interruptRead()
 }
 
@@ -261,6 +374,7 @@
 	c.readDeadline = t
 	if t.IsZero() {
 		c.awaitsRequest = false
+		c.inRequest, c.used = true, true
 	}
 	if c.retired && c.awaitsRequest {
 		return nil
@@ -280,5 +394,8 @@
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.conns.remove(c)
+	c.mu.Lock()
+	c.releaseHead()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/gateway/client_conns_test.go
+++ b/internal/gateway/client_conns_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bergamotsill.example/bergamotsill/internal/memory"
 	"bufio"
 	"errors"
 	"io"
@@ -32,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &connServer{conns: newClientConns()}
+	s := &connServer{conns: newClientConns(memory.NewBudget(0))}
 	s.listener = s.conns.listen(l)
 	s.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: connTestLimit, IdleTimeout: time.Minute, ConnState: s.conns.watchState,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 	"bergamotsill.example/bergamotsill/internal/crashes"
+	"bergamotsill.example/bergamotsill/internal/memory"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/retry"
@@ -32,11 +33,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes is larger than the headers that operators allow clients to send.
 	maxHeaderBytes = 64 << 10
-	// bodyShare and responseShare are the shares of the process memory that request bodies and
-	// buffered responses may occupy; smallResponseShare is a further one for small responses.
-	bodyShare          = 0.25
-	responseShare      = 0.25
-	smallResponseShare = 0.125
 )
 
 // Dependencies are the external systems of a gateway.
@@ -87,10 +83,8 @@
 	clientConns   *clientConns
 	handoverConns *clientConns
 	tomb          tomb.Tomb
-	// bodyBytes counts the bytes of request bodies in memory.
-	bodyBytes atomic.Int64
-	// responseBytes counts the bytes of buffered responses in memory.
-	responseBytes atomic.Int64
+	// memory is the budget of all that is held for clients and runners.
+	memory *memory.Budget
 
 	retries *retryLimits
 
@@ -111,8 +105,10 @@
 		deps: deps, metrics: newMetrics(), runners: deps.Runners,
 		fleet:      placement.NewFleet(s.DataCentre, s.Name),
 		retries:    newRetryLimits(s.Retries, time.Now(), s.FirstStart),
-		serviceEnd: newServiceEnd(), clientConns: newClientConns(), handoverConns: newClientConns(),
+		serviceEnd: newServiceEnd(), memory: memory.NewBudget(s.MemoryBytes),
 	}
+	g.clientConns, g.handoverConns = newClientConns(g.memory), newClientConns(g.memory)
+	g.clientConns.setLimit(s.maxClientConns())
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
 	g.storeEra = &storeEra{log: g.log}
@@ -176,6 +172,8 @@
 // Reload applies changed settings. Addresses and names keep their values from the start.
 func (g *Gateway) Reload(s Settings) {
 	g.settings.Store(&s)
+	g.memory.SetMemory(s.MemoryBytes)
+	g.clientConns.setLimit(s.maxClientConns())
 	g.retries.set(s.Retries)
 	g.log.Info("settings reloaded", zap.Float64("retry-ratio", s.Retries.Ratio), zap.Int("retry-slack", s.Retries.Slack),
 		zap.Duration("stop-grace", s.StopGrace), zap.Int64("memory-bytes", s.MemoryBytes))
@@ -313,6 +311,8 @@
 		vars := g.metrics.vars()
 		vars.Set("retry_limits", expvar.Func(g.retries.usage))
 		vars.Set("limited_runners", expvar.Func(func() any { return g.fleet.LimitedRunners(time.Now()) }))
+		vars.Set("memory", expvar.Func(func() any { return g.memory.Status() }))
+		vars.Set("client_connections", expvar.Func(func() any { return g.clientConns.status() }))
 		vars.Set("config_version", expvar.Func(func() any { return g.config.version() }))
 		vars.Set("runners", expvar.Func(func() any { return g.fleet.Size() }))
 		vars.Set("known_stream_origins", expvar.Func(func() any { return g.origins.size() }))
--- a/internal/gateway/hostile_test.go
+++ b/internal/gateway/hostile_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/memory"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -109,11 +110,10 @@
 // Guards against endless responses on many connections that exceed their share of the memory,
 // and against memory that is not released.
 func TestResponseMemoryIsBounded(t *testing.T) {
-	const memory = 8 << 20
+	// responseLimitShare is the share of the memory that responses of all sizes may occupy together.
+	const memoryBytes, responseLimitShare = 8 << 20, 0.375
 	g := newTestGateway(RetryLimits{})
-	s := *g.settings.Load()
-	s.MemoryBytes = memory
-	g.settings.Store(&s)
+	g.memory.SetMemory(memoryBytes)
 	calls := make([]*call, 50)
 	var group sync.WaitGroup
 	for i := range calls {
@@ -126,13 +126,13 @@
 		})
 	}
 	group.Wait()
-	if used, limit := g.responseBytes.Load(), int64((responseShare+smallResponseShare)*memory); used > limit {
+	if used, limit := g.memory.Used(memory.Responses), int64(responseLimitShare*memoryBytes); used > limit {
 		t.Errorf("responses occupy %d bytes, want at most %d", used, limit)
 	}
 	for _, c := range calls {
 		c.releaseMemory()
 	}
-	if used := g.responseBytes.Load(); used != 0 {
+	if used := g.memory.Used(memory.Responses); used != 0 {
 		t.Errorf("%d bytes stay reserved after all calls ended", used)
 	}
 	if body, err := calls[0].readResponse(&port.ForwardResponse{Body: io.NopCloser(strings.NewReader("short"))}); err != nil || string(body) != "short" {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/memory"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -21,9 +22,6 @@
 	maxResponseBytes = 16 << 20
 	// responseGrowth is the number of bytes by which the buffer of a response grows at least.
 	responseGrowth = 16 << 10
-	// smallResponse is the size up to which a response may also occupy smallResponseShare, so that
-	// endless responses do not displace those of sound runners.
-	smallResponse = 64 << 10
 )
 
 // servePlain forwards a call to a plain service. It buffers the complete response before it
@@ -159,29 +157,17 @@
 // until the call ends. It returns false if the memory for responses is full.
 func (c *call) growBuffer(buffer []byte, n int) ([]byte, bool) {
 	grown := slices.Grow(buffer, n)
-	share := responseShare
-	if cap(grown) <= smallResponse {
-		share += smallResponseShare
-	}
-	return grown, c.reserveMemory(int64(cap(grown)-cap(buffer)), share)
-}
-
-// reserveMemory counts bytes of a response as occupied. It returns false and counts nothing if the
-// buffered responses of all calls would exceed a share of the memory.
-func (c *call) reserveMemory(bytes int64, share float64) bool {
-	used := c.gateway.responseBytes.Add(bytes)
-	memory := c.gateway.settings.Load().MemoryBytes
-	if memory > 0 && float64(used) > share*float64(memory) {
-		c.gateway.responseBytes.Add(-bytes)
-		return false
+	bytes := int64(cap(grown) - cap(buffer))
+	if !c.gateway.memory.Reserve(memory.Responses, bytes, cap(grown) <= memory.SmallBytes) {
+		return grown, false
 	}
 	c.responseBytes += bytes
-	return true
+	return grown, true
 }
 
 // releaseMemory releases the memory reserved for the responses of the call.
 func (c *call) releaseMemory() {
-	c.gateway.responseBytes.Add(-c.responseBytes)
+	c.gateway.memory.Release(memory.Responses, c.responseBytes)
 	c.responseBytes = 0
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/forwarding"
-	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -107,15 +104,17 @@
 		g.reject(w, r, http.StatusUnauthorized, "no organisation holds the key")
 		return nil, release
 	}
-	release, status := g.readBody(w, r, request, table.config.Limits)
-	if status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", formatRetryAfter(memoryFullRetryAfter))
-	}
+	c := g.newCall(w, request, route, table)
+	release, status := g.readBody(w, r, c, table.config.Limits)
 	if status != 0 {
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", formatRetryAfter(memoryFullRetryAfter))
+		}
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
 		g.reject(w, r, status, "body was not accepted")
 		return nil, release
 	}
-	c := g.newCall(w, request, route, table)
 	if note != nil {
 		forwarding.Accept(w.Header())
 		c.applyHandover(note)
@@ -165,29 +164,3 @@
 	w.WriteHeader(status)
 }
 
-// readBody reads the whole body of a request. The returned function releases its memory; a
-// status other than 0 rejects the request.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, request *port.ForwardRequest, limits port.ClientLimits) (func(), int) {
-	body := io.Reader(r.Body)
-	if limits.MaxBodyBytes > 0 {
-		body = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
-	}
-	data, err := io.ReadAll(body)
-	size := int64(len(data))
-	used := g.bodyBytes.Add(size)
-	memory := g.settings.Load().MemoryBytes
-	g.metrics.bodyBytes.Set(used)
-	release := func() { g.metrics.bodyBytes.Set(g.bodyBytes.Add(-size)) }
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return release, http.StatusRequestEntityTooLarge
-	case err != nil:
-		g.log.Warn("reading the body of a request failed", zap.String(jsonlog.FieldRequestID, request.ID), zap.Error(err))
-		return release, http.StatusBadRequest
-	case memory > 0 && float64(used) > bodyShare*float64(memory):
-		return release, http.StatusServiceUnavailable
-	}
-	request.Body = data
-	return release, 0
-}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -12,6 +12,8 @@
 	StoreAddress string
 	// MemoryBytes is the memory available to the process, in bytes.
 	MemoryBytes int64
+	// MaxSockets is the number of descriptors that the process may use for sockets; 0 if it is not known.
+	MaxSockets int
 	// DrainNotice is how long after a runner announces that it leaves new requests may still
 	// reach it.
 	DrainNotice time.Duration
@@ -25,6 +27,28 @@
 	FirstStart bool
 }
 
+const (
+	// clientSocketShare is the share of the sockets that connections of clients may use. The rest is for runners, the
+	// store, other daemons and operators.
+	clientSocketShare = 0.6
+	// clientConnShare is the share of the memory that open connections of clients may occupy, connBytes what each
+	// occupies: the buffers and stacks of net/http.
+	clientConnShare = 0.2
+	connBytes       = 16 << 10
+)
+
+// maxClientConns returns the number of connections of clients that may be open at once; 0 means that it is not limited.
+func (s *Settings) maxClientConns() int {
+	limit := int(clientSocketShare * float64(s.MaxSockets))
+	if s.MemoryBytes > 0 {
+		byMemory := int(clientConnShare * float64(s.MemoryBytes) / connBytes)
+		if limit == 0 || byMemory < limit {
+			limit = byMemory
+		}
+	}
+	return limit
+}
+
 // Listen holds the addresses on which a daemon listens, as host:port.
 type Listen struct {
 	Clients string
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -78,8 +78,9 @@
 	Prompt *Prompt
 	// ResumeAfter is the id of the last event that the client has received, or empty.
 	ResumeAfter string
-	// Key identifies the key that the client sent. It is the zero value if the client sent none or several.
-	Key KeyDigest
+	// Key identifies the key that the client sent. It is the zero value if the client sent none or several, and never
+	// encoded.
+	Key KeyDigest `json:"-"`
 	// Organisation is the name of the organisation that holds the key, or empty if the route needs none.
 	Organisation string
 	// TakesUp is the ID of the client attempt in which the client received the first event of the
