Take only final responses of HTTP/1 for answers

One function decides what is a final response, on both interfaces and for the calls of the platform. Before, a runner's status 000, 099, +20 or 600 and above, an unasked 101 and other versions reached the caller, or were skipped like an interim response so that the bytes that followed passed for the answer.

An early response without a length whose connection is reset during the upload was already taken for broken off on both interfaces.

--- a/internal/adapter/engine/engine.go
+++ b/internal/adapter/engine/engine.go
@@ -19,6 +19,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/exchange"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -306,6 +307,11 @@
 		cancel(nil)
 		return nil, sent.Load(), trace.Wrap(err)
 	}
+	if err := exchange.CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		cancel(nil)
+		return nil, true, trace.Wrap(err)
+	}
 	resp.Body = &cancellingBody{ReadCloser: resp.Body, cancel: cancel}
 	return resp, true, nil
 }
--- a/internal/adapter/engine/order.go
+++ b/internal/adapter/engine/order.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/exchange"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -67,7 +68,14 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
-	return resp, trace.Wrap(err)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := exchange.CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, trace.Wrap(err)
+	}
+	return resp, nil
 }
 
 // checkIncarnation returns an error unless the engine reports the incarnation want.
--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -306,9 +306,12 @@
 		if err != nil {
 			return nil, classifyReadError(err)
 		}
-		if response.StatusCode < http.StatusOK {
+		if isInterim(response) {
 			continue
 		}
+		if err := CheckHead(response); err != nil {
+			return nil, err
+		}
 		if x.request.Matches == nil || x.request.Matches(!x.conn.reused && !x.skippedStray, response.Header) {
 			x.conn.limitReads(-1)
 			return response, nil
--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -158,6 +158,9 @@
 	}
 }
 
+// soundResponse follows bytes that are no answer.
+const soundResponse = "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 5\r\n\r\nother"
+
 // Guards against incomplete or invalid responses that are returned as complete ones.
 func TestBrokenResponses(t *testing.T) {
 	cases := []struct {
@@ -174,6 +177,23 @@
 		{name: "no length, reset", response: "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nConnection: close\r\n\r\nbody", reset: true, incomplete: true},
 		{name: "short body", response: "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 9\r\n\r\nbody", incomplete: true},
 		{name: "not HTTP", response: "hello, this is no answer\r\n\r\n", invalid: true},
+		// Guards against heads that are no answer and are passed on, or skipped like an interim response so that what
+		// follows is taken for the answer.
+		{name: "status 000", response: "HTTP/1.1 000 \r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody" + soundResponse, invalid: true},
+		{name: "status 099", response: "HTTP/1.1 099 \r\n" + idHeader + ": 1\r\nContent-Length: 0\r\n\r\n" + soundResponse, invalid: true},
+		{name: "status +20", response: "HTTP/1.1 +20 OK\r\n" + idHeader + ": 1\r\nContent-Length: 0\r\n\r\n" + soundResponse, invalid: true},
+		{name: "status -20", response: "HTTP/1.1 -20 OK\r\n" + idHeader + ": 1\r\nContent-Length: 0\r\n\r\n", invalid: true},
+		{name: "status 600", response: "HTTP/1.1 600 \r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody", invalid: true},
+		{name: "status 999", response: "HTTP/1.1 999 \r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody", invalid: true},
+		{name: "two digits", response: "HTTP/1.1 20 OK\r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody", invalid: true},
+		{name: "four digits", response: "HTTP/1.1 2000 OK\r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody", invalid: true},
+		{name: "unasked change of protocol", response: "HTTP/1.1 101 Switching Protocols\r\n" + idHeader + ": 1\r\n\r\n" + soundResponse, invalid: true},
+		{name: "other version", response: "HTTP/2.0 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody", invalid: true},
+		{name: "two lengths", response: "HTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nbodyx", invalid: true},
+		{name: "endless interim responses", response: strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1000), invalid: true},
+		{name: "version 1.0", response: "HTTP/1.0 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody", want: "body"},
+		{name: "no reason", response: "HTTP/1.1 200\r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody", want: "body"},
+		{name: "interim response", response: "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n" + idHeader + ": 1\r\nContent-Length: 4\r\n\r\nbody", want: "body"},
 		{name: "nothing", incomplete: true},
 		{name: "nothing, reset", reset: true, incomplete: true},
 	}
--- a/internal/adapter/platform/client.go
+++ b/internal/adapter/platform/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/exchange"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 )
 
@@ -78,6 +79,9 @@
 		return 0, "", trace.Wrap(err)
 	}
 	defer resp.Body.Close()
+	if err := exchange.CheckHead(resp); err != nil {
+		return 0, "", trace.Wrap(err)
+	}
 	if resp.StatusCode == http.StatusNotModified {
 		return resp.StatusCode, tag, nil
 	}
--- a/internal/adapter/service/service.go
+++ b/internal/adapter/service/service.go
@@ -138,6 +138,9 @@
 		return port.ServiceResponse{}, trace.Wrap(err)
 	}
 	defer resp.Body.Close()
+	if err := exchange.CheckHead(resp); err != nil {
+		return port.ServiceResponse{}, trace.Wrap(err)
+	}
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return port.ServiceResponse{}, trace.Wrap(err)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -163,4 +163,3 @@
 	g.metrics.requests.Add("rejected", 1)
 	w.WriteHeader(status)
 }
-
