Divide the connections that a runner accepts among the daemons

Each daemon keeps at most its share of max_conns open to a runner. An idle connection is closed for a new one; if there is none, the request goes to another runner, because nothing was sent.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -88,12 +88,14 @@
 	// idle holds the idle connections by address, the least recently used one first.
 	// It is guarded by mu.
 	idle map[string][]*conn
+	// counts counts the open connections.
+	counts connCounts
 }
 
 // NewClient returns a client that opens connections through nw. If connectTimeout is
 // above 0, it bounds the opening of each connection.
 func NewClient(nw network.Network, connectTimeout time.Duration) *Client {
-	return &Client{network: nw, connectTimeout: connectTimeout, idle: map[string][]*conn{}}
+	return &Client{network: nw, connectTimeout: connectTimeout, idle: map[string][]*conn{}, counts: connCounts{open: map[string]int{}}}
 }
 
 // conn is a connection with its read buffer.
@@ -105,6 +107,15 @@
 	// keepAlive is how long the connection may be idle before the server may close it.
 	keepAlive time.Duration
 	idleSince time.Time
+	// closed is called when the connection is closed for the first time.
+	closed    func()
+	closeOnce sync.Once
+}
+
+// Close implements net.Conn.
+func (cn *conn) Close() error {
+	cn.closeOnce.Do(cn.closed)
+	return cn.boundedConn.Close()
 }
 
 // Do sends a request and reads the status line and headers of its response.
@@ -163,16 +174,25 @@
 		ctx, cancel = context.WithTimeout(ctx, c.connectTimeout)
 		defer cancel()
 	}
+	for !c.counts.add(address) {
+		if !c.closeIdle(address) {
+			return nil, port.ErrConnectionLimit
+		}
+	}
 	began := time.Now()
 	raw, err := c.network.DialContext(ctx, "tcp", address)
 	if dialed != nil {
 		dialed(began, err)
 	}
 	if err != nil {
+		c.counts.remove(address)
 		return nil, err
 	}
 	bounded := &boundedConn{Conn: raw, remaining: -1}
-	return &conn{boundedConn: bounded, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize)}, nil
+	return &conn{
+		boundedConn: bounded, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize),
+		closed: func() { c.counts.remove(address) },
+	}, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil if it has
@@ -202,6 +222,10 @@
 // putIdle adds a connection to the idle ones and closes those to the same address whose
 // keep-alive time has passed.
 func (c *Client) putIdle(cn *conn) {
+	if c.counts.exceeded(cn.address) {
+		cn.Close()
+		return
+	}
 	cn.idleSince = time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -14,10 +14,12 @@
 	targetUtilisation = 0.5
 	// regularShare is the share of the wanted runners that cannot be reclaimed. They carry the most urgent requests until
 	// the others are replaced.
-	regularShare = 0.2
+	regularShare = 0.1
 	// minRegular is the number of runners that cannot be reclaimed and are kept in any case, as far as Max allows, so that
 	// one of them may fail.
 	minRegular = 2
+	// replaceDelay is how long the number of reclaimable runners must not change before they replace others.
+	replaceDelay = time.Second
 	// peakHalfLife is the half-life of the highest demand seen. It is long compared with bursts, so that the number of
 	// runners does not swing with them.
 	peakHalfLife = time.Minute
@@ -144,8 +146,8 @@
 	}
 }
 
-// split divides the wanted number into kinds. Runners that cannot be reclaimed go only once as many others have served for
-// the time of a start, and come at once when those leave. Both numbers together do not exceed the limit; while they would,
+// split divides the wanted number into kinds. Runners that cannot be reclaimed go only once as many others serve, and
+// come at once when those leave. Both numbers together do not exceed the limit; while they would,
 // reclaimable runners come as the others go.
 func (p *Planner) split(now time.Time, o Observation) (regular, reclaimable int) {
 	if !p.limits.Reclaimable {
@@ -158,7 +160,7 @@
 	base = min(base, p.state.Wanted)
 	reclaimable = p.state.Wanted - base
 	regular = base + max(0, reclaimable-o.Reclaimable)
-	if regular < p.state.Regular && now.Sub(p.reclaimableSince) < p.limits.BootTime {
+	if regular < p.state.Regular && now.Sub(p.reclaimableSince) < replaceDelay {
 		regular = min(p.state.Regular, p.limits.Max)
 	}
 	reclaimable = min(reclaimable, p.limits.Max-regular)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -164,6 +164,8 @@
 	switch {
 	case err == nil:
 		return placement.Completed
+	case errors.Is(err, port.ErrConnectionLimit):
+		return placement.Unsent
 	case errors.Is(err, port.ErrWrongInstance):
 		return placement.Misdirected
 	case errors.Is(err, port.ErrKVCacheUnavailable) || errors.Is(err, errResponseMemory):
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,10 @@
 	planner       *rolePlanner
 	reach         *runnerReach
 	receivers     *receivers
+	// connectionLimits holds the number of connections that may be open to a runner, by address.
+	connectionLimits atomic.Pointer[map[string]int]
+	// daemons is the number of daemons, this one included.
+	daemons atomic.Int64
 	// usage is nil if usage is not reported.
 	usage *usageCounts
 
@@ -147,6 +151,9 @@
 	if source, ok := deps.Runners.(port.NoticeSource); ok {
 		source.Watch(g.applyNotice)
 	}
+	if limiter, ok := deps.Runners.(port.ConnectionLimiter); ok {
+		limiter.LimitConnections(g.connectionLimit)
+	}
 	g.reach = newRunnerReach(g.log, deps.Runners)
 	g.receivers = newReceivers(g.peers, g.reach, g.receiverStatus)
 	g.reach.ask, g.reach.onReturn = g.receivers.ask, g.fleet.EndAvoidance
@@ -185,6 +192,7 @@
 	g.reach.setRunners(list)
 	g.origins.setRunners(time.Now(), list)
 	g.crashes.confirmFromRunners(list, time.Now())
+	g.limitConnections()
 	addresses := g.fleet.Addresses()
 	g.runners.Retain(func(address string) bool { return addresses[address] })
 }
@@ -198,6 +206,22 @@
 func (g *Gateway) setDaemons(daemons []placement.Daemon) {
 	g.fleet.SetDaemons(daemons)
 	g.retries.share.SetDaemons(time.Now(), len(daemons))
+	g.daemons.Store(int64(len(daemons)))
+	g.limitConnections()
+}
+
+// limitConnections divides the connections that runners accept among the daemons.
+func (g *Gateway) limitConnections() {
+	limits := g.fleet.ConnectionLimits(int(g.daemons.Load()))
+	g.connectionLimits.Store(&limits)
+}
+
+// connectionLimit returns how many connections to the runner at an address may be open, 0 for any number.
+func (g *Gateway) connectionLimit(address string) int {
+	if limits := g.connectionLimits.Load(); limits != nil {
+		return (*limits)[address]
+	}
+	return 0
 }
 
 // random returns a random number in [0, 1).
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -23,6 +23,8 @@
 	// services maps a service to its runners.
 	services map[string][]*member
 	limits   map[string]*port.EngineLimits
+	// maxConnections holds the number of connections that a runner accepts from all daemons, by service.
+	maxConnections map[string]int
 	// models maps a service to the models fitted to its engines.
 	models map[string]models
 	// meanLoad is the mean load of the engines of the local cell, by service and role.
@@ -48,9 +50,9 @@
 func (f *Fleet) SetServices(services map[string]port.ForwardService) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.limits = map[string]*port.EngineLimits{}
+	f.limits, f.maxConnections = map[string]*port.EngineLimits{}, map[string]int{}
 	for name, s := range services {
-		f.limits[name] = s.Engine
+		f.limits[name], f.maxConnections[name] = s.Engine, s.MaxConnections
 	}
 	for _, m := range f.members {
 		f.setLimits(m)
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -22,6 +22,8 @@
 	// ErrKVCacheUnavailable reports that the KV cache named by a request cannot be
 	// fetched. The request did not run.
 	ErrKVCacheUnavailable = errors.New("KV cache cannot be fetched")
+	// ErrConnectionLimit reports that no further connection to a runner may be open. Nothing was sent.
+	ErrConnectionLimit = errors.New("connections to the runner are in use up to their limit")
 	// ErrDeclined reports that another daemon did not take a request. The request did not run there.
 	ErrDeclined = errors.New("daemon declined the request")
 )
@@ -338,6 +340,14 @@
 	WatchContacts(func(to Runner, c Contact, began time.Time))
 }
 
+// ConnectionLimiter is a Runners that limits the connections to each runner.
+type ConnectionLimiter interface {
+	// LimitConnections sets the function that returns how many connections to the runner at an address may be open,
+	// 0 for any number. Requests beyond it fail with ErrNotSent and ErrConnectionLimit. It must be called before the
+	// first request.
+	LimitConnections(func(address string) int)
+}
+
 // RunnerNotice is what a runner says of itself in a response.
 type RunnerNotice struct {
 	// RequestID and Status identify the response.
