--- a/internal/processtest/system_test.go
+++ b/internal/processtest/system_test.go
@@ -174,6 +174,11 @@
 // startDaemon starts a daemon that listDaemon has added, or a replacement on its
 // addresses.
 func (s *system) startDaemon(name, dataCentre string) {
+	s.startDaemonWith(name, dataCentre, func(*settings.Settings) {})
+}
+
+// startDaemonWith starts a daemon with changed settings.
+func (s *system) startDaemonWith(name, dataCentre string, change func(*settings.Settings)) {
 	cfg := settings.Default()
 	cfg.Name, cfg.DataCentre, cfg.Region = name, dataCentre, "guj-west"
 	cfg.Listen = settings.Listen{Caller: s.addresses[name], Peer: s.addresses[name+"-peer"]}
@@ -181,6 +186,7 @@
 	cfg.Platform = settings.Platform{Log: url, VMList: url, WeightStore: url}
 	cfg.Timing.Lease = settings.Duration(3 * time.Second)
 	cfg.Timing.UnfencedSettle = settings.Duration(2 * time.Second)
+	change(&cfg)
 	path := filepath.Join(s.dir, name+".json")
 	s.writeJSON(path, cfg)
 	s.start(name, "bergamotd", "--settings", path)
