Spread requests over runners that cost nearly as much

Daemons of a cell that know the same reports no longer all choose the cheapest runner: what the others send before the next report is expected to fill the cheapest ones up to one level, and each daemon draws in proportion.

--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -20,6 +20,9 @@
 	harmless, interrupting option
 	// fastestPrefill is the option at the prefill engine that would be fastest without load.
 	fastestPrefill option
+	// all holds all options if collect is set.
+	all     []option
+	collect bool
 }
 
 // add adds an option at a usable runner.
@@ -28,9 +31,12 @@
 		c.fastestPrefill = o
 	}
 	cheapest := &c.harmless
-	if o.interruptsStreams(q) {
+	if o.interrupts = o.interruptsStreams(q); o.interrupts {
 		cheapest = &c.interrupting
 	}
+	if c.collect {
+		c.all = append(c.all, o)
+	}
 	if o.better(cheapest) {
 		*cheapest = o
 	}
--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -77,7 +77,11 @@
 func (f *Fleet) SetDaemons(daemons []Daemon) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	updated := cellsOf(Daemon{Name: f.daemon, DataCentre: f.dataCentre}, daemons)
+	self := Daemon{Name: f.daemon, DataCentre: f.dataCentre}
+	updated := cellsOf(self, daemons)
+	if f.cellPeers = 0; updated.count > 0 {
+		f.cellPeers = len(CellPeers(self, daemons))
+	}
 	if updated == f.cells {
 		return
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -66,6 +66,8 @@
 	source     *member
 	firstEvent time.Duration
 	wait       time.Duration
+	// interrupts is set if the prefill would interrupt streams at a decode engine.
+	interrupts bool
 	// cost is firstEvent plus penalties; the option with the lowest cost is chosen.
 	cost time.Duration
 }
@@ -80,10 +82,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.countDeferred(now, q)
-	best := f.best(now, q)
+	c := candidates{collect: f.cellPeers > 0, all: f.options[:0]}
+	best := f.bestOf(now, q, &c)
 	if best.member == nil {
 		return Plan{}, false
 	}
+	f.options = c.all
+	best = f.spread(now, q.Service, best, c.all)
+	f.arrivalsOf(q.Service).add(now, best.work())
 	r := f.begin(best.member, now, q, best.uncached)
 	if best.source != nil {
 		r.fetchFrom = best.source.runner.Address
@@ -119,8 +125,10 @@
 // runner is usable, best falls back to the suspect or unreachable runner whose suspect time ends
 // first, unless that is a prefill engine. The member of the result is nil if there is no such runner
 // either. The caller holds f.mu.
-func (f *Fleet) best(now time.Time, q Query) option {
-	var c candidates
+func (f *Fleet) best(now time.Time, q Query) option { return f.bestOf(now, q, &candidates{}) }
+
+// bestOf implements best and adds the options to c.
+func (f *Fleet) bestOf(now time.Time, q Query, c *candidates) option {
 	var fallback *member
 	h := f.holders(now, q)
 	// A prefill is in vain if no decode engine may take the request after it.
@@ -252,17 +260,24 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var best option
+	options := f.options[:0]
 	for _, m := range f.services[q.Service] {
 		if m.runner.Role == port.RolePrefill || q.excludes(m) || !f.usable(now, m) {
 			continue
 		}
-		if o := f.evaluateDecode(now, m, q, source); o.better(&best) {
+		o := f.evaluateDecode(now, m, q, source)
+		if o.better(&best) {
 			best = o
 		}
+		options = append(options, o)
 	}
 	if best.member == nil {
 		return nil, false
 	}
+	f.options = options
+	key := q.Service + decodeArrivals
+	best = f.spread(now, key, best, options)
+	f.arrivalsOf(key).add(now, streamPenalty)
 	r := f.begin(best.member, now, q, 0)
 	// The engine caches parts that it fetched like parts that it prefilled.
 	best.member.cache.add(r.parts)
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -1,12 +1,14 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/spread"
 )
 
 // Fleet holds the state of all runners as one daemon observes it. It is safe for
@@ -27,6 +29,15 @@
 	maxConnections map[string]int
 	// models maps a service to the models fitted to its engines.
 	models map[string]models
+	// cellPeers is the number of daemons that choose among the engines of the local cell beside this one, 0 if the fleet
+	// is not divided. arrivals holds the work that this daemon sends, by service and kind of send.
+	cellPeers int
+	arrivals  map[string]*arrivals
+	// options and spreadBuffer are buffers of spread.
+	options      []option
+	spreadBuffer []spread.Candidate
+	// random returns a number in [0, 1).
+	random func() float64
 	// meanLoad is the mean load of the engines of the local cell, by service and role.
 	meanLoad     map[poolKey]Load
 	lastSequence int64
@@ -43,7 +54,7 @@
 
 // NewFleet returns an empty fleet for the given daemon and its data centre.
 func NewFleet(dataCentre, daemon string) *Fleet {
-	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, models: map[string]models{}, leaving: map[string]int64{}, limitShare: 1, paths: map[string]*pathState{}}
+	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, models: map[string]models{}, leaving: map[string]int64{}, limitShare: 1, paths: map[string]*pathState{}, arrivals: map[string]*arrivals{}, random: rand.Float64}
 }
 
 // SetServices replaces the engine limits of all services.
