Let callers of the own interface share memory and connections by progress

Bodies that make no progress give way when memory is short and end after 10 s. The number of connections is limited by limits.caller_connections; beyond it, connections that carry no request give way. Both interfaces use one package for the memory and one for the connections.

--- a/internal/gateway/client_conns.go
+++ b/internal/adapter/clientconn/conns.go
@@ -1,4 +1,6 @@
-package gateway
+// Package clientconn tracks the connections that clients open to a daemon: it ends them at a stop without losing a
+// request, and limits their number and the memory of their request heads.
+package clientconn
 
 import (
 	"errors"
@@ -21,10 +23,10 @@
 // on a connection whose last answer began before the stop and did not announce its end.
 const nextRequestTime = 500 * time.Millisecond
 
-// clientConns tracks the accepted connections of clients. Unlike the shutdown of net/http, it ends a
+// Conns tracks the accepted connections of clients. Unlike the shutdown of net/http, it ends a
 // connection only while no byte of a request was read from it. The http.Server of the connections needs
 // an IdleTimeout, a ReadHeaderTimeout and no ReadTimeout. It is safe for concurrent use.
-type clientConns struct {
+type Conns struct {
 	mu       sync.Mutex
 	open     map[*clientConn]struct{}
 	listener *clientListener
@@ -39,32 +41,33 @@
 	memory *memory.Budget
 }
 
-func newClientConns(b *memory.Budget) *clientConns {
-	return &clientConns{open: map[*clientConn]struct{}{}, memory: b}
+// New returns an empty set. Large request heads draw on the budget b.
+func New(b *memory.Budget) *Conns {
+	return &Conns{open: map[*clientConn]struct{}{}, memory: b}
 }
 
-// setLimit replaces the number of connections that may be open at once.
-func (s *clientConns) setLimit(limit int) {
+// SetLimit replaces the number of connections that may be open at once.
+func (s *Conns) SetLimit(limit int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limit = limit
 }
 
-// clientConnStatus is what an operator sees of the connections of clients.
-type clientConnStatus struct {
+// Status is what an operator sees of the connections of clients.
+type Status struct {
 	Open    int   `json:"open"`
 	Limit   int   `json:"limit"`
 	Evicted int64 `json:"evicted"`
 }
 
-func (s *clientConns) status() clientConnStatus {
+func (s *Conns) Status() Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return clientConnStatus{Open: len(s.open), Limit: s.limit, Evicted: s.evicted}
+	return Status{Open: len(s.open), Limit: s.limit, Evicted: s.evicted}
 }
 
-// listen returns a listener whose connections are tracked.
-func (s *clientConns) listen(l net.Listener) net.Listener {
+// Listen returns a listener whose connections are tracked.
+func (s *Conns) Listen(l net.Listener) net.Listener {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listener, s.accepting = &clientListener{Listener: l, conns: s}, true
@@ -72,7 +75,7 @@
 }
 
 // add tracks a connection that was accepted.
-func (s *clientConns) add(c net.Conn) net.Conn {
+func (s *Conns) add(c net.Conn) net.Conn {
 	conn := &clientConn{Conn: c, conns: s, awaitsRequest: true, idleSince: time.Now()}
 	s.mu.Lock()
 	var victim *clientConn
@@ -101,7 +104,7 @@
 // victim returns the connection that gives way to a new one: of those on which no whole request head has arrived, one that
 // never carried a request before one that did, and of these the one that waits for longest. It returns nil if all
 // connections carry a request. s.mu must be held.
-func (s *clientConns) victim() *clientConn {
+func (s *Conns) victim() *clientConn {
 	var victim *clientConn
 	var used bool
 	var since time.Time
@@ -117,29 +120,29 @@
 	return victim
 }
 
-func (s *clientConns) remove(c *clientConn) {
+func (s *Conns) remove(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.open, c)
 }
 
-// count returns the number of open connections.
-func (s *clientConns) count() int {
+// Count returns the number of open connections.
+func (s *Conns) Count() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.open)
 }
 
-// ended reports whether the listener and all connections are closed.
-func (s *clientConns) ended() bool {
+// Ended reports whether the listener and all connections are closed.
+func (s *Conns) Ended() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.accepting && len(s.open) == 0
 }
 
-// retire accepts the connections that the kernel has accepted, closes the listener, and ends each
+// Retire accepts the connections that the kernel has accepted, closes the listener, and ends each
 // connection as soon as it awaits a request.
-func (s *clientConns) retire() {
+func (s *Conns) Retire() {
 	s.mu.Lock()
 	s.retired = true
 	l := s.listener
@@ -156,14 +159,14 @@
 	}
 }
 
-func (s *clientConns) isRetired() bool {
+func (s *Conns) isRetired() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.retired
 }
 
-// watchState is the http.Server's hook for the states of connections.
-func (s *clientConns) watchState(c net.Conn, state http.ConnState) {
+// WatchState is the http.Server's hook for the states of connections.
+func (s *Conns) WatchState(c net.Conn, state http.ConnState) {
 	if conn, ok := c.(*clientConn); ok && state == http.StateIdle {
 		conn.awaitRequest()
 	}
@@ -172,7 +175,7 @@
 // clientListener is a listener whose connections are tracked.
 type clientListener struct {
 	net.Listener
-	conns *clientConns
+	conns *Conns
 	// lastAccept is set once a retired listener has begun its last wait. Only Accept uses it.
 	lastAccept bool
 }
@@ -223,7 +226,7 @@
 // clientConn is a tracked connection. The goroutine of net/http that reads it ends it.
 type clientConn struct {
 	net.Conn
-	conns *clientConns
+	conns *Conns
 
 	mu sync.Mutex
 	// awaitsRequest is set while no byte of the next request was read.
--- a/internal/gateway/client_conns_test.go
+++ b/internal/adapter/clientconn/conns_test.go
@@ -1,4 +1,4 @@
-package gateway
+package clientconn
 
 import (
 	"bergamotsill.example/bergamotsill/internal/memory"
@@ -21,7 +21,7 @@
 
 // connServer is an http.Server on tracked connections.
 type connServer struct {
-	conns    *clientConns
+	conns    *Conns
 	listener net.Listener
 	server   *http.Server
 }
@@ -33,10 +33,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &connServer{conns: newClientConns(memory.NewBudget(0))}
-	s.listener = s.conns.listen(l)
+	s := &connServer{conns: New(memory.NewBudget(0))}
+	s.listener = s.conns.Listen(l)
 	s.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: connTestLimit, IdleTimeout: time.Minute, ConnState: s.conns.watchState,
+		Handler: handler, ReadHeaderTimeout: connTestLimit, IdleTimeout: time.Minute, ConnState: s.conns.WatchState,
 	}
 	t.Cleanup(func() { _ = s.server.Close() })
 	return s
@@ -78,9 +78,9 @@
 	if b, err := r.ReadByte(); !errors.Is(err, io.EOF) {
 		t.Errorf("read %q, error %v, want the end of the connection", b, err)
 	}
-	for deadline := time.Now().Add(connTestLimit); !s.conns.ended(); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(connTestLimit); !s.conns.Ended(); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
-			t.Fatalf("not ended; %d connections are still tracked", s.conns.count())
+			t.Fatalf("not ended; %d connections are still tracked", s.conns.Count())
 		}
 	}
 }
@@ -95,10 +95,10 @@
 	write(t, used, wholeRequest)
 	wantAnswer(t, usedReader)
 	_, freshReader := s.dial(t)
-	for deadline := time.Now().Add(connTestLimit); s.conns.count() < 2 && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(connTestLimit); s.conns.Count() < 2 && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
 	}
-	s.conns.retire()
+	s.conns.Retire()
 	for _, r := range []*bufio.Reader{freshReader, usedReader} {
 		s.wantClosed(t, r)
 	}
@@ -117,7 +117,7 @@
 	wantAnswer(t, r)
 	write(t, c, wholeRequest[:10])
 	time.Sleep(50 * time.Millisecond)
-	s.conns.retire()
+	s.conns.Retire()
 	time.Sleep(quietTime)
 	write(t, c, wholeRequest[10:])
 	wantAnswer(t, r)
@@ -139,7 +139,7 @@
 	c, r := s.dial(t)
 	write(t, c, wholeRequest)
 	<-begun
-	s.conns.retire()
+	s.conns.Retire()
 	time.Sleep(quietTime)
 	close(release)
 	wantAnswer(t, r)
@@ -151,7 +151,7 @@
 	var s *connServer
 	s = newConnServer(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/x" {
-			s.conns.retire()
+			s.conns.Retire()
 		}
 		time.Sleep(quietTime)
 		if r.Context().Err() != nil {
@@ -172,7 +172,7 @@
 	s := newConnServer(t, answerNothing)
 	c, r := s.dial(t)
 	write(t, c, wholeRequest)
-	s.conns.retire()
+	s.conns.Retire()
 	s.serve()
 	wantAnswer(t, r)
 	s.wantClosed(t, r)
@@ -189,7 +189,7 @@
 	}
 	conn := s.conns.add(accepted)
 	write(t, client, wholeRequest)
-	s.conns.retire()
+	s.conns.Retire()
 	go func() { _ = s.server.Serve(&oneConnListener{Listener: s.listener, conn: conn}) }()
 	wantAnswer(t, r)
 	s.wantClosed(t, r)
@@ -213,7 +213,7 @@
 func TestRetiredConnectionWaitsForItsFirstRequest(t *testing.T) {
 	s := newConnServer(t, answerNothing)
 	c, r := s.dial(t)
-	s.conns.retire()
+	s.conns.Retire()
 	s.serve()
 	time.Sleep(quietTime)
 	write(t, c, wholeRequest)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"gopkg.in/tomb.v2"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clientconn"
 	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
@@ -88,6 +89,7 @@
 	stopping       atomic.Bool
 	activeRequests *requestGate
 
+	callerConns    *clientconn.Conns
 	callerServer   *http.Server
 	peerServer     *peer.Server
 	callerListener net.Listener
@@ -116,7 +118,9 @@
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
 	d.admission = newAdmitter(d)
-	d.memory = &byteBudget{limit: s.Limits.InFlightBytes, used: &d.metrics.InFlightBytes}
+	d.memory = newByteBudget(s.Limits.InFlightBytes, &d.metrics.InFlightBytes)
+	d.callerConns = clientconn.New(d.memory.Budget)
+	d.callerConns.SetLimit(s.Limits.CallerConnections)
 	d.gossip = newGossip(d)
 	d.orders = newOrders(d)
 	d.claims = newClaims(d)
@@ -143,8 +147,13 @@
 	d.callerServer = &http.Server{
 		Handler: d.callerHandler(),
 		// Errors of the HTTP server, such as failed handshakes, are logged as JSON too.
-		ErrorLog:  zap.NewStdLog(d.log),
-		ConnState: clearWriteDeadline,
+		ErrorLog: zap.NewStdLog(d.log),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			clearWriteDeadline(c, state)
+			d.callerConns.WatchState(c, state)
+		},
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
 	}
 	d.peerServer = peer.NewServer(d.peerHandlers())
 	d.tomb.Go(d.serveCallers)
@@ -172,7 +181,7 @@
 }
 
 func (d *Daemon) serveCallers() error {
-	err := d.callerServer.Serve(d.callerListener)
+	err := d.callerServer.Serve(d.callerConns.Listen(d.callerListener))
 	if err == http.ErrServerClosed {
 		return nil
 	}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -11,6 +11,7 @@
 	"goji.io/pat"
 
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
+	"bergamotsill.example/bergamotsill/internal/memory"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/refusal"
 )
@@ -27,16 +28,22 @@
 // generated one.
 const maxRequestIDBytes = 128
 
+const (
+	// headerTimeout bounds the time to read a request header, idleTimeout the idle time of a connection.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
 // call is one HTTP request of a caller.
 type call struct {
 	id           string
 	organisation string
 	started      time.Time
 	body         []byte
-	// reservedBytes is the part of the daemon's byte budget that the body has reserved.
-	reservedBytes int64
-	request       *http.Request
-	log           *zap.Logger
+	// bodyMemory is the memory of the body, nil before it is read.
+	bodyMemory *memory.Body
+	request    *http.Request
+	log        *zap.Logger
 	// pool is the pool of upstreams that the call needs, limit the longest time that it may take; zero
 	// until they are known.
 	pool  string
@@ -93,7 +100,7 @@
 			return
 		}
 		defer d.activeRequests.Leave()
-		defer func() { d.memory.release(c.reservedBytes) }()
+		defer func() { d.memory.release(c) }()
 		err := d.prepareCall(w, c)
 		if err == nil {
 			err = d.serveAnywhere(r.Context(), w, c, handle)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -4,9 +4,11 @@
 	"errors"
 	"expvar"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/memory"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/refusal"
 )
@@ -27,27 +29,32 @@
 	memoryRetryAfter = time.Second
 )
 
+// bodyTimeout is how long a body may make no progress before its request is refused, also while memory is left.
+const bodyTimeout = 10 * time.Second
+
 // byteBudget bounds the total size of the bodies of all queued and running
 // requests.
 type byteBudget struct {
+	*memory.Budget
 	// limit is the bound in bytes; used is the number of bytes reserved now.
 	limit int64
 	used  *expvar.Int
 }
 
-// reserve reserves n bytes and reports whether they fit within the limit. If two
-// concurrent calls do not both fit, both may fail.
-func (b *byteBudget) reserve(n int64) bool {
-	b.used.Add(n)
-	if b.used.Value() > b.limit {
-		b.used.Add(-n)
-		return false
-	}
-	return true
+func newByteBudget(limit int64, used *expvar.Int) *byteBudget {
+	return &byteBudget{Budget: memory.NewBodyBudget(limit), limit: limit, used: used}
 }
 
-// release returns n reserved bytes to the budget.
-func (b *byteBudget) release(n int64) { b.used.Add(-n) }
+// publish updates the number of reserved bytes in the metrics.
+func (b *byteBudget) publish() { b.used.Set(b.Used(memory.Bodies)) }
+
+// release returns the memory of a call's body.
+func (b *byteBudget) release(c *call) {
+	if c.bodyMemory != nil {
+		c.bodyMemory.Release()
+		b.publish()
+	}
+}
 
 // admits returns a refusal if the bytes in use exceed the share of the rank.
 func (b *byteBudget) admits(rank profile.Rank) error {
@@ -61,17 +68,48 @@
 }
 
 // readBody reads the body of a call within the limit for one body and the budget
-// for all bodies. The reserved bytes are in c.reservedBytes, also after an error; the
-// caller must release them.
+// for all bodies. The memory is in c.bodyMemory, also after an error; the caller must release it. A body
+// that makes no progress gives way when memory is short, and after bodyTimeout in any case.
 func (d *Daemon) readBody(w http.ResponseWriter, c *call) error {
+	if c.request.ContentLength > d.settings.Limits.BodyBytes {
+		return refusal.New(refusal.BodyTooLarge, "the body is larger than %d bytes", d.settings.Limits.BodyBytes).ForAttempt()
+	}
+	control := http.NewResponseController(w)
+	source, _, _ := net.SplitHostPort(c.request.RemoteAddr)
+	c.bodyMemory = d.memory.NewBody(time.Now(), source, func() {
+		// Only the writers of tests do not support deadlines.
+		_ = control.SetReadDeadline(time.Now())
+	})
+	err := d.readInto(w, c, control)
+	if !c.bodyMemory.Finish() {
+		return d.memoryFull()
+	}
+	if err == nil {
+		// The connection carries further requests.
+		_ = control.SetReadDeadline(time.Time{})
+	}
+	return err
+}
+
+// memoryFull returns the refusal of a body for which there is no memory.
+func (d *Daemon) memoryFull() error {
+	return refusal.New(refusal.MemoryFull, "request bodies use %d bytes of %d and this body does not fit", d.memory.used.Value(), d.memory.limit).
+		ForAttempt().WithRetryAfter(memoryRetryAfter)
+}
+
+// readInto reads the body of a call into its memory.
+func (d *Daemon) readInto(w http.ResponseWriter, c *call, control *http.ResponseController) error {
 	body := http.MaxBytesReader(w, c.request.Body, d.settings.Limits.BodyBytes)
 	for {
 		if len(c.body) == cap(c.body) && !d.growBody(c) {
-			return refusal.New(refusal.MemoryFull, "request bodies use %d bytes of %d and this body does not fit", d.memory.used.Value(), d.memory.limit).
-				ForAttempt().WithRetryAfter(memoryRetryAfter)
+			return d.memoryFull()
 		}
+		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 		n, err := body.Read(c.body[len(c.body):cap(c.body)])
 		c.body = c.body[:len(c.body)+n]
+		if n > 0 {
+			c.bodyMemory.Progress(time.Now())
+		}
 		var tooLarge *http.MaxBytesError
 		switch {
 		case err == io.EOF:
@@ -92,10 +130,10 @@
 		// the buffer again.
 		size = min(size, contentLength+1)
 	}
-	if !d.memory.reserve(size - c.reservedBytes) {
+	if !c.bodyMemory.Grow(time.Now(), size) {
 		return false
 	}
-	c.reservedBytes = size
+	d.memory.publish()
 	c.body = append(make([]byte, 0, size), c.body...)
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"goji.io/pat"
 	"gopkg.in/tomb.v2"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clientconn"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 	"bergamotsill.example/bergamotsill/internal/crashes"
@@ -84,8 +85,8 @@
 	outOfRotation atomic.Bool
 	serviceEnd    *serviceEnd
 	gate          serviceGate
-	clientConns   *clientConns
-	handoverConns *clientConns
+	clientConns   *clientconn.Conns
+	handoverConns *clientconn.Conns
 	tomb          tomb.Tomb
 	// memory is the budget of all that is held for clients and runners.
 	memory *memory.Budget
@@ -111,8 +112,8 @@
 		retries:    newRetryLimits(s.Retries, time.Now(), s.FirstStart),
 		serviceEnd: newServiceEnd(), memory: memory.NewBudget(s.MemoryBytes),
 	}
-	g.clientConns, g.handoverConns = newClientConns(g.memory), newClientConns(g.memory)
-	g.clientConns.setLimit(s.maxClientConns())
+	g.clientConns, g.handoverConns = clientconn.New(g.memory), clientconn.New(g.memory)
+	g.clientConns.SetLimit(s.maxClientConns())
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
 	g.storeEra = &storeEra{log: g.log}
@@ -180,7 +181,7 @@
 func (g *Gateway) Reload(s Settings) {
 	g.settings.Store(&s)
 	g.memory.SetMemory(s.MemoryBytes)
-	g.clientConns.setLimit(s.maxClientConns())
+	g.clientConns.SetLimit(s.maxClientConns())
 	g.retries.set(s.Retries)
 	g.log.Info("settings reloaded", zap.Float64("retry-ratio", s.Retries.Ratio), zap.Int("retry-slack", s.Retries.Slack),
 		zap.Duration("stop-grace", s.StopGrace), zap.Int64("memory-bytes", s.MemoryBytes))
@@ -240,9 +241,9 @@
 // nothing and returns the error.
 func (g *Gateway) Start() error {
 	g.clientServer = g.newServer(http.HandlerFunc(g.serveClient))
-	g.clientServer.ConnState = g.clientConns.watchState
+	g.clientServer.ConnState = g.clientConns.WatchState
 	g.handoverServer = g.newServer(http.HandlerFunc(g.serveHandover))
-	g.handoverServer.ConnState = g.handoverConns.watchState
+	g.handoverServer.ConnState = g.handoverConns.WatchState
 	g.probeServer = g.newServer(g.probeHandler())
 	g.metricsServer = g.newServer(g.metricsHandler())
 	g.peerServer = peer.NewServer(g.recoverHandlers(g.peers.handlers()))
@@ -275,8 +276,8 @@
 		{"ready", addresses.Ready, g.probeServer.Serve},
 		{"peers", addresses.Peers, g.peerServer.Serve},
 		{"metrics", addresses.Metrics, g.metricsServer.Serve},
-		{"handovers", addresses.Handovers, func(l net.Listener) error { return g.handoverServer.Serve(g.handoverConns.listen(l)) }},
-		{"clients", addresses.Clients, func(l net.Listener) error { return g.clientServer.Serve(g.clientConns.listen(l)) }},
+		{"handovers", addresses.Handovers, func(l net.Listener) error { return g.handoverServer.Serve(g.handoverConns.Listen(l)) }},
+		{"clients", addresses.Clients, func(l net.Listener) error { return g.clientServer.Serve(g.clientConns.Listen(l)) }},
 	}
 	listeners := make([]net.Listener, len(serve))
 	for i, s := range serve {
@@ -336,7 +337,7 @@
 		vars.Set("retry_limits", expvar.Func(g.retries.usage))
 		vars.Set("limited_runners", expvar.Func(func() any { return g.fleet.LimitedRunners(time.Now()) }))
 		vars.Set("memory", expvar.Func(func() any { return g.memory.Status() }))
-		vars.Set("client_connections", expvar.Func(func() any { return g.clientConns.status() }))
+		vars.Set("client_connections", expvar.Func(func() any { return g.clientConns.Status() }))
 		vars.Set("config_version", expvar.Func(func() any { return g.config.version() }))
 		vars.Set("runners", expvar.Func(func() any { return g.fleet.Size() }))
 		vars.Set("known_stream_origins", expvar.Func(func() any { return g.origins.size() }))
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -133,11 +133,11 @@
 // answered; those that had not arrived completely are refused. It returns when all are closed, or at
 // exit.
 func (g *Gateway) closeConnections(exit time.Time) {
-	g.clientConns.retire()
-	g.handoverConns.retire()
-	for !g.clientConns.ended() || !g.handoverConns.ended() {
+	g.clientConns.Retire()
+	g.handoverConns.Retire()
+	for !g.clientConns.Ended() || !g.handoverConns.Ended() {
 		if time.Now().After(exit) {
-			g.log.Warn("connections were still open when the daemon stopped", zap.Int("connections", g.clientConns.count()+g.handoverConns.count()),
+			g.log.Warn("connections were still open when the daemon stopped", zap.Int("connections", g.clientConns.Count()+g.handoverConns.Count()),
 				zap.Int("active-requests", g.gate.requests()))
 			return
 		}
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -44,9 +44,12 @@
 
 // Budget is the owner of the memory that is held for callers and runners. It is safe for concurrent use.
 type Budget struct {
-	mu    sync.Mutex
-	limit int64
-	used  [classCount]int64
+	mu sync.Mutex
+	// limits holds the bytes that each class may occupy with large and with small buffers, totalLimit what all may
+	// occupy together; negative for no limit.
+	limits     [classCount]limits
+	totalLimit int64
+	used       [classCount]int64
 	total int64
 	// unfinished holds the bodies that are being read.
 	unfinished map[*Body]struct{}
@@ -54,31 +57,40 @@
 	evicted, refused int64
 }
 
+// limits bound a class of memory.
+type limits struct{ large, small int64 }
+
+// unlimited is the limit of what is not limited.
+const unlimited = -1
+
 // NewBudget returns a budget for a process with the given memory in bytes; 0 means that nothing is limited.
 func NewBudget(memory int64) *Budget {
-	return &Budget{limit: memory, unfinished: map[*Body]struct{}{}}
+	b := &Budget{unfinished: map[*Body]struct{}{}}
+	b.SetMemory(memory)
+	return b
+}
+
+// NewBodyBudget returns a budget that limits the bodies of requests to a number of bytes, and nothing else.
+func NewBodyBudget(bytes int64) *Budget {
+	b := NewBudget(0)
+	b.limits[Bodies] = limits{large: bytes, small: bytes}
+	return b
 }
 
 // SetMemory replaces the memory of the process.
 func (b *Budget) SetMemory(memory int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.limit = memory
-}
-
-// share returns the share of the memory that a class may occupy.
-func share(c Class, small bool) float64 {
-	switch {
-	case c == Heads:
-		return headShare
-	case c == Bodies && small:
-		return bodyShare + smallBodyShare
-	case c == Bodies:
-		return bodyShare
-	case small:
-		return responseShare + smallResponseShare
+	part := func(share float64) int64 {
+		if memory <= 0 {
+			return unlimited
+		}
+		return int64(share * float64(memory))
 	}
-	return responseShare
+	b.limits[Heads] = limits{large: part(headShare), small: part(headShare)}
+	b.limits[Bodies] = limits{large: part(bodyShare), small: part(bodyShare + smallBodyShare)}
+	b.limits[Responses] = limits{large: part(responseShare), small: part(responseShare + smallResponseShare)}
+	b.totalLimit = part(totalShare)
 }
 
 // Reserve reserves n bytes for a buffer that is small or not, and reports whether they were available.
@@ -99,14 +111,20 @@
 	return true
 }
 
-// missing returns how many bytes have to be released before n more fit. b.mu must be held.
+// missing returns how many bytes have to be released before n more fit, 0 or less if they do. b.mu must be held.
 func (b *Budget) missing(c Class, n int64, small bool) int64 {
-	if b.limit <= 0 {
-		return 0
+	limit := b.limits[c].large
+	if small {
+		limit = b.limits[c].small
+	}
+	var missing int64
+	if limit != unlimited {
+		missing = max(missing, b.used[c]+n-limit)
+	}
+	if b.totalLimit != unlimited {
+		missing = max(missing, b.total+n-b.totalLimit)
 	}
-	ofClass := b.used[c] + n - int64(share(c, small)*float64(b.limit))
-	ofAll := b.total + n - int64(totalShare*float64(b.limit))
-	return max(ofClass, ofAll)
+	return missing
 }
 
 // Release returns bytes that were reserved.
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -48,7 +48,7 @@
 				}
 			}
 			for c := range classCount {
-				if b.used[c] < 0 || float64(b.used[c]) > share(c, true)*testMemory {
+				if b.used[c] < 0 || b.used[c] > b.limits[c].small {
 					t.Fatalf("class %d occupies %d bytes", c, b.used[c])
 				}
 			}
--- a/internal/processtest/crowd_test.go
+++ b/internal/processtest/crowd_test.go
@@ -55,7 +55,7 @@
 			s.publish(configuration(""))
 			s.startDaemonWith("anand-1", "anand", func(cfg *settings.Settings) {
 				cfg.Limits.BodyBytes, cfg.Limits.InFlightBytes = crowdBodyBytes, crowdInFlightBytes
-				_ = crowdConnections
+				cfg.Limits.CallerConnections = crowdConnections
 			})
 			s.awaitOK("anand-1", "/readyz")
 			s.await("the daemon can reach the engine", func() bool { return s.completesFully("anand-1", "hello tokens=2") })
--- a/internal/settings/range.go
+++ b/internal/settings/range.go
@@ -22,6 +22,7 @@
 var ranges = map[string]Range{
 	"limits.body_bytes":         {1 * kib, 64 * mib},
 	"limits.in_flight_bytes":    {4 * kib, 16 << 30},
+	"limits.caller_connections": {0, 1_000_000},
 	"limits.queue_requests":     {1, 100_000},
 	"limits.quarantine_entries": {1, 1_000_000},
 	"limits.decision_records":   {1, 1_000_000},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,6 +113,9 @@
 	// running requests. A body takes up to three times its size in memory: as received, as
 	// the decoded prompt and as sent to an engine.
 	InFlightBytes int64 `json:"in_flight_bytes"`
+	// CallerConnections is the maximum number of open connections of callers. Beyond it, connections that carry no
+	// request are closed for new ones. 0 means no limit.
+	CallerConnections int `json:"caller_connections"`
 	// QueueRequests is the maximum number of queued requests.
 	QueueRequests int `json:"queue_requests"`
 	// QuarantineEntries is the maximum number of entries in the table of suspect digests.
@@ -182,6 +185,7 @@
 		Limits: Limits{
 			BodyBytes:         4 << 20,
 			InFlightBytes:     12 << 20,
+			CallerConnections: 4000,
 			QueueRequests:     2000,
 			QuarantineEntries: 4096,
 			DecisionRecords:   4096,
