--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -132,6 +132,7 @@
 	if u.collecting != window {
 		u.collecting = window
 		clear(u.answered)
+		u.readMembers(ctx)
 	}
 	var missing []*peerLink
 	u.peers.mu.Lock()
@@ -163,6 +164,16 @@
 	return complete
 }
 
+// readMembers adds the daemons that this one has not heard of yet, which may serve clients all the same.
+func (u *usageCounts) readMembers(ctx context.Context) {
+	records, _, err := u.peers.store.Newest(ctx, port.TopicDaemons)
+	if err != nil {
+		u.log.Warn("registry of daemons was not read before usage is collected", zap.Error(err))
+		return
+	}
+	u.peers.applyMembers(records)
+}
+
 // vars returns the counts of the current window for the metrics.
 func (u *usageCounts) vars() any {
 	window := u.windows.At(u.now())
