--- a/internal/duties/usage.go
+++ b/internal/duties/usage.go
@@ -33,6 +33,8 @@
 	abstention  = 8 * time.Second
 	// failureDelay is the time between calls that fail.
 	failureDelay = time.Second
+	// heldDelay is the time between attempts to get a lease that another daemon holds, each of which reads the store.
+	heldDelay = 1500 * time.Millisecond
 )
 
 // Lease authorises the calls of a duty.
@@ -122,6 +124,7 @@
 // lost forgets what is known of the store, because another daemon may write there.
 func (u *UsageReporter) lost(now time.Time, err error) {
 	u.synced = false
+	u.idleUntil = now.Add(heldDelay)
 	if !errors.Is(err, lease.ErrHeld) {
 		u.idleUntil = now.Add(failureDelay)
 		u.Log.Warn("lease for usage reports was not acquired", zap.Error(err))
