--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -110,6 +110,7 @@
 	v.Set("leaving_runners", m.leavingRunners)
 	v.Set("quiet_notices", m.quietNotices)
 	v.Set("limit_notices", m.limitNotices)
+	v.Set("unknown_keys", m.unknownKeys)
 	v.Set("first_event_ms_by_rank", m.latencies(m.firstEventLatency))
 	v.Set("answer_ms_by_rank", m.latencies(m.totalLatency))
 	return v
