--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -40,6 +40,8 @@
 	BootTime time.Duration
 	// Reclaimable is set if there are runners that may be reclaimed and cost less.
 	Reclaimable bool
+	// DataCentres is the number of data centres that have runners of the service.
+	DataCentres int
 }
 
 // Observation is what a planner knows of the runners of a service in a data centre. Runners that leave are not counted.
@@ -160,6 +162,7 @@
 	base = min(base, p.state.Wanted)
 	reclaimable = p.state.Wanted - base
 	regular = base + max(0, reclaimable-o.Reclaimable)
+	reclaimable += p.reserve(reclaimable)
 	if regular < p.state.Regular && now.Sub(p.reclaimableSince) < replaceDelay {
 		regular = min(p.state.Regular, p.limits.Max)
 	}
@@ -171,6 +174,15 @@
 	return min(regular, p.limits.Max-max(reclaimable, p.state.Reclaimable)), reclaimable
 }
 
+// reserve returns the number of reclaimable runners that are wanted in addition, so that the other data centres together
+// replace those of one that are all reclaimed until others have started there.
+func (p *Planner) reserve(reclaimable int) int {
+	if p.limits.DataCentres < 2 {
+		return 0
+	}
+	return int(math.Ceil(float64(reclaimable) / float64(p.limits.DataCentres-1)))
+}
+
 // bound returns a number within the limits.
 func (p *Planner) bound(n int) int { return max(p.limits.Min, min(n, p.limits.Max)) }
 
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -101,12 +101,28 @@
 	}
 }
 
+// Guards against a service that is short of runners in all data centres together while those of one are reclaimed.
+func TestOtherDataCentresBearAReclaim(t *testing.T) {
+	const dataCentres, started = 4, 28
+	l := limits
+	l.DataCentres = dataCentres
+	total := 0
+	for range dataCentres - 1 {
+		f, p := newFleet(started), NewPlanner(l, State{})
+		f.run(p, 30*time.Second, 5, nil)
+		total += f.total()
+	}
+	if total < dataCentres*started-started/10-1 {
+		t.Errorf("%d runners serve in the other data centres, want about %d", total, dataCentres*started)
+	}
+}
+
 // Guards against orders outside of the limits, against orders that never end and against fewer runners than the demand
 // needs, whatever is lost and whenever another planner takes over.
 func TestOrdersStayWithinTheLimits(t *testing.T) {
 	seedtest.Run(t, func(t *testing.T, seed uint64) {
 		r := rand.New(rand.NewPCG(seed, 1))
-		l := Limits{Min: 1 + r.IntN(3), Max: 20 + r.IntN(40), BootTime: bootTime, Reclaimable: r.IntN(4) > 0}
+		l := Limits{Min: 1 + r.IntN(3), Max: 20 + r.IntN(40), BootTime: bootTime, Reclaimable: r.IntN(4) > 0, DataCentres: r.IntN(5)}
 		f, p := newFleet(l.Min+r.IntN(l.Max-l.Min)), NewPlanner(l, State{})
 		f.run(p, 10*time.Second, -1, nil)
 		for range 20 {
--- a/internal/gateway/capacity.go
+++ b/internal/gateway/capacity.go
@@ -79,7 +79,7 @@
 	if scaling == nil || now.Before(p.idleUntil) || !p.restore(ctx, now) {
 		return
 	}
-	limits := capacity.Limits{Min: scaling.Min, Max: scaling.Max, BootTime: scaling.BootTime, Reclaimable: scaling.ReclaimablePrice > 0 && scaling.ReclaimablePrice < 1}
+	limits := capacity.Limits{Min: scaling.Min, Max: scaling.Max, BootTime: scaling.BootTime, Reclaimable: scaling.ReclaimablePrice > 0 && scaling.ReclaimablePrice < 1, DataCentres: len(scaling.Prices)}
 	planner, ok := p.planners[pool.Service]
 	if !ok {
 		planner = capacity.NewPlanner(limits, p.restored[p.key(pool.Service)])
