--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -50,7 +50,7 @@
 	limits     [classCount]limits
 	totalLimit int64
 	used       [classCount]int64
-	total int64
+	total      int64
 	// unfinished holds the bodies that are being read.
 	unfinished map[*Body]struct{}
 	// evicted counts the bodies that were evicted, refused the reservations that failed.
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -139,7 +138,7 @@
 			for name, choose := range map[string]policy{"best of all": best, "two at random": twoAtRandom, "at random": atRandom, "levelled": levelled} {
 				p50, p99 := h.play(1, choose)
 				waits[name] = p99
-				t.Log(fmt.Sprintf("%3d deciders, %3d lost, %-13s p50 %5.1f ms, p99 %6.1f ms", deciders, lost, name, p50.Seconds()*1000, p99.Seconds()*1000))
+				t.Logf("%3d deciders, %3d lost, %-13s p50 %5.1f ms, p99 %6.1f ms", deciders, lost, name, p50.Seconds()*1000, p99.Seconds()*1000)
 			}
 			if waits["levelled"] >= waits["best of all"] || waits["levelled"] > waits["at random"] {
 				t.Errorf("%d deciders, %d lost: waits at p99 are %v", deciders, lost, waits)
