--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -53,10 +53,16 @@
 	return o.prefill
 }
 
+// sharesDeciders reports whether the same daemons choose among the runners of two options.
+func (o *option) sharesDeciders(other *option) bool {
+	return o.member.inOtherCell == other.member.inOtherCell && o.member.runner.DataCentre == other.member.runner.DataCentre
+}
+
 // spread replaces the cheapest option by one of those that cost nearly as much, so that the daemons of the cell, which know
 // the same reports, do not all choose the same runner. What the others send before the next report is expected to be as
-// much as this daemon sends. An option is replaced only by one that also interrupts streams, or also does not. The caller
-// holds f.mu.
+// much as this daemon sends. An option is replaced only by one in the same data centre and of the same kind of cell: other
+// cells have their own daemons that fill them, and requests and KV caches cross data centres at a price. It also interrupts
+// streams, or also does not. The caller holds f.mu.
 func (f *Fleet) spread(now time.Time, key string, best option, options []option) option {
 	arriving := time.Duration(f.arrivalsOf(key).current(now) * float64(f.cellPeers) * float64(reportAge))
 	if arriving <= 0 || len(options) < 2 {
@@ -64,7 +70,7 @@
 	}
 	candidates := f.spreadBuffer[:0]
 	for i := range options {
-		if o := &options[i]; o.interrupts == best.interrupts && o.cost < best.cost+arriving {
+		if o := &options[i]; o.sharesDeciders(&best) && o.interrupts == best.interrupts && o.cost < best.cost+arriving {
 			candidates = append(candidates, spread.Candidate{Index: i, Cost: o.cost})
 		}
 	}
