--- a/cmd/bergamotd/main.go
+++ b/cmd/bergamotd/main.go
@@ -39,14 +39,16 @@
 		}
 		return daemon.Main(cmd.Context(), *path, version.String())
 	}
-	root.AddCommand(&cobra.Command{
+	gateway := &cobra.Command{
 		Use:   "gateway",
 		Short: "Forward requests to runners on the operators' platform",
 		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			return platform.Main(cmd.Context(), version.String())
-		},
-	})
+	}
+	spread := gateway.Flags().Bool("spread-load", false, "draw among runners that cost nearly as much, so that daemons with the same reports choose different ones")
+	gateway.RunE = func(cmd *cobra.Command, _ []string) error {
+		return platform.Main(cmd.Context(), version.String(), *spread)
+	}
+	root.AddCommand(gateway)
 	err := root.Execute()
 	if err == nil {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,6 +114,7 @@
 	}
 	g.clientConns, g.handoverConns = clientconn.New(g.memory), clientconn.New(g.memory)
 	g.clientConns.SetLimit(s.maxClientConns())
+	g.fleet.SpreadLoad(s.SpreadLoad)
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
 	g.storeEra = &storeEra{log: g.log}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,6 +23,9 @@
 	OrderLease time.Duration
 	Retries    RetryLimits
 	Duties     DutySettings
+	// SpreadLoad lets daemons with the same reports choose different runners; see package internal/spread. It is read at
+	// the start only.
+	SpreadLoad bool
 	// FirstStart is set if no daemon of the system has run before.
 	FirstStart bool
 }
--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -79,7 +79,7 @@
 	defer f.mu.Unlock()
 	self := Daemon{Name: f.daemon, DataCentre: f.dataCentre}
 	updated := cellsOf(self, daemons)
-	if f.cellPeers = 0; updated.count > 0 {
+	if f.cellPeers = 0; f.spreads && updated.count > 0 {
 		f.cellPeers = len(CellPeers(self, daemons))
 	}
 	if updated == f.cells {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -30,8 +30,9 @@
 	// models maps a service to the models fitted to its engines.
 	models map[string]models
 	// cellPeers is the number of daemons that choose among the engines of the local cell beside this one, 0 if the fleet
-	// is not divided. arrivals holds the work that this daemon sends, by service and kind of send.
+	// is not divided or spreads is not set. arrivals holds the work that this daemon sends, by service and kind of send.
 	cellPeers int
+	spreads   bool
 	arrivals  map[string]*arrivals
 	// options and spreadBuffer are buffers of spread.
 	options      []option
--- a/internal/placement/spread.go
+++ b/internal/placement/spread.go
@@ -17,6 +17,14 @@
 	decodeArrivals = "/decode"
 )
 
+// SpreadLoad sets whether requests are spread over runners that cost nearly as much. It must be called before the daemons
+// are known.
+func (f *Fleet) SpreadLoad(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.spreads = on
+}
+
 // arrivals is a moving mean of the work that this daemon sends to the runners of a service.
 type arrivals struct {
 	// rate is the work in seconds per second as of at.
--- a/internal/placement/spread_test.go
+++ b/internal/placement/spread_test.go
@@ -27,6 +27,7 @@
 			continue
 		}
 		f := NewFleet(d.DataCentre, d.Name)
+		f.SpreadLoad(true)
 		f.SetServices(map[string]port.ForwardService{"s": {Name: "s", Engine: &port.EngineLimits{Slots: 64, KVTokens: 400000}}})
 		f.SetRunners(runners)
 		f.SetDaemons(daemons)
