--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -174,8 +174,10 @@
 		ctx, cancel = context.WithTimeout(ctx, c.connectTimeout)
 		defer cancel()
 	}
-	if !c.admit(address) {
-		return nil, port.ErrConnectionLimit
+	for !c.counts.add(address) {
+		if !c.closeIdle(address) {
+			return nil, port.ErrConnectionLimit
+		}
 	}
 	began := time.Now()
 	raw, err := c.network.DialContext(ctx, "tcp", address)
--- a/internal/adapter/exchange/limit.go
+++ b/internal/adapter/exchange/limit.go
@@ -11,20 +11,11 @@
 	limit func(address string) int
 }
 
-// burstFactor is the multiple of the limit up to which connections may be open that all carry requests. A server's load is
-// uneven over the daemons that share its connections, so that one may need more for a moment.
-const burstFactor = 3
-
-// add counts a connection that is about to be opened, and reports whether it may be. burst allows it up to burstFactor
-// times the limit.
-func (n *connCounts) add(address string, burst bool) bool {
+// add counts a connection that is about to be opened, and reports whether it may be.
+func (n *connCounts) add(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	open := n.open[address] + 1
-	if burst {
-		open = (open + burstFactor - 1) / burstFactor
-	}
-	if n.exceeds(address, open) {
+	if n.exceeds(address, n.open[address]+1) {
 		return false
 	}
 	n.open[address]++
@@ -57,25 +48,14 @@
 }
 
 // LimitConnections sets the function that returns how many connections to an address may be open, 0 for any number.
-// Beyond it, an idle one is closed for a new one. If there is none, burstFactor times as many may be open; then requests
-// fail with port.ErrConnectionLimit.
+// When no more may be opened, an idle one is closed for a new one; if there is none, requests fail with
+// port.ErrConnectionLimit.
 func (c *Client) LimitConnections(limit func(address string) int) {
 	c.counts.mu.Lock()
 	defer c.counts.mu.Unlock()
 	c.counts.limit = limit
 }
 
-// admit counts a connection that is about to be opened, and closes an idle one for it if necessary. It reports whether it
-// may be opened.
-func (c *Client) admit(address string) bool {
-	for !c.counts.add(address, false) {
-		if !c.closeIdle(address) {
-			return c.counts.add(address, true)
-		}
-	}
-	return true
-}
-
 // closeIdle closes the idle connection to an address that was unused for longest. It reports whether there was one.
 func (c *Client) closeIdle(address string) bool {
 	c.mu.Lock()
--- a/internal/adapter/exchange/limit_test.go
+++ b/internal/adapter/exchange/limit_test.go
@@ -18,8 +18,7 @@
 // Guards against more connections to a server than it accepts, which it would reset, and against idle connections that
 // keep others from being opened.
 func TestOpenConnectionsAreLimited(t *testing.T) {
-	// burst is the number of connections that may be open while all carry requests.
-	const limit, burst = 3, 9
+	const limit = 3
 	release := make(chan struct{})
 	var open atomic.Int64
 	s := serve(t, func(c net.Conn, r *http.Request) bool {
@@ -47,19 +46,19 @@
 			t.Fatal(err)
 		}
 	}
-	done := make(chan error, burst)
+	done := make(chan error, limit)
 	before := open.Load()
-	for range burst {
+	for range limit {
 		go func() { done <- send("/wait") }()
 	}
-	for open.Load() < before+burst {
+	for open.Load() < before+limit {
 		time.Sleep(time.Millisecond)
 	}
 	if err := send("/"); !errors.Is(err, port.ErrNotSent) || !errors.Is(err, port.ErrConnectionLimit) {
 		t.Errorf("a request beyond the limit: error %v", err)
 	}
 	close(release)
-	for range burst {
+	for range limit {
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
