--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 # measure the memory of a process.
 test:
 	$(GO) test -json -timeout 30m ./... | $(GO) run ./tools/testreport -known-red KNOWN-RED.txt
-	BERGAMOT_CROWDS=1 $(GO) test -json -count=1 -timeout 10m ./platform/crowd | $(GO) run ./tools/testreport -known-red KNOWN-RED.txt
+	BERGAMOT_CROWDS=1 $(GO) test -json -count=1 -p 1 -timeout 10m -run "Crowds|LargestRequest" ./platform/crowd ./internal/processtest | $(GO) run ./tools/testreport -known-red KNOWN-RED.txt
 
 lint:
 	@test -z "$$(gofmt -l cmd internal tools)" || { gofmt -d cmd internal tools; exit 1; }
