--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -353,6 +353,8 @@
 			status = http.StatusGatewayTimeout
 		}
 	}
+	// The daemon may have begun to stop since the request was read.
+	c.gateway.markClosing(c.writer.Header())
 	c.declineHandover(err)
 	if status == http.StatusServiceUnavailable {
 		c.writer.Header().Set("Retry-After", formatRetryAfter(c.predictRetryAfter()))
