--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -87,9 +87,11 @@
 	if best.member == nil {
 		return Plan{}, false
 	}
-	f.options = c.all
-	best = f.spread(now, q.Service, best, c.all)
-	f.arrivalsOf(q.Service).add(now, best.work())
+	if c.collect {
+		f.options = c.all
+		best = f.spread(now, q.Service, best, c.all)
+		f.arrivalsOf(q.Service).add(now, best.work())
+	}
 	r := f.begin(best.member, now, q, best.uncached)
 	if best.source != nil {
 		r.fetchFrom = best.source.runner.Address
@@ -269,15 +271,19 @@
 		if o.better(&best) {
 			best = o
 		}
-		options = append(options, o)
+		if f.cellPeers > 0 {
+			options = append(options, o)
+		}
 	}
 	if best.member == nil {
 		return nil, false
 	}
-	f.options = options
-	key := q.Service + decodeArrivals
-	best = f.spread(now, key, best, options)
-	f.arrivalsOf(key).add(now, streamPenalty)
+	if f.cellPeers > 0 {
+		f.options = options
+		key := q.Service + decodeArrivals
+		best = f.spread(now, key, best, options)
+		f.arrivalsOf(key).add(now, streamPenalty)
+	}
 	r := f.begin(best.member, now, q, 0)
 	// The engine caches parts that it fetched like parts that it prefilled.
 	best.member.cache.add(r.parts)
