--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,16 +28,17 @@
 // session, so that it is no trait of its own.
 func traitsOf(r *port.ForwardRequest) crashes.Traits {
 	t := crashes.Traits{Common: len(r.Body) == 0}
-	subject := r.Method + " " + r.Host + r.Target
+	var subject strings.Builder
+	subject.WriteString(r.Method + " " + r.Host + r.Target)
 	if r.Prompt != nil {
 		for i, part := range r.Prompt.Parts {
-			subject += " " + part.ID
+			subject.WriteString(" " + part.ID)
 			if i < len(r.Prompt.Parts)-1 {
 				t.Parts = append(t.Parts, crashes.PartTrait(r.Prompt.Model, part.ID))
 			}
 		}
 	}
-	t.Content = crashes.Trait(quarantine.DigestOf(subject, string(r.Body)))
+	t.Content = crashes.Trait(quarantine.DigestOf(subject.String(), string(r.Body)))
 	return t
 }
 
