Bound the number of prompt parts that are remembered of an engine

The parts that an engine is expected to have in its KV cache were bounded by their tokens only, which clients state. Parts of no or one token, of which a legal head has thousands, were kept for good, for each engine.

At 4,096 parts the half that was not used for longest is removed. An engine with 782,000 tokens has room for that many parts of 170 tokens.

--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -1,6 +1,12 @@
 package placement
 
-import "bergamotsill.example/bergamotsill/internal/port"
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"bergamotsill.example/bergamotsill/internal/port"
+)
 
 const (
 	// cacheCapacityShare is the share of an engine's KV cache that new tokens may fill
@@ -9,6 +15,9 @@
 	cacheCapacityShare = 0.9
 	// minSweepSize is the smallest number of parts at which evicted parts are removed.
 	minSweepSize = 256
+	// maxCachedParts is the number of parts at which the half that was not used for longest is removed. Clients choose the
+	// names and sizes of parts, so that the tokens alone bound their number too loosely.
+	maxCachedParts = 4096
 )
 
 // partCache predicts which parts of prompts an engine has in its KV cache. It assumes
@@ -72,9 +81,20 @@
 	for _, part := range parts {
 		c.parts[part.ID] = cachedPart{lastUse: c.stored}
 	}
-	if len(c.parts) >= max(minSweepSize, c.nextSweepSize) {
+	if len(c.parts) >= min(max(minSweepSize, c.nextSweepSize), maxCachedParts) {
 		c.removeEvicted()
 	}
+	if len(c.parts) >= maxCachedParts {
+		c.removeOldest(maxCachedParts / 2)
+	}
+}
+
+// removeOldest removes n parts that were not used for longest.
+func (c *partCache) removeOldest(n int) {
+	ids := slices.SortedFunc(maps.Keys(c.parts), func(a, b string) int { return cmp.Compare(c.parts[a].lastUse, c.parts[b].lastUse) })
+	for _, id := range ids[:n] {
+		delete(c.parts, id)
+	}
 }
 
 // missing returns the parts that are not expected to be cached.
