Bound the queued log lines in bytes

Up to 2,048 lines wait while the log output is slow. A line may hold an id or a path of a client, so that lines of 16 KB took 32 MB, and more with escaped characters. Beyond 2 MB, lines are dropped and counted as before. Found by reading; TestQueuedLinesAreBoundedInBytes guards it.

--- a/internal/jsonlog/writer.go
+++ b/internal/jsonlog/writer.go
@@ -16,6 +16,9 @@
 	// maxQueuedLines is the number of lines that are buffered when the output is slow. With
 	// lines of about 500 bytes the buffer takes 1 MB.
 	maxQueuedLines = 2048
+	// maxQueuedBytes bounds the size of these lines. A line may be far longer than usual, because it holds names and paths
+	// that clients choose.
+	maxQueuedBytes = 2 << 20
 	// dropReportInterval is the shortest time between two lines that report dropped lines.
 	dropReportInterval = time.Second
 )
@@ -24,9 +27,11 @@
 // blocks the caller. Lines that do not fit into the queue are dropped and counted, and their
 // number is written to the output once it accepts lines again. It is safe for concurrent use.
 type AsyncWriter struct {
-	out     io.Writer
-	lines   chan []byte
-	dropped atomic.Int64
+	out   io.Writer
+	lines chan []byte
+	// queuedBytes is the size of the queued lines.
+	queuedBytes atomic.Int64
+	dropped     atomic.Int64
 	// quit is closed to stop the background goroutine, done when that goroutine has ended.
 	// Lines that are queued after done is closed are never written.
 	quit      chan struct{}
@@ -46,11 +51,16 @@
 
 // Write implements io.Writer. It queues a copy of line, and never blocks or fails.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
-	select {
-	case w.lines <- append([]byte(nil), line...):
-	default:
-		w.dropped.Add(1)
+	size := int64(len(line))
+	if w.queuedBytes.Add(size) <= maxQueuedBytes {
+		select {
+		case w.lines <- append([]byte(nil), line...):
+			return len(line), nil
+		default:
+		}
 	}
+	w.queuedBytes.Add(-size)
+	w.dropped.Add(1)
 	return len(line), nil
 }
 
@@ -92,6 +102,7 @@
 }
 
 func (w *AsyncWriter) write(line []byte) {
+	w.queuedBytes.Add(-int64(len(line)))
 	// The error is ignored: when the log output fails, there is nowhere to report it.
 	_, _ = w.out.Write(line)
 	w.reportDropped()
--- a/internal/jsonlog/writer_test.go
+++ b/internal/jsonlog/writer_test.go
@@ -40,6 +40,26 @@
 	}
 }
 
+// Guards against lines with long texts of clients that fill the memory while the output is slow.
+func TestQueuedLinesAreBoundedInBytes(t *testing.T) {
+	reader, output := io.Pipe()
+	defer reader.Close()
+	w := NewAsyncWriter(output)
+	line := make([]byte, 64<<10)
+	for range maxQueuedLines / 2 {
+		if n, err := w.Write(line); n != len(line) || err != nil {
+			t.Fatalf("wrote %d bytes, error %v", n, err)
+		}
+	}
+	queued := 0
+	for len(w.lines) > 0 {
+		queued += len(<-w.lines)
+	}
+	if queued == 0 || queued > maxQueuedBytes {
+		t.Errorf("%d bytes are queued, allowed are %d", queued, maxQueuedBytes)
+	}
+}
+
 // Guards against a logger that is created with an unknown level and logs nothing.
 func TestUnknownLevelIsAnError(t *testing.T) {
 	if _, err := NewAsyncLogger("loud", NewAsyncWriter(io.Discard)); err == nil {
