Identify requests by their bodies again

The traits are computed when the body was read. TestRequestsAreIdentifiedByTheirBodies failed before: two bodies had one identity.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -115,6 +115,7 @@
 		g.reject(w, r, status, "body was not accepted")
 		return nil, release
 	}
+	c.traits = traitsOf(request)
 	if note != nil {
 		forwarding.Accept(w.Header())
 		c.applyHandover(note)
@@ -122,6 +123,7 @@
 	return c, release
 }
 
+// newCall returns the call of a request whose body is not read yet.
 func (g *Gateway) newCall(w http.ResponseWriter, r *port.ForwardRequest, route *port.ForwardRoute, t *routeTable) *call {
 	limit := route.Timeout
 	if limit <= 0 {
@@ -132,7 +134,7 @@
 	}
 	c := &call{
 		gateway: g, writer: w, request: r, route: route, configVersion: t.config.Version,
-		service: destination(route), traits: traitsOf(r), deadline: r.Received.Add(limit),
+		service: destination(route), deadline: r.Received.Add(limit),
 		excluded: map[string]bool{}, lastEventID: r.ResumeAfter,
 	}
 	// Only the writers of tests do not support deadlines.
