Count request heads by what they cost, before they are parsed

A head counted with twice its bytes, and only those beyond 8 KB, although each line costs an entry in the parsed header and in its copy: 16 KB of lines of four bytes hold 540 KB. The heads of pipelined requests, which net/http reads with the request before, did not count at all. A head that was not finished was never evicted. The own interface had no budget for heads, and read 1 MB of each. A head for which there was no memory got 400 from net/http, as if it were malformed.

It is charged as bytes arrive, exactly when it was parsed, and until the response ends. Head and body of a request are one unit of the budget: what has stalled gives way with both, and an address that holds more than twice as much as another gives way to it. Refusals say 503 with Retry-After, and the connection stays open until the client can have read that. A head larger than max_header_bytes of the configuration in force, or limits.head_bytes (64 KB) on the own interface, gets 431; it was served up to 64 KB and 1 MB before.

--- a/internal/adapter/clientconn/conns.go
+++ b/internal/adapter/clientconn/conns.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
@@ -25,7 +26,7 @@
 
 // Conns tracks the accepted connections of clients. Unlike the shutdown of net/http, it ends a
 // connection only while no byte of a request was read from it. The http.Server of the connections needs
-// an IdleTimeout, a ReadHeaderTimeout and no ReadTimeout. It is safe for concurrent use.
+// an IdleTimeout, a ReadHeaderTimeout and no ReadTimeout, and is passed to Attach. It is safe for concurrent use.
 type Conns struct {
 	mu       sync.Mutex
 	open     map[*clientConn]struct{}
@@ -37,13 +38,35 @@
 	limit int
 	// evicted counts the connections that were closed because of limit.
 	evicted int64
-	// memory is the budget for large request heads.
+	// memory is the budget of the requests.
 	memory *memory.Budget
-}
-
-// New returns an empty set. Large request heads draw on the budget b.
-func New(b *memory.Budget) *Conns {
-	return &Conns{open: map[*clientConn]struct{}{}, memory: b}
+	// maxHeadBytes is the size of the largest request head that is read.
+	maxHeadBytes atomic.Int64
+	// refuse writes the refusal of a request whose head was not taken, with the given status.
+	refuse func(w http.ResponseWriter, status int)
+}
+
+// New returns an empty set. Requests draw on the budget b. refuse writes the refusal of a request that has not run, because
+// its head is larger than the limit (status 431) or does not fit into the memory (status 503); its connection closes.
+func New(b *memory.Budget, refuse func(w http.ResponseWriter, status int)) *Conns {
+	s := &Conns{open: map[*clientConn]struct{}{}, memory: b, refuse: refuse}
+	s.SetMaxHeadBytes(0)
+	return s
+}
+
+// Attach sets the hooks of the server of the connections and wraps its handler. It must be called once, before the server
+// serves.
+func (s *Conns) Attach(server *http.Server) {
+	watch := server.ConnState
+	server.ConnState = func(c net.Conn, state http.ConnState) {
+		if watch != nil {
+			watch(c, state)
+		}
+		s.watchState(c, state)
+	}
+	server.ConnContext = withConn
+	server.MaxHeaderBytes = maxServerHeadBytes
+	server.Handler = s.chargeHeads(server.Handler)
 }
 
 // SetLimit replaces the number of connections that may be open at once.
@@ -77,6 +100,7 @@
 // add tracks a connection that was accepted.
 func (s *Conns) add(c net.Conn) net.Conn {
 	conn := &clientConn{Conn: c, conns: s, awaitsRequest: true, idleSince: time.Now()}
+	conn.memory = s.newRequest(c)
 	s.mu.Lock()
 	var victim *clientConn
 	if s.limit > 0 && len(s.open) >= s.limit {
@@ -165,8 +189,8 @@
 	return s.retired
 }
 
-// WatchState is the http.Server's hook for the states of connections.
-func (s *Conns) WatchState(c net.Conn, state http.ConnState) {
+// watchState is the http.Server's hook for the states of connections.
+func (s *Conns) watchState(c net.Conn, state http.ConnState) {
 	if conn, ok := c.(*clientConn); ok && state == http.StateIdle {
 		conn.awaitRequest()
 	}
@@ -240,20 +264,18 @@
 	resumed      bool
 	// inRequest is set from when a request head was read until the request is answered, used once that was the case.
 	inRequest, used bool
-	// headBytes is the size of the head that is being read, headMemory the memory reserved for it.
-	headBytes, headMemory int64
+	// head counts the bytes and lines of the head that is being read.
+	head headSize
+	// memory is that of the request that is being read or served.
+	memory *memory.Request
+	// charged is set if the request may hold memory.
+	charged bool
+	// refused is set once the client was sent a refusal of its request head.
+	refused bool
+	// lingerOnce guards the wait for a client that was refused.
+	lingerOnce sync.Once
 }
 
-const (
-	// freeHeadBytes is the size of a request head up to which its memory counts as that of the connection.
-	freeHeadBytes = 8 << 10
-	// headFactor is the memory that a byte of a request head occupies in the buffers and the values of net/http.
-	headFactor = 2
-)
-
-// errHeadMemory closes a connection whose request head does not fit into the memory for heads.
-var errHeadMemory = errors.New("memory for request heads is full")
-
 // state returns whether the connection carries a request, whether it has carried one, and since when it waits.
 func (c *clientConn) state() (inRequest, used bool, since time.Time) {
 	c.mu.Lock()
@@ -261,42 +283,22 @@
 	return c.inRequest, c.used, c.idleSince
 }
 
-// countHead reserves memory for n more bytes of a request head.
-func (c *clientConn) countHead(n int) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.inRequest {
-		return nil
-	}
-	c.headBytes += int64(n)
-	needed := headFactor * (c.headBytes - freeHeadBytes)
-	if needed <= c.headMemory {
-		return nil
-	}
-	if !c.conns.memory.Reserve(memory.Heads, needed-c.headMemory, false) {
-		return errHeadMemory
-	}
-	c.headMemory = needed
-	return nil
-}
-
-// releaseHead returns the memory of the last request head. c.mu must be held.
-func (c *clientConn) releaseHead() {
-	c.conns.memory.Release(memory.Heads, c.headMemory)
-	c.headBytes, c.headMemory = 0, 0
-}
-
 // Read implements net.Conn. It closes a retired connection that awaits a request and has no unread
 // bytes.
 func (c *clientConn) Read(b []byte) (int, error) {
 	for {
+		if c.memory.Evicted() {
+			return 0, c.endEvicted()
+		}
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.beginRequest()
-			if memoryErr := c.countHead(n); memoryErr != nil {
-				return 0, memoryErr
+			if status := c.receive(b[:n]); status != 0 {
+				return 0, c.refuseHead(status)
 			}
 		}
+		if n == 0 && c.memory.Evicted() {
+			continue
+		}
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.repeatsRead() {
 			return n, err
 		}
@@ -321,14 +323,19 @@
 	return resumed
 }
 
-// beginRequest records that a request has begun, and puts the read deadline of net/http into force.
-func (c *clientConn) beginRequest() {
+// receive records that bytes of a request have arrived, and puts the read deadline of net/http into force. A status other
+// than 0 refuses the request.
+func (c *clientConn) receive(b []byte) (status int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.retired && c.awaitsRequest {
 		c.resumeRead()
 	}
 	c.awaitsRequest = false
+	if c.inRequest {
+		return 0
+	}
+	return c.countHead(b)
 }
 
 // resumeRead puts the read deadline of net/http into force.
@@ -345,7 +352,7 @@
 	defer c.mu.Unlock()
 	c.awaitsRequest, c.idleSince = true, time.Now()
 	c.inRequest = false
-	c.releaseHead()
+	c.releaseRequest()
 	c.interruptRead()
 }
 
@@ -394,11 +401,18 @@
 	return c.Conn.Close()
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. A client that was refused gets the time to read that.
 func (c *clientConn) Close() error {
+	c.mu.Lock()
+	refused := c.refused
+	c.mu.Unlock()
+	if refused {
+		c.lingerOnce.Do(c.linger)
+	}
 	c.conns.remove(c)
+	err := c.Conn.Close()
 	c.mu.Lock()
-	c.releaseHead()
+	c.releaseRequest()
 	c.mu.Unlock()
-	return c.Conn.Close()
+	return err
 }
--- a/internal/adapter/clientconn/conns_test.go
+++ b/internal/adapter/clientconn/conns_test.go
@@ -1,7 +1,6 @@
 package clientconn
 
 import (
-	"bergamotsill.example/bergamotsill/internal/memory"
 	"bufio"
 	"errors"
 	"io"
@@ -9,6 +8,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"bergamotsill.example/bergamotsill/internal/memory"
 )
 
 const (
@@ -33,11 +34,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &connServer{conns: New(memory.NewBudget(0))}
+	s := &connServer{conns: New(memory.NewBudget(0), func(w http.ResponseWriter, status int) { w.WriteHeader(status) })}
 	s.listener = s.conns.Listen(l)
-	s.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: connTestLimit, IdleTimeout: time.Minute, ConnState: s.conns.WatchState,
-	}
+	s.server = &http.Server{Handler: handler, ReadHeaderTimeout: connTestLimit, IdleTimeout: time.Minute}
+	s.conns.Attach(s.server)
 	t.Cleanup(func() { _ = s.server.Close() })
 	return s
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -118,9 +118,10 @@
 	d.config = newConfigFollower(d)
 	d.fleet = newFleet(d)
 	d.admission = newAdmitter(d)
-	d.memory = newByteBudget(s.Limits.InFlightBytes, &d.metrics.InFlightBytes)
-	d.callerConns = clientconn.New(d.memory.Budget)
+	d.memory = newByteBudget(s.Limits, &d.metrics.InFlightBytes)
+	d.callerConns = clientconn.New(d.memory.Budget, d.refuseHead)
 	d.callerConns.SetLimit(s.Limits.CallerConnections)
+	d.callerConns.SetMaxHeadBytes(s.Limits.HeadBytes)
 	d.gossip = newGossip(d)
 	d.orders = newOrders(d)
 	d.claims = newClaims(d)
@@ -147,14 +148,12 @@
 	d.callerServer = &http.Server{
 		Handler: d.callerHandler(),
 		// Errors of the HTTP server, such as failed handshakes, are logged as JSON too.
-		ErrorLog: zap.NewStdLog(d.log),
-		ConnState: func(c net.Conn, state http.ConnState) {
-			clearWriteDeadline(c, state)
-			d.callerConns.WatchState(c, state)
-		},
+		ErrorLog:          zap.NewStdLog(d.log),
+		ConnState:         clearWriteDeadline,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 	}
+	d.callerConns.Attach(d.callerServer)
 	d.peerServer = peer.NewServer(d.peerHandlers())
 	d.tomb.Go(d.serveCallers)
 	d.tomb.Go(d.servePeers)
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -40,8 +40,8 @@
 	organisation string
 	started      time.Time
 	body         []byte
-	// bodyMemory is the memory of the body, nil before it is read.
-	bodyMemory *memory.Body
+	// bodyMemory is the memory of the request, nil before its body is read.
+	bodyMemory *memory.Request
 	request    *http.Request
 	log        *zap.Logger
 	// pool is the pool of upstreams that the call needs, limit the longest time that it may take; zero
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -4,13 +4,17 @@
 	"errors"
 	"expvar"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/adapter/clientconn"
+	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/memory"
 	"bergamotsill.example/bergamotsill/internal/profile"
 	"bergamotsill.example/bergamotsill/internal/refusal"
+	"bergamotsill.example/bergamotsill/internal/settings"
 )
 
 // rankShares holds, by rank priority, the share of the byte limit that may be in
@@ -41,8 +45,8 @@
 	used  *expvar.Int
 }
 
-func newByteBudget(limit int64, used *expvar.Int) *byteBudget {
-	return &byteBudget{Budget: memory.NewBodyBudget(limit), limit: limit, used: used}
+func newByteBudget(l settings.Limits, used *expvar.Int) *byteBudget {
+	return &byteBudget{Budget: memory.NewRequestBudget(l.InFlightBytes, l.HeadBytes), limit: l.InFlightBytes, used: used}
 }
 
 // publish updates the number of reserved bytes in the metrics.
@@ -51,7 +55,7 @@
 // release returns the memory of a call's body.
 func (b *byteBudget) release(c *call) {
 	if c.bodyMemory != nil {
-		c.bodyMemory.Release()
+		c.bodyMemory.Release(memory.Bodies)
 		b.publish()
 	}
 }
@@ -75,11 +79,7 @@
 		return refusal.New(refusal.BodyTooLarge, "the body is larger than %d bytes", d.settings.Limits.BodyBytes).ForAttempt()
 	}
 	control := http.NewResponseController(w)
-	source, _, _ := net.SplitHostPort(c.request.RemoteAddr)
-	c.bodyMemory = d.memory.NewBody(time.Now(), source, func() {
-		// Only the writers of tests do not support deadlines.
-		_ = control.SetReadDeadline(time.Now())
-	})
+	c.bodyMemory = clientconn.RequestMemory(d.memory.Budget, w, c.request)
 	err := d.readInto(w, c, control)
 	if !c.bodyMemory.Finish() {
 		return d.memoryFull()
@@ -91,6 +91,18 @@
 	return err
 }
 
+// refuseHead responds to a call whose head is larger than its limit (status 431), or does not fit into the memory for heads.
+func (d *Daemon) refuseHead(w http.ResponseWriter, status int) {
+	r := refusal.New(refusal.HeadTooLarge, "the request line and the header are larger than %d bytes", d.settings.Limits.HeadBytes)
+	if status == http.StatusServiceUnavailable {
+		r = refusal.New(refusal.MemoryFull, "the headers of other requests use the memory for them").WithRetryAfter(memoryRetryAfter)
+	}
+	id := d.newID()
+	d.metrics.Refused.Add(string(r.Code), 1)
+	d.log.Info("request refused", zap.String(jsonlog.FieldRequestID, id), zap.String("code", string(r.Code)), zap.String("detail", r.Message))
+	r.ForAttempt().Write(w, id)
+}
+
 // memoryFull returns the refusal of a body for which there is no memory.
 func (d *Daemon) memoryFull() error {
 	return refusal.New(refusal.MemoryFull, "request bodies use %d bytes of %d and this body does not fit", d.memory.used.Value(), d.memory.limit).
@@ -104,6 +116,7 @@
 		if len(c.body) == cap(c.body) && !d.growBody(c) {
 			return d.memoryFull()
 		}
+		// Only the writers of tests do not support deadlines.
 		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 		n, err := body.Read(c.body[len(c.body):cap(c.body)])
 		c.body = c.body[:len(c.body)+n]
@@ -130,7 +143,7 @@
 		// the buffer again.
 		size = min(size, contentLength+1)
 	}
-	if !c.bodyMemory.Grow(time.Now(), size) {
+	if !c.bodyMemory.Grow(time.Now(), memory.Bodies, size) {
 		return false
 	}
 	d.memory.publish()
--- a/internal/daemon/refusal_test.go
+++ b/internal/daemon/refusal_test.go
@@ -22,6 +22,7 @@
 		code                          refusal.Code
 	}{
 		{"body too large", "POST", "/v1/completions", "", `{"prompt":"` + strings.Repeat("x", bodyLimit) + `"}`, 413, refusal.BodyTooLarge},
+		{"head too large", "GET", "/v1/completions?" + strings.Repeat("x", 80<<10), "", ``, 431, refusal.HeadTooLarge},
 		{"malformed body", "POST", "/v1/completions", "", `{"model":`, 400, refusal.BadRequest},
 		{"wrong type", "POST", "/v1/completions", "", `{"model":"slot-query","prompt":7}`, 400, refusal.BadRequest},
 		{"missing fields", "POST", "/v1/chat/completions", "", `{}`, 400, refusal.BadRequest},
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -3,13 +3,13 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"time"
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clientconn"
 	"bergamotsill.example/bergamotsill/internal/jsonlog"
 	"bergamotsill.example/bergamotsill/internal/memory"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -29,22 +29,19 @@
 		return func() {}, http.StatusRequestEntityTooLarge
 	}
 	control := http.NewResponseController(w)
-	source, _, _ := net.SplitHostPort(r.RemoteAddr)
-	body := g.memory.NewBody(time.Now(), source, func() {
-		// Only the writers of tests do not support deadlines.
-		_ = control.SetReadDeadline(time.Now())
-	})
+	held := clientconn.RequestMemory(g.memory, w, r)
 	release := func() {
-		body.Release()
+		held.Release(memory.Bodies)
 		g.metrics.bodyBytes.Set(g.memory.Used(memory.Bodies))
 	}
+	// Only the writers of tests do not support deadlines.
 	_ = control.SetReadDeadline(c.deadline)
 	content := io.Reader(r.Body)
 	if limits.MaxBodyBytes > 0 {
 		content = http.MaxBytesReader(w, r.Body, limits.MaxBodyBytes)
 	}
-	data, err := readWithin(content, body, r.ContentLength)
-	inMemory := body.Finish()
+	data, err := readWithin(content, held, r.ContentLength)
+	inMemory := held.Finish()
 	g.metrics.bodyBytes.Set(g.memory.Used(memory.Bodies))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -68,7 +65,7 @@
 var errBodyMemory = errors.New("memory for request bodies is full")
 
 // readWithin reads a body of the given length, or of unknown length if that is negative, into memory that it reserves.
-func readWithin(r io.Reader, held *memory.Body, length int64) ([]byte, error) {
+func readWithin(r io.Reader, held *memory.Request, length int64) ([]byte, error) {
 	var data []byte
 	for {
 		if len(data) == cap(data) {
@@ -77,7 +74,7 @@
 				// One more byte shows the end of the body without growing the buffer again.
 				size = min(size, length+1)
 			}
-			if !held.Grow(time.Now(), size) {
+			if !held.Grow(time.Now(), memory.Bodies, size) {
 				return nil, errBodyMemory
 			}
 			data = append(make([]byte, 0, size), data...)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,7 @@
 	// idleTimeout bounds the idle time of a connection. It is longer than any idle time
 	// that operators guarantee to clients.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes is larger than the headers that operators allow clients to send.
+	// maxHeaderBytes is the limit of the servers for operators and the load balancer.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -112,11 +112,11 @@
 		retries:    newRetryLimits(s.Retries, time.Now(), s.FirstStart),
 		serviceEnd: newServiceEnd(), memory: memory.NewBudget(s.MemoryBytes),
 	}
-	g.clientConns, g.handoverConns = clientconn.New(g.memory), clientconn.New(g.memory)
-	g.clientConns.SetLimit(s.maxClientConns())
 	g.fleet.SpreadLoad(s.SpreadLoad)
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
+	g.clientConns, g.handoverConns = clientconn.New(g.memory, g.refuseHead), clientconn.New(g.memory, g.refuseHandoverHead)
+	g.clientConns.SetLimit(s.maxClientConns())
 	g.storeEra = &storeEra{log: g.log}
 	if source, ok := deps.Store.(port.EraSource); ok {
 		source.WatchEra(g.storeEra.observe)
@@ -126,6 +126,7 @@
 	g.config = &configFollower{log: g.log, store: deps.Store, codec: deps.Registry, apply: func(c *port.RouteConfig) {
 		g.fleet.SetServices(c.Services)
 		g.origins.setRoutes(time.Now(), c.Routes)
+		g.limitHeads(c.Limits)
 	}}
 	g.discovery = newDiscovery(g.log, deps.Store, deps.Registry, s.DrainNotice/discoveryDivisor, g.setRunners)
 	g.peers = &peers{
@@ -242,9 +243,9 @@
 // nothing and returns the error.
 func (g *Gateway) Start() error {
 	g.clientServer = g.newServer(http.HandlerFunc(g.serveClient))
-	g.clientServer.ConnState = g.clientConns.WatchState
+	g.clientConns.Attach(g.clientServer)
 	g.handoverServer = g.newServer(http.HandlerFunc(g.serveHandover))
-	g.handoverServer.ConnState = g.handoverConns.WatchState
+	g.handoverConns.Attach(g.handoverServer)
 	g.probeServer = g.newServer(g.probeHandler())
 	g.metricsServer = g.newServer(g.metricsHandler())
 	g.peerServer = peer.NewServer(g.recoverHandlers(g.peers.handlers()))
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -13,7 +13,7 @@
 
 // Classes of memory.
 const (
-	// Heads holds request heads beyond what each connection holds anyway.
+	// Heads holds request heads beyond FreeHeadBytes.
 	Heads Class = iota
 	// Bodies holds the bodies of requests.
 	Bodies
@@ -27,6 +27,7 @@
 // collected yet and for the runtime.
 const (
 	headShare          = 0.1
+	smallHeadShare     = 0.05
 	bodyShare          = 0.25
 	smallBodyShare     = 0.05
 	responseShare      = 0.25
@@ -37,7 +38,9 @@
 const (
 	// SmallBytes is the size up to which a buffer counts as small.
 	SmallBytes = 64 << 10
-	// stallTime is how long an unfinished body must have made no progress before it may be evicted. A sound client
+	// FreeHeadBytes is the cost of a request head up to which its memory counts as that of its connection.
+	FreeHeadBytes = 8 << 10
+	// stallTime is how long an unfinished request must have made no progress before it may be evicted. A sound client
 	// pauses that long only if several packets are lost.
 	stallTime = time.Second
 )
@@ -51,9 +54,11 @@
 	totalLimit int64
 	used       [classCount]int64
 	total      int64
-	// unfinished holds the bodies that are being read.
-	unfinished map[*Body]struct{}
-	// evicted counts the bodies that were evicted, refused the reservations that failed.
+	// unfinished holds the requests that are being read and occupy memory.
+	unfinished map[*Request]struct{}
+	// sources holds the bytes that the requests of each source occupy.
+	sources map[string]int64
+	// evicted counts the requests that were evicted, refused the reservations that failed.
 	evicted, refused int64
 }
 
@@ -65,15 +70,22 @@
 
 // NewBudget returns a budget for a process with the given memory in bytes; 0 means that nothing is limited.
 func NewBudget(memory int64) *Budget {
-	b := &Budget{unfinished: map[*Body]struct{}{}}
+	b := &Budget{unfinished: map[*Request]struct{}{}, sources: map[string]int64{}}
 	b.SetMemory(memory)
 	return b
 }
 
-// NewBodyBudget returns a budget that limits the bodies of requests to a number of bytes, and nothing else.
-func NewBodyBudget(bytes int64) *Budget {
+// headPart is the memory that the heads of requests may occupy in the budget of NewRequestBudget, as a part of that for
+// bodies.
+const headPart = 0.5
+
+// NewRequestBudget returns a budget that limits the bodies of requests to a number of bytes and their heads to half as much,
+// or to what one head of maxHeadBytes occupies if that is more. It limits nothing else.
+func NewRequestBudget(bodyBytes, maxHeadBytes int64) *Budget {
 	b := NewBudget(0)
-	b.limits[Bodies] = limits{large: bytes, small: bytes}
+	heads := max(int64(headPart*float64(bodyBytes)), MaxHeadCost(maxHeadBytes))
+	b.limits[Bodies] = limits{large: bodyBytes, small: bodyBytes}
+	b.limits[Heads] = limits{large: heads, small: heads}
 	return b
 }
 
@@ -87,7 +99,7 @@
 		}
 		return int64(share * float64(memory))
 	}
-	b.limits[Heads] = limits{large: part(headShare), small: part(headShare)}
+	b.limits[Heads] = limits{large: part(headShare), small: part(headShare + smallHeadShare)}
 	b.limits[Bodies] = limits{large: part(bodyShare), small: part(bodyShare + smallBodyShare)}
 	b.limits[Responses] = limits{large: part(responseShare), small: part(responseShare + smallResponseShare)}
 	b.totalLimit = part(totalShare)
@@ -111,22 +123,41 @@
 	return true
 }
 
-// missing returns how many bytes have to be released before n more fit, 0 or less if they do. b.mu must be held.
-func (b *Budget) missing(c Class, n int64, small bool) int64 {
-	limit := b.limits[c].large
+// mayFit reports whether n bytes fit if nothing else is held. b.mu must be held.
+func (b *Budget) mayFit(c Class, n int64, small bool) bool {
+	limit := b.limit(c, small)
+	return (limit == unlimited || n <= limit) && (b.totalLimit == unlimited || n <= b.totalLimit)
+}
+
+// limit returns the number of bytes that a class may occupy for a buffer that is small or not. b.mu must be held.
+func (b *Budget) limit(c Class, small bool) int64 {
 	if small {
-		limit = b.limits[c].small
+		return b.limits[c].small
 	}
-	var missing int64
-	if limit != unlimited {
-		missing = max(missing, b.used[c]+n-limit)
+	return b.limits[c].large
+}
+
+// missing returns how many bytes have to be released before n more fit, 0 or less if they do. b.mu must be held.
+func (b *Budget) missing(c Class, n int64, small bool) int64 {
+	if n <= 0 {
+		return 0
 	}
+	missing := b.missingInClass(c, n, small)
 	if b.totalLimit != unlimited {
 		missing = max(missing, b.total+n-b.totalLimit)
 	}
 	return missing
 }
 
+// missingInClass is missing without regard to what all classes occupy together. b.mu must be held.
+func (b *Budget) missingInClass(c Class, n int64, small bool) int64 {
+	limit := b.limit(c, small)
+	if limit == unlimited {
+		return 0
+	}
+	return max(0, b.used[c]+n-limit)
+}
+
 // Release returns bytes that were reserved.
 func (b *Budget) Release(c Class, n int64) {
 	b.mu.Lock()
@@ -151,7 +182,7 @@
 	Heads     int64 `json:"heads"`
 	Bodies    int64 `json:"bodies"`
 	Responses int64 `json:"responses"`
-	// Unfinished is the number of bodies that are being read.
+	// Unfinished is the number of requests that are being read and occupy memory.
 	Unfinished int   `json:"unfinished"`
 	Evicted    int64 `json:"evicted"`
 	Refused    int64 `json:"refused"`
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -17,23 +17,23 @@
 		r := rand.New(rand.NewPCG(seed, 2))
 		b := NewBudget(testMemory)
 		now := time.Unix(1, 0)
-		var bodies []*Body
+		var requests []*Request
 		reserved := [classCount][]int64{}
 		for range 5000 {
 			now = now.Add(time.Duration(r.IntN(100)) * time.Millisecond)
 			class := Class(r.IntN(int(classCount)))
 			switch r.IntN(5) {
 			case 0:
-				bodies = append(bodies, b.NewBody(now, fmt.Sprint(r.IntN(5)), func() {}))
+				requests = append(requests, b.NewRequest(fmt.Sprint(r.IntN(5)), func() {}))
 			case 1, 2:
-				if len(bodies) > 0 {
-					o := bodies[r.IntN(len(bodies))]
-					if o.Grow(now, o.held+r.Int64N(8<<20)) {
+				if len(requests) > 0 && class != Responses {
+					o := requests[r.IntN(len(requests))]
+					if o.Grow(now, class, max(0, o.held[class]+r.Int64N(8<<20)-r.Int64N(2<<20))) {
 						o.Progress(now)
 					}
 				}
 			case 3:
-				if n := r.Int64N(4 << 20); class != Bodies && b.Reserve(class, n, r.IntN(2) == 0) {
+				if n := r.Int64N(4 << 20); class == Responses && b.Reserve(class, n, r.IntN(2) == 0) {
 					reserved[class] = append(reserved[class], n)
 				}
 			case 4:
@@ -41,10 +41,11 @@
 					b.Release(class, reserved[class][n-1])
 					reserved[class] = reserved[class][:n-1]
 				}
-				if n := len(bodies); n > 0 && r.IntN(2) == 0 {
-					bodies[n-1].Finish()
-					bodies[n-1].Release()
-					bodies = bodies[:n-1]
+				if n := len(requests); n > 0 && r.IntN(2) == 0 {
+					requests[n-1].Finish()
+					requests[n-1].Release(Bodies)
+					requests[n-1].ReleaseAll()
+					requests = requests[:n-1]
 				}
 			}
 			for c := range classCount {
@@ -56,16 +57,16 @@
 				t.Fatalf("%d bytes are occupied", b.total)
 			}
 		}
-		for _, o := range bodies {
-			o.Release()
+		for _, o := range requests {
+			o.ReleaseAll()
 		}
 		for c, list := range reserved {
 			for _, n := range list {
 				b.Release(Class(c), n)
 			}
 		}
-		if b.total != 0 || len(b.unfinished) != 0 {
-			t.Errorf("%d bytes and %d bodies remain", b.total, len(b.unfinished))
+		if b.total != 0 || len(b.unfinished) != 0 || len(b.sources) != 0 {
+			t.Errorf("%d bytes, %d requests and the sources %v remain", b.total, len(b.unfinished), b.sources)
 		}
 	})
 }
@@ -76,9 +77,9 @@
 	b := NewBudget(testMemory)
 	now := time.Unix(1, 0)
 	evicted := map[string]int{}
-	newBody := func(source string, size int64) (*Body, bool) {
-		o := b.NewBody(now, source, func() { evicted[source]++ })
-		return o, o.Grow(now, size)
+	newBody := func(source string, size int64) (*Request, bool) {
+		o := b.NewRequest(source, func() { evicted[source]++ })
+		return o, o.Grow(now, Bodies, size)
 	}
 	single, _ := newBody("single", 1<<20)
 	for range 60 {
@@ -108,16 +109,69 @@
 	}
 }
 
+// Guards against a crowd of clients that keep sending slowly, so that their requests do not stall, and that occupy all memory
+// for heads or bodies; and against making the single clients pay.
+func TestCrowdThatSendsSlowlyGivesWay(t *testing.T) {
+	for _, class := range []Class{Heads, Bodies} {
+		b := NewBudget(testMemory)
+		now := time.Unix(1, 0)
+		evicted := map[string]int{}
+		newRequest := func(source string, size int64) (*Request, bool) {
+			r := b.NewRequest(source, func() { evicted[source]++ })
+			return r, r.Grow(now, class, size)
+		}
+		var crowd []*Request
+		for ok := true; ok; {
+			var r *Request
+			now = now.Add(time.Millisecond)
+			if r, ok = newRequest("crowd", 1<<20); ok {
+				crowd = append(crowd, r)
+			}
+		}
+		now = now.Add(stallTime / 2)
+		for i := range 3 {
+			if _, ok := newRequest(fmt.Sprint("single-", i), 1<<20); !ok {
+				t.Errorf("class %d: single client %d finds no memory beside a crowd", class, i)
+			}
+		}
+		if _, ok := newRequest("crowd", 1<<20); ok || evicted["crowd"] != 3 || len(evicted) != 1 {
+			t.Errorf("class %d: the crowd grew %t, evicted are %v", class, ok, evicted)
+		}
+		if crowd[0].Finish() || !crowd[len(crowd)-1].Finish() {
+			t.Errorf("class %d: the oldest request of the crowd was not evicted first", class)
+		}
+	}
+}
+
+// Guards against evicting others for a request that cannot fit, and against a request that cannot shrink because the memory
+// of the process was reduced.
+func TestRequestThatCannotFitEvictsNobody(t *testing.T) {
+	b := NewBudget(testMemory)
+	now := time.Unix(1, 0)
+	other := b.NewRequest("other", func() { t.Error("a request was evicted in vain") })
+	if !other.Grow(now, Bodies, 20<<20) {
+		t.Fatal("a request does not fit")
+	}
+	now = now.Add(2 * stallTime)
+	if b.NewRequest("too large", func() {}).Grow(now, Bodies, testMemory) {
+		t.Error("a request beyond the limit fits")
+	}
+	b.SetMemory(testMemory / 100)
+	if !other.Grow(now, Bodies, 19<<20) {
+		t.Error("a request cannot shrink")
+	}
+}
+
 func BenchmarkBody(b *testing.B) {
 	budget := NewBudget(testMemory)
 	now := time.Now()
 	interrupt := func() {}
 	b.ReportAllocs()
 	for b.Loop() {
-		o := budget.NewBody(now, "source", interrupt)
-		o.Grow(now, 4<<10)
+		o := budget.NewRequest("source", interrupt)
+		o.Grow(now, Bodies, 4<<10)
 		o.Progress(now)
 		o.Finish()
-		o.Release()
+		o.ReleaseAll()
 	}
 }
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -50,6 +50,7 @@
 const (
 	BadRequest       Code = "bad-request"
 	BodyTooLarge     Code = "body-too-large"
+	HeadTooLarge     Code = "head-too-large"
 	MethodNotAllowed Code = "method-not-allowed"
 	UnknownProfile   Code = "unknown-profile"
 	UnknownPath      Code = "unknown-path"
@@ -75,6 +76,7 @@
 var statuses = map[Code]int{
 	BadRequest:       http.StatusBadRequest,
 	BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	HeadTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	MethodNotAllowed: http.StatusMethodNotAllowed,
 	UnknownProfile:   http.StatusNotFound,
 	UnknownPath:      http.StatusNotFound,
--- a/internal/settings/range.go
+++ b/internal/settings/range.go
@@ -21,6 +21,7 @@
 // ranges maps the JSON path of every integer and duration setting to its range.
 var ranges = map[string]Range{
 	"limits.body_bytes":         {1 * kib, 64 * mib},
+	"limits.head_bytes":         {1 * kib, 256 * kib},
 	"limits.in_flight_bytes":    {4 * kib, 16 << 30},
 	"limits.caller_connections": {0, 1_000_000},
 	"limits.queue_requests":     {1, 100_000},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -109,9 +109,14 @@
 type Limits struct {
 	// BodyBytes is the maximum size in bytes of a caller's request body.
 	BodyBytes int64 `json:"body_bytes"`
+	// HeadBytes is the maximum size in bytes of the request line and the header of a caller's request. Up to 4096 bytes
+	// more may be accepted.
+	HeadBytes int64 `json:"head_bytes"`
 	// InFlightBytes is the maximum total size in bytes of the bodies of all queued and
 	// running requests. A body takes up to three times its size in memory: as received, as
-	// the decoded prompt and as sent to an engine.
+	// the decoded prompt and as sent to an engine. Beside them, large headers may occupy half as much, or what one
+	// header of head_bytes takes if that is more: each counts with 256 bytes a line and three times its size, beyond the
+	// first 8192 bytes of that.
 	InFlightBytes int64 `json:"in_flight_bytes"`
 	// CallerConnections is the maximum number of open connections of callers. Beyond it, connections that carry no
 	// request are closed for new ones. 0 means no limit.
@@ -184,6 +189,7 @@
 	return Settings{
 		Limits: Limits{
 			BodyBytes:         4 << 20,
+			HeadBytes:         64 << 10,
 			InFlightBytes:     12 << 20,
 			CallerConnections: 4000,
 			QueueRequests:     2000,
