Count the heads of responses by what they cost

A runner in trouble may send heads of very many short lines too. 32 KB of them, the limit of a response head, hold several hundred KB for each request that waits for the rest, and were not counted.

Response heads draw on the budget of the process for responses before they are parsed, beyond what each connection may hold, and until the response was read; a buffered response until the client has taken it. A head that does not fit fails the attempt like a body that does not fit; heads of ordinary size need no memory of the budget, so that the store and sound runners are not affected.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
+	"bergamotsill.example/bergamotsill/internal/memory"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -90,8 +91,13 @@
 	idle map[string][]*conn
 	// counts counts the open connections.
 	counts connCounts
+	// memory is the budget for response heads of many lines; nil if they are not limited.
+	memory *memory.Budget
 }
 
+// SetBudget lets response heads draw on the budget b. It must be called before the first request.
+func (c *Client) SetBudget(b *memory.Budget) { c.memory = b }
+
 // NewClient returns a client that opens connections through nw. If connectTimeout is
 // above 0, it bounds the opening of each connection.
 func NewClient(nw network.Network, connectTimeout time.Duration) *Client {
@@ -121,7 +127,7 @@
 // Do sends a request and reads the status line and headers of its response.
 // port.ErrNotSent means that no byte was written, port.ErrInvalidResponse that the
 // response is not valid HTTP or exceeds a limit, or that only responses to other requests
-// arrived. ctx also bounds the reading of the body. The caller must read the body to its
+// arrived, port.ErrResponseMemory that its head does not fit into the memory. ctx also bounds the reading of the body. The caller must read the body to its
 // end or close it.
 func (c *Client) Do(ctx context.Context, address string, r Request) (*Response, error) {
 	cn, err := c.connect(ctx, address, &r)
@@ -188,7 +194,7 @@
 		c.counts.remove(address)
 		return nil, err
 	}
-	bounded := &boundedConn{Conn: raw, remaining: -1}
+	bounded := &boundedConn{Conn: raw, remaining: -1, memory: c.memory}
 	return &conn{
 		boundedConn: bounded, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize),
 		closed: func() { c.counts.remove(address) },
@@ -325,7 +331,7 @@
 func (x *transfer) readHead() (*http.Response, error) {
 	request := &http.Request{Method: x.request.Method}
 	for range maxStrayResponses + 1 {
-		x.conn.limitReads(network.MaxHeadBytes)
+		x.conn.beginHead(network.MaxHeadBytes)
 		response, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
 			return nil, classifyReadError(err)
@@ -352,10 +358,13 @@
 	return nil, fmt.Errorf("%w: %w", port.ErrInvalidResponse, ErrTooManyResponses)
 }
 
-// classifyReadError returns err if the connection was lost, and otherwise wraps it in
+// classifyReadError returns err if the connection was lost or the memory is full, and otherwise wraps it in
 // port.ErrInvalidResponse.
 func classifyReadError(err error) error {
 	var network net.Error
+	if errors.Is(err, port.ErrResponseMemory) {
+		return err
+	}
 	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
 		return err
 	}
@@ -389,12 +398,14 @@
 func (x *transfer) abort() {
 	x.stopContextWatch()
 	x.conn.Close()
+	x.conn.releaseHead()
 }
 
 // finish ends a transfer whose body was read completely. The connection returns to the
 // pool if it is reusable and has no unread bytes, and is closed otherwise.
 func (x *transfer) finish(reusable bool, header http.Header) {
 	stopped := x.stopContextWatch()
+	x.conn.releaseHead()
 	if !reusable || !stopped || x.conn.reader.Buffered() > 0 {
 		x.conn.Close()
 		return
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,6 +48,7 @@
 	errCrashSuspect       = errors.New("request was in flight when several runners terminated")
 	errInterrupted        = errors.New("response of the runner ended early")
 	errStalled            = port.ErrSilent
+	errResponseMemory     = port.ErrResponseMemory
 )
 
 // call is one request of a client and the state of its attempts.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,8 @@
 	Handovers port.Handovers
 	// Duties is used only if the settings select duties.
 	Duties port.Duties
+	// Memory is the budget that clients of the external systems share with the gateway; nil for one of its own.
+	Memory *memory.Budget
 	Clock  port.Clock
 	Logger *zap.Logger
 }
@@ -110,11 +112,14 @@
 		deps: deps, metrics: newMetrics(), runners: deps.Runners,
 		fleet:      placement.NewFleet(s.DataCentre, s.Name),
 		retries:    newRetryLimits(s.Retries, time.Now(), s.FirstStart),
-		serviceEnd: newServiceEnd(), memory: memory.NewBudget(s.MemoryBytes),
+		serviceEnd: newServiceEnd(), memory: deps.Memory,
 	}
 	g.fleet.SpreadLoad(s.SpreadLoad)
 	g.settings.Store(&s)
 	g.log = deps.Logger.With(zap.String("daemon", s.Name), zap.String("data-centre", s.DataCentre))
+	if g.memory == nil {
+		g.memory = memory.NewBudget(s.MemoryBytes)
+	}
 	g.clientConns, g.handoverConns = clientconn.New(g.memory, g.refuseHead), clientconn.New(g.memory, g.refuseHandoverHead)
 	g.clientConns.SetLimit(s.maxClientConns())
 	g.storeEra = &storeEra{log: g.log}
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -82,6 +82,10 @@
 		MaxIdle:   c.maxConnectionIdle(),
 	})
 	var body []byte
+	if err == nil && !c.chargeResponseHead(response) {
+		_ = response.Body.Close()
+		err = errResponseMemory
+	}
 	if err == nil {
 		c.countUsage()
 		body, err = c.readResponse(response)
@@ -118,9 +122,6 @@
 	return 0
 }
 
-// errResponseMemory reports that buffered responses occupy all the memory allowed for them.
-var errResponseMemory = errors.New("memory for buffered responses is full")
-
 // readResponse reads and closes a whole response body. Its memory stays reserved until the call
 // ends. The error is errResponseMemory if the memory for responses is full, port.ErrInvalidResponse
 // if the body is longer than maxResponseBytes, and errInterrupted if it cannot be read to its end, or
@@ -165,6 +166,20 @@
 	return grown, true
 }
 
+// chargeResponseHead reserves the memory of a response's header, which stays in use until the client has taken the response,
+// beyond what each response may have. It returns false if the memory for responses is full.
+func (c *call) chargeResponseHead(r *port.ForwardResponse) bool {
+	cost := memory.HeaderCost(r.Header) - memory.FreeHeadBytes
+	if cost <= 0 {
+		return true
+	}
+	if !c.gateway.memory.Reserve(memory.Responses, cost, cost <= memory.SmallBytes) {
+		return false
+	}
+	c.responseBytes += cost
+	return true
+}
+
 // releaseMemory releases the memory reserved for the responses of the call.
 func (c *call) releaseMemory() {
 	c.gateway.memory.Release(memory.Responses, c.responseBytes)
--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -17,7 +17,7 @@
 	Heads Class = iota
 	// Bodies holds the bodies of requests.
 	Bodies
-	// Responses holds buffered responses.
+	// Responses holds buffered responses, and response heads beyond FreeHeadBytes.
 	Responses
 	classCount
 )
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -22,6 +22,8 @@
 	// ErrKVCacheUnavailable reports that the KV cache named by a request cannot be
 	// fetched. The request did not run.
 	ErrKVCacheUnavailable = errors.New("KV cache cannot be fetched")
+	// ErrResponseMemory reports that responses occupy all the memory allowed for them. The request may have run.
+	ErrResponseMemory = errors.New("memory for responses is full")
 	// ErrConnectionLimit reports that no further connection to a runner may be open. Nothing was sent.
 	ErrConnectionLimit = errors.New("connections to the runner are in use up to their limit")
 	// ErrDeclined reports that another daemon did not take a request. The request did not run there.
@@ -265,7 +267,7 @@
 }
 
 // Runners sends requests to runners. Its errors are ErrNotSent, ErrNotRun, ErrErrorStatus,
-// ErrWrongInstance, ErrKVCacheUnavailable and ErrInvalidResponse. After any other error
+// ErrWrongInstance, ErrKVCacheUnavailable, ErrInvalidResponse and ErrResponseMemory. After any other error
 // the request may have run.
 type Runners interface {
 	// Run sends a request once.
