Close connections whose bodies have stalled for new ones

All connections were in use, each byte was progress that renewed the time limit of its body, and a connection that carries a request never gave way to a new one.

A connection whose body has made no progress for a second gives way now, after all that carry no request. 512 bytes are progress, here and where memory is short; while neither is short, slow bodies are read as before. Requests that were read keep their connections.

--- a/internal/adapter/clientconn/conns.go
+++ b/internal/adapter/clientconn/conns.go
@@ -104,7 +104,7 @@
 	s.mu.Lock()
 	var victim *clientConn
 	if s.limit > 0 && len(s.open) >= s.limit {
-		if victim = s.victim(); victim == nil {
+		if victim = s.victim(time.Now()); victim == nil {
 			victim = conn
 		}
 		delete(s.open, victim)
@@ -125,20 +125,24 @@
 	return conn
 }
 
-// victim returns the connection that gives way to a new one: of those on which no whole request head has arrived, one that
-// never carried a request before one that did, and of these the one that waits for longest. It returns nil if all
-// connections carry a request. s.mu must be held.
-func (s *Conns) victim() *clientConn {
+// Order in which connections give way to new ones.
+const (
+	neverCarriedRequest = iota
+	awaitsNextRequest
+	bodyStalled
+	carriesRequest
+)
+
+// victim returns the connection that gives way to a new one: one that never carried a request before one that awaits the next
+// one or reads its head, and that before one on which a body has stalled; of these the one that waits for longest. It returns
+// nil if all connections carry requests that make progress or were read. s.mu must be held.
+func (s *Conns) victim(now time.Time) *clientConn {
 	var victim *clientConn
-	var used bool
-	var since time.Time
+	order, since := carriesRequest, time.Time{}
 	for c := range s.open {
-		inRequest, cUsed, cSince := c.state()
-		if inRequest {
-			continue
-		}
-		if victim == nil || used && !cUsed || used == cUsed && cSince.Before(since) {
-			victim, used, since = c, cUsed, cSince
+		cOrder, cSince := c.yieldOrder(now)
+		if cOrder < order || cOrder == order && victim != nil && cSince.Before(since) {
+			victim, order, since = c, cOrder, cSince
 		}
 	}
 	return victim
@@ -276,11 +280,20 @@
 	lingerOnce sync.Once
 }
 
-// state returns whether the connection carries a request, whether it has carried one, and since when it waits.
-func (c *clientConn) state() (inRequest, used bool, since time.Time) {
+// yieldOrder returns when the connection gives way to a new one, and since when it waits.
+func (c *clientConn) yieldOrder(now time.Time) (order int, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.inRequest, c.used, c.idleSince
+	switch {
+	case !c.inRequest && !c.used:
+		return neverCarriedRequest, c.idleSince
+	case !c.inRequest:
+		return awaitsNextRequest, c.idleSince
+	}
+	if stalled, since := c.memory.Stalled(now); stalled {
+		return bodyStalled, since
+	}
+	return carriesRequest, time.Time{}
 }
 
 // Read implements net.Conn. It closes a retired connection that awaits a request and has no unread
--- a/internal/adapter/clientconn/head.go
+++ b/internal/adapter/clientconn/head.go
@@ -69,7 +69,7 @@
 		return http.StatusServiceUnavailable
 	}
 	if c.charged {
-		c.memory.Progress(time.Now())
+		c.memory.Progress(time.Now(), len(b))
 	}
 	return 0
 }
--- a/internal/adapter/clientconn/head_test.go
+++ b/internal/adapter/clientconn/head_test.go
@@ -330,3 +330,45 @@
 		c.awaitRequest()
 	}
 }
+
+// Guards against clients whose bodies never end and that occupy all connections for good; and against closing connections whose
+// requests were read, or still make progress.
+func TestStalledBodyGivesWayToNewConnection(t *testing.T) {
+	entered, release := make(chan struct{}, 2), make(chan struct{})
+	var s *connServer
+	s = newLimitedServer(t, 64<<20, func(w http.ResponseWriter, r *http.Request) {
+		held := RequestMemory(s.conns.memory, w, r)
+		held.Grow(time.Now(), memory.Bodies, 1<<10)
+		if r.URL.Path == "/served" {
+			held.Finish()
+			entered <- struct{}{}
+			<-release
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || !held.Finish() {
+			panic(http.ErrAbortHandler)
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
+	s.conns.SetLimit(2)
+	served, servedReader := s.dial(t)
+	write(t, served, strings.Replace(wholeRequest, "/x", "/served", 1))
+	<-entered
+	stalled, stalledReader := s.dial(t)
+	write(t, stalled, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nx")
+	// The new connection is refused until the body has stalled.
+	for deadline := time.Now().Add(connTestLimit); ; time.Sleep(50 * time.Millisecond) {
+		c, r := s.dial(t)
+		write(t, c, wholeRequest)
+		if response, err := http.ReadResponse(r, nil); err == nil && response.StatusCode == http.StatusNoContent {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("a new connection is not served beside a stalled body")
+		}
+	}
+	if _, err := stalledReader.ReadByte(); err == nil {
+		t.Error("the stalled request was answered")
+	}
+	close(release)
+	wantAnswer(t, servedReader)
+}
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -121,7 +121,7 @@
 		n, err := body.Read(c.body[len(c.body):cap(c.body)])
 		c.body = c.body[:len(c.body)+n]
 		if n > 0 {
-			c.bodyMemory.Progress(time.Now())
+			c.bodyMemory.Progress(time.Now(), n)
 		}
 		var tooLarge *http.MaxBytesError
 		switch {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -82,7 +82,7 @@
 		n, err := r.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		if n > 0 {
-			held.Progress(time.Now())
+			held.Progress(time.Now(), n)
 		}
 		switch {
 		case err == io.EOF:
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -29,7 +29,7 @@
 				if len(requests) > 0 && class != Responses {
 					o := requests[r.IntN(len(requests))]
 					if o.Grow(now, class, max(0, o.held[class]+r.Int64N(8<<20)-r.Int64N(2<<20))) {
-						o.Progress(now)
+						o.Progress(now, progressBytes)
 					}
 				}
 			case 3:
@@ -143,6 +143,27 @@
 	}
 }
 
+// Guards against a client that holds memory for good by sending single bytes, and against one that sends more giving way to
+// others of its address.
+func TestSingleBytesAreNoProgress(t *testing.T) {
+	b := NewBudget(testMemory)
+	now := time.Unix(1, 0)
+	slow, sound := b.NewRequest("source", func() {}), b.NewRequest("source", func() {})
+	slow.Grow(now, Bodies, 12<<20)
+	sound.Grow(now, Bodies, 12<<20)
+	for range 20 {
+		now = now.Add(stallTime / 10)
+		slow.Progress(now, 1)
+		sound.Progress(now, 1<<10)
+	}
+	if stalled, since := slow.Stalled(now); !stalled || !since.Equal(time.Unix(1, 0)) {
+		t.Errorf("a client that sends single bytes has stalled %t since %v", stalled, since)
+	}
+	if !b.NewRequest("source", func() {}).Grow(now, Bodies, 5<<20) || !slow.Evicted() || !sound.Finish() {
+		t.Errorf("the client of single bytes gave way %t, the other one %t", slow.Evicted(), sound.Evicted())
+	}
+}
+
 // Guards against evicting others for a request that cannot fit, and against a request that cannot shrink because the memory
 // of the process was reduced.
 func TestRequestThatCannotFitEvictsNobody(t *testing.T) {
@@ -170,7 +191,7 @@
 	for b.Loop() {
 		o := budget.NewRequest("source", interrupt)
 		o.Grow(now, Bodies, 4<<10)
-		o.Progress(now)
+		o.Progress(now, progressBytes)
 		o.Finish()
 		o.ReleaseAll()
 	}
--- a/internal/memory/request.go
+++ b/internal/memory/request.go
@@ -51,8 +51,9 @@
 
 	// held is the number of reserved bytes by class. It is guarded by budget.mu, like progressAt.
 	held [classCount]int64
-	// progressAt is when bytes of the request last arrived.
-	progressAt time.Time
+	// progressAt is when the request last made progress, sinceProgress the number of bytes that have arrived since.
+	progressAt    time.Time
+	sinceProgress int64
 	// evicted is set with budget.mu held.
 	evicted atomic.Bool
 }
@@ -84,7 +85,7 @@
 	r.hold(c, n)
 	if _, reading := b.unfinished[r]; !reading {
 		b.unfinished[r] = struct{}{}
-		r.progressAt = now
+		r.progressAt, r.sinceProgress = now, 0
 	}
 	return true
 }
@@ -162,16 +163,30 @@
 	}
 }
 
-// Progress records that bytes of the request arrived.
-func (r *Request) Progress(now time.Time) {
+// progressBytes is the number of bytes that count as progress. Clients that send single bytes do not hold memory for good.
+const progressBytes = 512
+
+// Progress records that n bytes of the request arrived.
+func (r *Request) Progress(now time.Time, n int) {
 	r.budget.mu.Lock()
 	defer r.budget.mu.Unlock()
-	r.progressAt = now
+	if r.sinceProgress += int64(n); r.sinceProgress >= progressBytes {
+		r.progressAt, r.sinceProgress = now, 0
+	}
 }
 
 // stalled reports whether a request that is being read has made no progress for stallTime. budget.mu must be held.
 func (r *Request) stalled(now time.Time) bool { return now.Sub(r.progressAt) >= stallTime }
 
+// Stalled returns whether the request holds memory while it is being read and has made no progress for a second, and since
+// when.
+func (r *Request) Stalled(now time.Time) (stalled bool, since time.Time) {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	_, reading := r.budget.unfinished[r]
+	return reading && r.stalled(now), r.progressAt
+}
+
 // Evicted reports whether the request has given way.
 func (r *Request) Evicted() bool { return r.evicted.Load() }
 
