--- a/internal/crowdtest/clients.go
+++ b/internal/crowdtest/clients.go
@@ -219,9 +219,17 @@
 	}
 }
 
-// Answer sends a request on a new connection and returns the status of its response.
-func Answer(address string, request []byte) (status int, err error) {
-	c, err := net.Dial("tcp", address)
+// OtherSource is a loopback address from which a single client can send that is no part of a crowd.
+const OtherSource = "127.0.0.2"
+
+// Answer sends a request on a new connection from the loopback address source, or any if that is empty, and returns the status
+// of its response.
+func Answer(source, address string, request []byte) (status int, err error) {
+	dialer := net.Dialer{}
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	c, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/processtest/crowd_test.go
+++ b/internal/processtest/crowd_test.go
@@ -131,7 +131,7 @@
 	s := startCrowdDaemon(t)
 	const content = `{"model":"slot-query","prompt":"hello tokens=2","max_tokens":2}`
 	for name, request := range crowdRequests.LargestRequests(content) {
-		if status, err := crowdtest.Answer(s.addresses["anand-1"], request); status != http.StatusOK {
+		if status, err := crowdtest.Answer("", s.addresses["anand-1"], request); status != http.StatusOK {
 			t.Errorf("%s: status %d, error %v", name, status, err)
 		}
 	}
