Limit connections to runners as soon as the configuration is known

The numbers of connections that runners accept come with the configuration, but were divided among the daemons only when the list of runners or of daemons changed. A daemon that read the configuration after the runners had no limit until the next change: 200 connections to a runner that accepts 100, of 459 descriptors (counted by ss while the crowd was connected). Changed limits had no effect for as long.

The limits are divided when a configuration comes into force. TestConfigurationLimitsConnectionsToRunners failed before with no limit. 25 runs of the five crowds on kept connections: at most 345 descriptors, 85 of them to the runner.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,6 +130,7 @@
 	g.origins = newStreamOrigins(g.log, time.Now(), s.FirstStart)
 	g.config = &configFollower{log: g.log, store: deps.Store, codec: deps.Registry, apply: func(c *port.RouteConfig) {
 		g.fleet.SetServices(c.Services)
+		g.limitConnections()
 		g.origins.setRoutes(time.Now(), c.Routes)
 		g.limitHeads(c.Limits)
 	}}
