Ask all data centres for streams of routes with several services

A client that took up a stream in another data centre was refused although daemons of the data centre where it began knew its origin, if the route led to several services that had one version each, or had led to another service before.

Cause: the search for the origin stopped in the own data centre once the daemons there knew a single version of the service. Only then the caller found that the version does not tell the service of the stream, and refused.

Change: the search is told whether the service is known, and goes on to the other data centres if it is not.

Found while looking for further take-ups that are refused although a daemon knows the origin. TestStreamOfARouteWithSeveralServicesIsFoundInAnotherDataCentre failed before ("software version that began the stream is unknown") and passes now.

--- a/internal/gateway/take_up.go
+++ b/internal/gateway/take_up.go
@@ -51,11 +51,8 @@
 // findOrigin determines where the stream that the client takes up began. It returns errOriginUnknown if
 // nobody can tell, and errVersionGone if the route does not lead to that service any more.
 func (c *call) findOrigin(ctx context.Context) error {
-	origin, basis, scope := c.gateway.peers.findOrigin(ctx, c.request.TakesUp, c.service)
-	if basis == continuity.OnlyVersion && (len(c.route.Destinations) > 1 || c.gateway.origins.hasMoved(time.Now(), c.route)) {
-		// The service of the stream is unknown, too.
-		basis = continuity.Unknown
-	}
+	serviceKnown := len(c.route.Destinations) == 1 && !c.gateway.origins.hasMoved(time.Now(), c.route)
+	origin, basis, scope := c.gateway.peers.findOrigin(ctx, c.request.TakesUp, c.service, serviceKnown)
 	c.logStep("takes up %q after event %s: %s, %s (asked: %s)", c.request.TakesUp, c.lastEventID, origin, basis, scope)
 	c.gateway.metrics.takeUps.Add(string(basis), 1)
 	switch {
@@ -96,20 +93,28 @@
 }
 
 // findOrigin decides where the stream of a client attempt began, by what this daemon knows and, if that
-// does not tell, by what those know that were told, first in this data centre, then in the others. scope
-// names who was asked.
-func (p *peers) findOrigin(ctx context.Context, id, service string) (origin continuity.Origin, basis continuity.Basis, scope string) {
+// does not tell, by what those know that were told, first in this data centre, then in the others. The only
+// version of a service tells if the stream certainly began at the service, as serviceKnown says. scope names
+// who was asked.
+func (p *peers) findOrigin(ctx context.Context, id, service string, serviceKnown bool) (origin continuity.Origin, basis continuity.Basis, scope string) {
 	answers := []continuity.Answer{p.answerOrigin(id, service)}
 	if answers[0].Known {
 		return answers[0].Origin, continuity.Recorded, "nobody"
 	}
+	decide := func() (continuity.Origin, continuity.Basis) {
+		origin, basis := continuity.Decide(service, answers)
+		if basis == continuity.OnlyVersion && !serviceKnown {
+			return continuity.Origin{}, continuity.Unknown
+		}
+		return origin, basis
+	}
 	q := originQuestion{ID: id, Service: service}
 	answers = append(answers, askOrigin(ctx, p.originKeepers(id, true), q)...)
-	origin, basis = continuity.Decide(service, answers)
+	origin, basis = decide()
 	if basis == continuity.OnlyVersion && p.refreshSoon(ctx) {
 		// The stream may have begun at a version that has joined since the lists of these daemons were read.
 		answers = append(answers, p.answerOrigin(id, service))
-		if origin, basis = continuity.Decide(service, answers); basis == continuity.OnlyVersion {
+		if origin, basis = decide(); basis == continuity.OnlyVersion {
 			return origin, basis, "this data centre, and the registry"
 		}
 	}
@@ -118,7 +123,7 @@
 	}
 	remote := askOrigin(ctx, p.originKeepers(id, false), q)
 	answers = append(answers, remote...)
-	origin, basis = continuity.Decide(service, answers)
+	origin, basis = decide()
 	othersCurrent := slices.ContainsFunc(answers[1:], func(a continuity.Answer) bool { return a.Current })
 	if basis == continuity.OnlyVersion && !othersCurrent && p.cutOff(len(answers) > 1, len(remote) > 0) {
 		basis = continuity.Unknown
--- a/internal/gateway/take_up_test.go
+++ b/internal/gateway/take_up_test.go
@@ -98,7 +98,7 @@
 					p.links[name] = &peerLink{name: name, dataCentre: dataCentre, client: originPeer{o}}
 				}
 			}
-			if _, basis, _ := p.findOrigin(t.Context(), "elsewhere", "llm"); basis != c.want {
+			if _, basis, _ := p.findOrigin(t.Context(), "elsewhere", "llm", true); basis != c.want {
 				t.Errorf("the origin of an unknown stream is %s, want %s", basis, c.want)
 			}
 		})
@@ -139,7 +139,7 @@
 	}
 	// The report of the daemon that began the stream arrives late.
 	o.apply(time.Now(), []originReport{{ID: "1", Service: "llm", Version: "new"}})
-	if origin, basis, _ := p.findOrigin(t.Context(), "1", "llm"); origin.Version == "old" {
+	if origin, basis, _ := p.findOrigin(t.Context(), "1", "llm", true); origin.Version == "old" {
 		t.Errorf("the stream continues at %s (%s), although it began at version new", origin, basis)
 	}
 }
@@ -226,3 +226,26 @@
 		t.Errorf("a stream that began at service before continues at service %s version %s", c.service, c.version)
 	}
 }
+
+// Guards against a take-up that is refused because the daemons of its own data centre know one version of a
+// service, although a daemon of another data centre knows at which service of the route the stream began.
+func TestStreamOfARouteWithSeveralServicesIsFoundInAnotherDataCentre(t *testing.T) {
+	knowing := func() *streamOrigins {
+		o := newStreamOrigins(zap.NewNop(), time.Now(), true)
+		o.setRunners(time.Now(), []port.Runner{{ID: "a", Service: "one", Version: "1"}, {ID: "b", Service: "two", Version: "1"}})
+		return o
+	}
+	recording := knowing()
+	recording.begin(time.Now(), "1", continuity.Origin{Service: "two", Version: "1"}, true)
+	o := knowing()
+	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{
+		"x0": {name: "x0", dataCentre: "x", client: originPeer{knowing()}},
+		"y0": {name: "y0", dataCentre: "y", client: originPeer{recording}},
+	}, listIsCurrent: func() bool { return true }, refreshList: func(context.Context) bool { return true }}
+	g := &Gateway{log: zap.NewNop(), metrics: newMetrics(), origins: o, peers: p}
+	c := &call{gateway: g, route: &port.ForwardRoute{Repeat: port.RepeatStream, Destinations: []port.Destination{{Service: "one", Weight: 1}, {Service: "two", Weight: 1}}},
+		request: &port.ForwardRequest{ID: "2", TakesUp: "1", ResumeAfter: "3", Received: time.Now()}, service: "one"}
+	if err := c.findOrigin(t.Context()); err != nil || c.service != "two" {
+		t.Errorf("the stream continues at service %q, error %v, want service two", c.service, err)
+	}
+}
