Tell origins of streams to daemons that respond

A take-up could be refused while daemons ran that might have known the stream: its origin had been told to daemons only that were gone without notice, whose links stay.

Cause: the keepers of an origin were chosen among all known daemons. A message that fails is kept for the same daemon, and for no other one.

Change: daemons that do not respond are not chosen, unless none responds.

--- a/internal/gateway/take_up.go
+++ b/internal/gateway/take_up.go
@@ -207,18 +207,15 @@
 }
 
 // queueOrigins queues the origins of streams for the daemons that keep them: localKeepers of this data
-// centre, and as many of the others as make originKeepers. p.mu must be held.
+// centre, and as many of the others as make originKeepers. Daemons that do not respond are left out, unless
+// none does. p.mu must be held.
 func (p *peers) queueOrigins(reports []originReport) {
 	if len(reports) == 0 {
 		return
 	}
-	var local, remote []string
-	for _, l := range p.links {
-		if l.dataCentre == p.dataCentre {
-			local = append(local, l.name)
-		} else {
-			remote = append(remote, l.name)
-		}
+	local, remote := p.peerNames(func(l *peerLink) bool { return l.backoff == 0 })
+	if len(local)+len(remote) == 0 {
+		local, remote = p.peerNames(func(*peerLink) bool { return true })
 	}
 	for _, r := range reports {
 		keepers := rendezvous.Top(r.ID, local, localKeepers)
@@ -229,6 +226,21 @@
 	}
 }
 
+// peerNames returns the names of the peers for which use returns true, those of this data centre apart. p.mu
+// must be held.
+func (p *peers) peerNames(use func(*peerLink) bool) (local, remote []string) {
+	for _, l := range p.links {
+		switch {
+		case !use(l):
+		case l.dataCentre == p.dataCentre:
+			local = append(local, l.name)
+		default:
+			remote = append(remote, l.name)
+		}
+	}
+	return local, remote
+}
+
 // daemonCount returns the number of daemons, this one included.
 func (p *peers) daemonCount() int {
 	p.mu.Lock()
--- a/internal/gateway/take_up_test.go
+++ b/internal/gateway/take_up_test.go
@@ -249,3 +249,41 @@
 		t.Errorf("the stream continues at service %q, error %v, want service two", c.service, err)
 	}
 }
+
+// Guards against origins that are told only to daemons that are gone without notice.
+func TestOriginsAreToldToDaemonsThatRespond(t *testing.T) {
+	p := &peers{name: "d", dataCentre: "x", links: map[string]*peerLink{}}
+	for _, dataCentre := range []string{"x", "y"} {
+		for i := range 6 {
+			l := &peerLink{name: fmt.Sprint(dataCentre, i), dataCentre: dataCentre}
+			if i < 5 {
+				l.backoff = maxPeerBackoff
+			}
+			p.links[l.name] = l
+		}
+	}
+	const streams = 20
+	for i := range streams {
+		p.queueOrigins([]originReport{{ID: fmt.Sprint(i)}})
+	}
+	for _, name := range []string{"x5", "y5"} {
+		if n := len(p.links[name].pendingOrigins); n != streams {
+			t.Errorf("%s, which responds, is told of %d of %d streams", name, n, streams)
+		}
+	}
+	for _, l := range p.links {
+		l.backoff = maxPeerBackoff
+	}
+	told := 0
+	p.queueOrigins([]originReport{{ID: "last"}})
+	for _, l := range p.links {
+		for _, r := range l.pendingOrigins {
+			if r.ID == "last" {
+				told++
+			}
+		}
+	}
+	if told != originKeepers {
+		t.Errorf("while no daemon responds, %d daemons are to be told later, want %d", told, originKeepers)
+	}
+}
