--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -54,14 +54,12 @@
 	// confirmed is when the list was last known to be equal to the registry; nil before.
 	confirmed atomic.Pointer[time.Time]
 
-	// wanted holds a token while a read is to begin at once.
-	wanted chan struct{}
+	// refreshes are the calls of refresh that wait for a read.
+	refreshes *readRequests
 
 	// mu guards the fields below.
-	mu sync.Mutex
-	// refreshes are the calls of refresh that wait for a read.
-	refreshes []refreshWait
-	runners   map[string]*registration
+	mu      sync.Mutex
+	runners map[string]*registration
 	// tombstones holds the last entry of each removed runner, to reject late copies.
 	tombstones map[string]port.Runner
 	// unreadable holds the ids whose unreadable entry was already logged.
@@ -79,59 +77,15 @@
 func newDiscovery(log *zap.Logger, store port.KeyedLog, codec port.RegistryCodec, interval time.Duration, apply func([]port.Runner)) *discovery {
 	return &discovery{
 		log: log, store: store, codec: codec, interval: interval, apply: apply,
-		wanted:  make(chan struct{}, 1),
-		runners: map[string]*registration{}, tombstones: map[string]port.Runner{}, unreadable: map[string]bool{},
+		refreshes: newReadRequests(),
+		runners:   map[string]*registration{}, tombstones: map[string]port.Runner{}, unreadable: map[string]bool{},
 	}
 }
 
-// refreshWait is a call of refresh: done is closed after a read that began no earlier than since.
-type refreshWait struct {
-	since time.Time
-	done  chan struct{}
-}
-
 // refresh reads the registry at once and reports whether a read that began after the call was applied
 // before ctx is done. The list then holds each runner that another daemon used before the call, unless the
 // runner has left. Concurrent calls share a read.
-func (d *discovery) refresh(ctx context.Context) bool {
-	w := refreshWait{since: time.Now(), done: make(chan struct{})}
-	d.mu.Lock()
-	d.refreshes = append(d.refreshes, w)
-	d.mu.Unlock()
-	select {
-	case d.wanted <- struct{}{}:
-	default:
-	}
-	select {
-	case <-w.done:
-		return true
-	case <-ctx.Done():
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.refreshes = slices.DeleteFunc(d.refreshes, func(o refreshWait) bool { return o.done == w.done })
-	return false
-}
-
-// finishRefreshes ends the calls of refresh that were waiting when a read began that was applied now.
-func (d *discovery) finishRefreshes(began time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.refreshes = slices.DeleteFunc(d.refreshes, func(w refreshWait) bool {
-		if w.since.After(began) {
-			return false
-		}
-		close(w.done)
-		return true
-	})
-}
-
-// isRefreshing reports whether a call of refresh waits for a read.
-func (d *discovery) isRefreshing() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return len(d.refreshes) > 0
-}
+func (d *discovery) refresh(ctx context.Context) bool { return d.refreshes.await(ctx) == nil }
 
 // pause waits for an interval, or until a read is wanted.
 func (d *discovery) pause(ctx context.Context, interval time.Duration) {
@@ -139,7 +93,7 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-d.wanted:
+	case <-d.refreshes.wanted:
 	case <-timer.C:
 	}
 }
@@ -151,7 +105,7 @@
 	backoff := newStoreBackoff(d.log, "runners")
 	outage := false
 	for ctx.Err() == nil {
-		if d.loaded.Load() && d.relayFresh != nil && d.relayFresh() && !d.isRefreshing() {
+		if d.loaded.Load() && d.relayFresh != nil && d.relayFresh() && !d.refreshes.pending() {
 			d.pause(ctx, relayCheckInterval)
 			continue
 		}
@@ -166,7 +120,7 @@
 		changed := d.applyRead(time.Now(), read, outage)
 		outage = false
 		d.confirm(time.Now())
-		d.finishRefreshes(began)
+		d.refreshes.finish(began, nil)
 		if d.forward != nil {
 			d.forward(changed)
 		}
