Read stored origins for take-ups that no daemon can place

Callers were refused when all daemons that knew their stream had ended at once, while two software versions were in use, although other daemons ran and the store held the origin of the stream.

Cause: a daemon read the stored origins only when it started. Any loss that takes the daemon that began the stream and the three that it told leaves the store as the only place that knows.

Change: if nobody who responds knows a stream, the first responsive daemon of the data centre reads what is new in the store; concurrent take-ups share the read, and reads are 0.2 s apart, so that a crowd of take-ups or invented attempt ids do not load the store. A take-up waits 0.5 s for it at most, and is refused at once if the read fails. A slow read goes on and serves the client's next attempt. If the first daemon fails, the one that was asked reads. Stored histories of versions are not applied: the registry shows a running daemon more.

--- a/internal/gateway/crash_records_test.go
+++ b/internal/gateway/crash_records_test.go
@@ -20,12 +20,14 @@
 	mu      sync.Mutex
 	away    bool
 	writes  int
+	reads   int
 	records map[string][]byte
 }
 
 func (s *recordStore) Newest(context.Context, string) ([]port.KeyedRecord, port.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reads++
 	if s.away {
 		return nil, port.Position{}, port.ErrLogUnavailable
 	}
@@ -36,6 +38,11 @@
 	return out, port.Position{}, nil
 }
 
+// Follow has no records but the newest ones.
+func (s *recordStore) Follow(context.Context, string, port.Position, time.Duration) ([]port.KeyedRecord, port.Position, error) {
+	return nil, port.Position{}, port.ErrLogTruncated
+}
+
 func (s *recordStore) Put(_ context.Context, _ string, records []port.KeyedRecord) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -58,6 +65,12 @@
 	return s.writes, len(s.records)
 }
 
+func (s *recordStore) readCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads
+}
+
 func (s *recordStore) setAway(away bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -155,6 +155,7 @@
 	g.records.era = g.storeEra.current
 	g.originRecords = newOriginRecords(g.log, deps.Store, g.origins, func(service string) bool { return g.peers.trialOwner(crashes.Trait(service)) == nil }, s.FirstStart)
 	g.originRecords.era, g.originRecords.name, g.originRecords.daemons = g.storeEra.current, s.Name, g.peers.daemonCount
+	g.peers.readOrigins = g.originRecords.reads.await
 	g.discovery.relayFresh, g.discovery.forward = r.fresh, r.forward
 	g.config.relayFresh, g.config.onInstalled = r.fresh, r.forwardConfig
 	if source, ok := deps.Runners.(port.NoticeSource); ok {
@@ -261,6 +262,7 @@
 	for task, run := range map[string]func(context.Context){
 		"configuration": g.config.run, "discovery": g.discovery.run, "load sharing": g.peers.run, "membership": g.peers.runMembership,
 		"role planning": g.planner.run, "crash records": g.records.run, "origin records": g.originRecords.run,
+		"origin reads":     g.originRecords.runReads,
 		"reach of runners": g.reach.run,
 	} {
 		g.background(task, func(ctx context.Context) { g.supervise(ctx, task, run) })
--- a/internal/gateway/origin_records.go
+++ b/internal/gateway/origin_records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,9 @@
 	// maxBatch is the number of origins in one record. With ids of port.MaxAttemptIDBytes it stays below
 	// the size that the store allows for a record.
 	maxBatch = 1024
+	// originReadInterval is the shortest time between reads of the stored origins. New ones are not written
+	// more often.
+	originReadInterval = originRecordInterval
 	// maxClockError bounds the difference between the clocks of two VMs, of which one may have jumped.
 	maxClockError = 5 * time.Second
 
@@ -42,8 +46,9 @@
 
 // originRecords stores what a start after the end of all daemons has to know about the streams that
 // clients take up: the histories of services, written by one daemon each, and while a service has several
-// versions, the origins of streams, written by the daemons that began them. While the store is unavailable,
-// nothing but this memory is missing. It is used by one goroutine, apart from queue.
+// versions, the origins of streams, written by the daemons that began them. The origins are also read while
+// daemons run, for take-ups of streams that no other daemon knows any more. While the store is unavailable,
+// nothing but this memory is missing. It is used by one goroutine, apart from runReads and reads.
 type originRecords struct {
 	log     *zap.Logger
 	store   port.KeyedLog
@@ -67,12 +72,14 @@
 	batch     []originReport
 	slot      int
 	nextBatch time.Time
+	// reads are the take-ups that wait for a read of the stored origins.
+	reads *readRequests
 }
 
 func newOriginRecords(log *zap.Logger, store port.KeyedLog, origins *streamOrigins, owns func(string) bool, firstStart bool) *originRecords {
 	return &originRecords{
 		log: log, store: store, origins: origins, owns: owns, era: func() int64 { return 0 }, daemons: func() int { return 1 },
-		firstStart: firstStart, owned: map[string]bool{}, unwritten: map[string]continuity.Record{},
+		firstStart: firstStart, owned: map[string]bool{}, unwritten: map[string]continuity.Record{}, reads: newReadRequests(),
 	}
 }
 
@@ -102,6 +109,41 @@
 	}
 }
 
+// runReads reads the stored origins when a take-up waits for them, until ctx is done. A read that fails is
+// not repeated for the same take-ups: their clients are told at once.
+func (r *originRecords) runReads(ctx context.Context) {
+	f := topicFollower{store: r.store, topic: port.TopicOrigins}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.reads.wanted:
+		}
+		for ctx.Err() == nil && r.reads.pending() {
+			began := time.Now()
+			err := r.readOrigins(ctx, &f)
+			if err != nil {
+				r.log.Warn("origins of streams cannot be read for a take-up", zap.Error(err))
+			}
+			r.reads.finish(began, err)
+			clock.Sleep(ctx, originReadInterval)
+		}
+	}
+}
+
+// readOrigins applies the stored origins that f has not read yet. Histories are left out: the registry shows
+// a running daemon more.
+func (r *originRecords) readOrigins(ctx context.Context, f *topicFollower) error {
+	read, err := f.next(ctx)
+	if err != nil {
+		return err
+	}
+	r.restore(slices.DeleteFunc(read.records, func(record port.KeyedRecord) bool {
+		return !strings.HasPrefix(record.Key, originKeyPrefix)
+	}), time.Now())
+	return nil
+}
+
 // restore applies stored records. Records that cannot be decoded are logged and ignored.
 func (r *originRecords) restore(records []port.KeyedRecord, now time.Time) {
 	for _, record := range records {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -128,6 +128,8 @@
 	listIsCurrent func() bool
 	// refreshList reads the list of runners anew; see discovery.refresh.
 	refreshList func(ctx context.Context) bool
+	// readOrigins reads the stored origins of streams; see readRequests.await.
+	readOrigins func(ctx context.Context) error
 	storeEra    *storeEra
 	// runRecovered runs a function whose panic must not end the process.
 	runRecovered func(task string, f func()) bool
--- a/internal/gateway/take_up.go
+++ b/internal/gateway/take_up.go
@@ -28,6 +28,9 @@
 	maxListAge = 3 * time.Second
 	// originAskTimeout bounds a question about the origin of a stream. The client's request waits for it.
 	originAskTimeout = 150 * time.Millisecond
+	// storedOriginTimeout bounds the wait for a read of the stored origins. Beyond it the read goes on for the
+	// client's next attempt.
+	storedOriginTimeout = 500 * time.Millisecond
 )
 
 // Errors of streams that clients take up.
@@ -37,10 +40,11 @@
 )
 
 // originQuestion asks about the stream that began in the client attempt ID. Service is the one that the
-// request would go to.
+// request would go to. Stored is set if the stored origins are to be read before the answer.
 type originQuestion struct {
 	ID      string `json:"id"`
 	Service string `json:"service"`
+	Stored  bool   `json:"stored,omitempty"`
 }
 
 // takesUp reports whether the client has received events of the stream in an earlier attempt.
@@ -93,9 +97,9 @@
 }
 
 // findOrigin decides where the stream of a client attempt began, by what this daemon knows and, if that
-// does not tell, by what those know that were told, first in this data centre, then in the others. The only
-// version of a service tells if the stream certainly began at the service, as serviceKnown says. scope names
-// who was asked.
+// does not tell, by what those know that were told, first in this data centre, then in the others, and last
+// by what is stored. The only version of a service tells if the stream certainly began at the service, as
+// serviceKnown says. scope names who was asked.
 func (p *peers) findOrigin(ctx context.Context, id, service string, serviceKnown bool) (origin continuity.Origin, basis continuity.Basis, scope string) {
 	answers := []continuity.Answer{p.answerOrigin(id, service)}
 	if answers[0].Known {
@@ -128,7 +132,43 @@
 	if basis == continuity.OnlyVersion && !othersCurrent && p.cutOff(len(answers) > 1, len(remote) > 0) {
 		basis = continuity.Unknown
 	}
-	return origin, basis, "all data centres"
+	if basis != continuity.Unknown || id == "" {
+		return origin, basis, "all data centres"
+	}
+	if stored := p.askStored(ctx, q); stored.Known {
+		answers = append(answers, stored)
+		origin, basis = decide()
+	}
+	return origin, basis, "all data centres, and the store"
+}
+
+// askStored returns what is known about a stream once the stored origins were read, by the first responsive
+// daemon of this data centre for all of them.
+func (p *peers) askStored(ctx context.Context, q originQuestion) continuity.Answer {
+	ctx, cancel := context.WithTimeout(ctx, storedOriginTimeout)
+	defer cancel()
+	if l := p.originReader(); l != nil {
+		var a continuity.Answer
+		q.Stored = true
+		if err := l.client.Call(ctx, methodOrigin, q, &a); err == nil {
+			return a
+		}
+	}
+	// After an error this daemon concludes nothing, as without the read.
+	_ = p.readOrigins(ctx)
+	return p.answerOrigin(q.ID, q.Service)
+}
+
+// originReader returns the link to the daemon that reads the stored origins for this data centre, nil if it
+// is this one.
+func (p *peers) originReader() *peerLink {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	local, _ := p.peerNames(func(l *peerLink) bool { return l.backoff == 0 && l.name < p.name })
+	if len(local) == 0 {
+		return nil
+	}
+	return p.links[slices.Min(local)]
 }
 
 // refreshSoon reads the list of runners anew and reports whether that succeeded within originAskTimeout.
@@ -259,11 +299,19 @@
 	}
 }
 
-// handleOrigin answers the question of a peer.
-func (p *peers) handleOrigin(_ context.Context, params json.RawMessage) (any, error) {
+// handleOrigin answers the question of a peer. It returns an error if the stored origins are to be read and
+// cannot be; a read that takes long does not hold up the answer.
+func (p *peers) handleOrigin(ctx context.Context, params json.RawMessage) (any, error) {
 	var q originQuestion
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, err
 	}
+	if q.Stored {
+		ctx, cancel := context.WithTimeout(ctx, storedOriginTimeout-originAskTimeout)
+		defer cancel()
+		if err := p.readOrigins(ctx); err != nil && ctx.Err() == nil {
+			return nil, err
+		}
+	}
 	return p.answerOrigin(q.ID, q.Service), nil
 }
--- a/internal/gateway/take_up_test.go
+++ b/internal/gateway/take_up_test.go
@@ -42,17 +42,29 @@
 }
 
 // originPeer is a daemon that answers questions about origins, or none if it has no origins.
-type originPeer struct{ o *streamOrigins }
+type originPeer struct {
+	o *streamOrigins
+	// stored reads the stored origins; nil if there are none.
+	stored func() error
+}
 
 func (p originPeer) Call(_ context.Context, _ string, params, result any) error {
 	if p.o == nil {
 		return errors.New("no route to host")
 	}
 	q := params.(originQuestion)
+	if q.Stored && p.stored != nil {
+		if err := p.stored(); err != nil {
+			return err
+		}
+	}
 	*result.(*continuity.Answer) = p.o.answer(time.Now(), q.ID, q.Service)
 	return nil
 }
 
+// nothingStored is a read of the store that yields no origins.
+func nothingStored(context.Context) error { return nil }
+
 // Guards against daemons that are cut off or out of step and take a stale list, their own or each other's,
 // for proof that a service has one version, and against streams that cannot go on while the store is away for all daemons.
 func TestDaemonsCutOffTogetherDoNotGuess(t *testing.T) {
@@ -85,7 +97,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			p := &peers{name: "d", dataCentre: "x", origins: stale(), links: map[string]*peerLink{}, listIsCurrent: func() bool { return c.current }}
+			p := &peers{name: "d", dataCentre: "x", origins: stale(), links: map[string]*peerLink{}, listIsCurrent: func() bool { return c.current }, readOrigins: nothingStored}
 			p.refreshList = func(context.Context) bool {
 				if c.reads != nil {
 					c.reads(p.origins)
@@ -95,7 +107,7 @@
 			for dataCentre, daemons := range map[string][]*streamOrigins{"x": c.local, "y": c.remote} {
 				for i, o := range daemons {
 					name := fmt.Sprint(dataCentre, i)
-					p.links[name] = &peerLink{name: name, dataCentre: dataCentre, client: originPeer{o}}
+					p.links[name] = &peerLink{name: name, dataCentre: dataCentre, client: originPeer{o: o}}
 				}
 			}
 			if _, basis, _ := p.findOrigin(t.Context(), "elsewhere", "llm", true); basis != c.want {
@@ -130,7 +142,7 @@
 func TestOriginThatWasNotRecordedIsNotKept(t *testing.T) {
 	o := newStreamOrigins(zap.NewNop(), time.Now(), true)
 	o.setRunners(time.Now(), []port.Runner{{ID: "a", Service: "llm", Version: "old"}})
-	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{}, listIsCurrent: func() bool { return true }, refreshList: func(context.Context) bool { return true }}
+	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{}, listIsCurrent: func() bool { return true }, refreshList: func(context.Context) bool { return true }, readOrigins: nothingStored}
 	g := &Gateway{log: zap.NewNop(), metrics: newMetrics(), origins: o, peers: p}
 	c := &call{gateway: g, route: &port.ForwardRoute{Repeat: port.RepeatStream, Destinations: []port.Destination{{Service: "llm", Weight: 1}}},
 		request: &port.ForwardRequest{ID: "2", TakesUp: "1", ResumeAfter: "3", Received: time.Now()}, service: "llm"}
@@ -218,7 +230,7 @@
 	o.setRoutes(time.Now(), []port.ForwardRoute{routeTo("before")})
 	o.setRoutes(time.Now(), []port.ForwardRoute{routeTo("after")})
 	route := routeTo("after")
-	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{}, listIsCurrent: func() bool { return true }, refreshList: func(context.Context) bool { return true }}
+	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{}, listIsCurrent: func() bool { return true }, refreshList: func(context.Context) bool { return true }, readOrigins: nothingStored}
 	g := &Gateway{log: zap.NewNop(), metrics: newMetrics(), origins: o, peers: p}
 	c := &call{gateway: g, route: &route,
 		request: &port.ForwardRequest{ID: "2", TakesUp: "1", ResumeAfter: "3", Received: time.Now()}, service: "after"}
@@ -239,9 +251,9 @@
 	recording.begin(time.Now(), "1", continuity.Origin{Service: "two", Version: "1"}, true)
 	o := knowing()
 	p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{
-		"x0": {name: "x0", dataCentre: "x", client: originPeer{knowing()}},
-		"y0": {name: "y0", dataCentre: "y", client: originPeer{recording}},
-	}, listIsCurrent: func() bool { return true }, refreshList: func(context.Context) bool { return true }}
+		"x0": {name: "x0", dataCentre: "x", client: originPeer{o: knowing()}},
+		"y0": {name: "y0", dataCentre: "y", client: originPeer{o: recording}},
+	}, listIsCurrent: func() bool { return true }, refreshList: func(context.Context) bool { return true }, readOrigins: nothingStored}
 	g := &Gateway{log: zap.NewNop(), metrics: newMetrics(), origins: o, peers: p}
 	c := &call{gateway: g, route: &port.ForwardRoute{Repeat: port.RepeatStream, Destinations: []port.Destination{{Service: "one", Weight: 1}, {Service: "two", Weight: 1}}},
 		request: &port.ForwardRequest{ID: "2", TakesUp: "1", ResumeAfter: "3", Received: time.Now()}, service: "one"}
@@ -287,3 +299,88 @@
 		t.Errorf("while no daemon responds, %d daemons are to be told later, want %d", told, originKeepers)
 	}
 }
+
+// Guards against reads of the store for each of many take-ups, against take-ups that wait although the
+// store is known to be away, and against stored histories that change what a running daemon knows.
+func TestTakeUpsShareReadsOfTheStore(t *testing.T) {
+	for _, away := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			versions := []port.Runner{{ID: "a", Service: "llm", Version: "old"}, {ID: "b", Service: "llm", Version: "new"}}
+			o := newStreamOrigins(zap.NewNop(), time.Now(), true)
+			o.setRunners(time.Now(), versions)
+			batch, _ := json.Marshal(originBatch{WrittenMS: time.Now().UnixMilli(), Origins: []originReport{{ID: "1", Service: "llm", Version: "old"}}})
+			history, _ := json.Marshal(continuity.Record{Present: []string{"other"}})
+			store := &recordStore{away: away, records: map[string][]byte{originKeyPrefix + "d0/1": batch, historyKeyPrefix + "llm": history}}
+			r := newOriginRecords(zap.NewNop(), store, o, func(string) bool { return false }, true)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go r.runReads(ctx)
+			p := &peers{name: "d", dataCentre: "x", origins: o, links: map[string]*peerLink{}, listIsCurrent: func() bool { return true }, readOrigins: r.reads.await}
+			p.refreshList = func(context.Context) bool { return !away }
+			began := time.Now()
+			results := make(chan continuity.Basis)
+			const takeUps = 50
+			for i := range takeUps {
+				go func() {
+					_, basis, _ := p.findOrigin(ctx, fmt.Sprint(i), "llm", true)
+					results <- basis
+				}()
+			}
+			recorded := 0
+			for range takeUps {
+				if <-results == continuity.Recorded {
+					recorded++
+				}
+			}
+			if want := map[bool]int{false: 1, true: 0}[away]; recorded != want {
+				t.Errorf("away %t: %d streams are recorded, want %d", away, recorded, want)
+			}
+			if reads, took := store.readCount(), time.Since(began); reads > 2 || took > originReadInterval {
+				t.Errorf("away %t: %d take-ups cause %d reads and wait up to %s", away, takeUps, reads, took)
+			}
+			if a := o.answer(time.Now(), "", "llm"); len(a.Versions) != 2 {
+				t.Errorf("away %t: the service has versions %v after the read", away, a.Versions)
+			}
+		})
+	}
+}
+
+// Guards against every daemon of a data centre reading the stored origins, and against take-ups that fail
+// because the daemon that reads them for the others cannot.
+func TestOneDaemonReadsStoredOriginsForItsDataCentre(t *testing.T) {
+	for _, readerFails := range []bool{false, true} {
+		read := func(o *streamOrigins) {
+			o.apply(time.Now(), []originReport{{ID: "1", Service: "llm", Version: "old"}})
+		}
+		daemon := func() *streamOrigins {
+			o := newStreamOrigins(zap.NewNop(), time.Now(), true)
+			o.setRunners(time.Now(), []port.Runner{{ID: "a", Service: "llm", Version: "old"}, {ID: "b", Service: "llm", Version: "new"}})
+			return o
+		}
+		reader := daemon()
+		stored := func() error {
+			if readerFails {
+				return port.ErrLogUnavailable
+			}
+			read(reader)
+			return nil
+		}
+		ownReads := 0
+		p := &peers{name: "c", dataCentre: "x", origins: daemon(), listIsCurrent: func() bool { return true }, links: map[string]*peerLink{
+			"a": {name: "a", dataCentre: "x", client: originPeer{}, backoff: maxPeerBackoff},
+			"b": {name: "b", dataCentre: "x", client: originPeer{o: reader, stored: stored}},
+			"d": {name: "d", dataCentre: "x", client: originPeer{o: daemon()}},
+		}}
+		p.readOrigins = func(context.Context) error {
+			ownReads++
+			read(p.origins)
+			return nil
+		}
+		if _, basis, scope := p.findOrigin(t.Context(), "1", "llm", true); basis != continuity.Recorded {
+			t.Errorf("reader fails %t: the origin is %s, asked: %s", readerFails, basis, scope)
+		}
+		if want := map[bool]int{false: 0, true: 1}[readerFails]; ownReads != want {
+			t.Errorf("reader fails %t: %d own reads, want %d", readerFails, ownReads, want)
+		}
+	}
+}
