Keep the counts of usage in every data centre

In a fleet of more than eight daemons, the loss of a data centre lost what its organisations had used in the current window: its daemons had told their counts only to daemons of their own data centre. Nobody could report them, so that the report of the window was too low.

Cause: counts go to the daemons that exchange loads, which in a large fleet are in the same data centre.

Reports hold only the counts that have changed since the last one that the same process received; before, each held all counts of two windows.

Found by looking for further state that only one data centre holds.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,7 @@
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/rendezvous"
+	"bergamotsill.example/bergamotsill/internal/usage"
 )
 
 // Methods of the peer interface.
@@ -69,7 +70,9 @@
 	pendingCrashes []crashes.Report
 	pendingOrigins []originReport
 	// usageDue is set if the peer is to be told what this daemon has counted of the usage.
-	usageDue     bool
+	usageDue bool
+	// toldUsage holds the counts that the peer's process was told.
+	toldUsage    usage.Told
 	callInFlight bool
 	backoff      time.Duration
 	// nextSend is the earliest time of the next message to the peer.
@@ -205,7 +208,8 @@
 	unreached := p.reach.unreachedServices()
 	for _, l := range p.links {
 		watched := full && (l.cellPeer || l.probe)
-		l.usageDue = l.usageDue || full && l.cellPeer && p.usage != nil
+		// A peer of each other data centre is told, too, so that the counts outlive the loss of this one.
+		l.usageDue = l.usageDue || full && (l.cellPeer || l.relaysParts) && p.usage != nil
 		news := l.dataCentre == p.dataCentre && !slices.Equal(l.told, unreached)
 		due := !now.Before(l.nextSend) && (watched || news || l.previous != nil || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0 || len(l.pendingOrigins) > 0)
 		if due && !l.callInFlight {
@@ -251,7 +255,7 @@
 	m := loadMessage{From: p.name, Started: p.started, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Crashes: l.pendingCrashes, Origins: l.pendingOrigins, Unreached: p.reach.unreachedServices()}
 	m.UsedSlack, m.Previous = p.retries.usedSlack(time.Now()), l.previous
 	if l.usageDue {
-		m.Usage, l.usageDue = p.usage.recent(), false
+		m.Usage, l.usageDue = l.toldUsage.News(p.usage.recent()), false
 	}
 	for _, load := range l.pendingLoads {
 		m.Runners = append(m.Runners, load)
@@ -263,23 +267,26 @@
 	if !l.cellPeer {
 		l.nextSend = time.Now().Add(partsInterval)
 	}
+	// The peer's process, and with it toldUsage, may be another one when the call ends.
+	toldUsage := l.toldUsage
 	go p.runRecovered(methodLoad, func() {
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		err := l.client.Call(ctx, methodLoad, m, nil)
-		p.sendFinished(l, m, err)
+		p.sendFinished(l, m, toldUsage, err)
 	})
 }
 
 // sendFinished records the result of a message. Loads are not requeued after a failure, because
 // the next full report follows soon; crash reports and origins of streams are.
-func (p *peers) sendFinished(l *peerLink, m loadMessage, err error) {
+func (p *peers) sendFinished(l *peerLink, m loadMessage, toldUsage usage.Told, err error) {
 	p.recordCallResult(l, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.callInFlight = false
 	if err == nil {
 		l.told = m.Unreached
+		toldUsage.Add(m.Usage)
 	} else {
 		l.pendingCrashes = append(m.Crashes, l.pendingCrashes...)
 		l.pendingOrigins = append(m.Origins, l.pendingOrigins...)
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -170,6 +170,7 @@
 func (p *peers) noteSender(l *peerLink, m *loadMessage, now time.Time) {
 	if l.started != m.Started {
 		l.queueCrashReports(p.crashes.allReports(now))
+		l.toldUsage = usage.Told{}
 		if l.started != 0 {
 			l.previous = &previousSlack{Used: l.usedSlack, AgeMS: now.Sub(l.usedSlackAt).Milliseconds()}
 		}
--- a/internal/gateway/peers_members.go
+++ b/internal/gateway/peers_members.go
@@ -12,6 +12,7 @@
 	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
+	"bergamotsill.example/bergamotsill/internal/usage"
 )
 
 // runMembership announces this daemon and reads the registry of daemons periodically, and when the
@@ -109,7 +110,7 @@
 	}
 	p.links[name] = &peerLink{
 		peerProcess: process, name: name, address: entry.Address, dataCentre: entry.DataCentre, client: p.dial(entry.Address),
-		pendingLoads: map[string]runnerLoad{}, lastContact: time.Now(),
+		pendingLoads: map[string]runnerLoad{}, toldUsage: usage.Told{}, lastContact: time.Now(),
 	}
 	return true
 }
