Let tests of heads wait for the server, not only for its answer

Cause: races of the tests, not of the server. A client has its response before the server returns the memory of the request, so that the next head may truly find none. And a server that is slow to read the stalled head serves the other one first; then nothing makes the stalled one give way.

Change: the tests wait until all memory is returned, and until the stalled head is charged whole. Requests, bounds and expected answers are the same.

--- a/internal/adapter/clientconn/head_test.go
+++ b/internal/adapter/clientconn/head_test.go
@@ -51,6 +51,17 @@
 	}
 }
 
+// awaitCharged waits until the beginning of a head, which has no end, is charged whole.
+func (s *connServer) awaitCharged(t *testing.T, head string) {
+	t.Helper()
+	cost := memory.HeadCost(int64(len(head)), int64(strings.Count(head, "\n"))) - memory.FreeHeadBytes
+	for deadline := time.Now().Add(connTestLimit); s.conns.memory.Used(memory.Heads) < cost; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("heads count with %d bytes, want %d", s.conns.memory.Used(memory.Heads), cost)
+		}
+	}
+}
+
 func wantStatus(t *testing.T, r *bufio.Reader, status int) *http.Response {
 	t.Helper()
 	response, err := http.ReadResponse(r, nil)
@@ -140,6 +151,8 @@
 	close(release)
 	wantAnswer(t, r)
 	wantAnswer(t, ordinaryReader)
+	// A client has its response before the server returns the memory.
+	s.awaitReleased(t)
 	go func() { <-entered }()
 	again, againReader := s.dial(t)
 	write(t, again, shortLines(12<<10))
@@ -193,6 +206,8 @@
 			write(t, stalled, request)
 			if name == "body" {
 				<-reading
+			} else {
+				s.awaitCharged(t, request)
 			}
 			for deadline := time.Now().Add(connTestLimit); ; time.Sleep(50 * time.Millisecond) {
 				c, r := s.dial(t)
