Count the traffic between daemons and show configuration that is behind

Calls are counted by outcome, bytes by method, and both are logged while calls get no response; the metric config_lag and a log line show a configuration that is older than that of another daemon.

--- a/internal/adapter/exchange/bounded.go
+++ b/internal/adapter/exchange/bounded.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"net"
+	"sync/atomic"
 
 	"bergamotsill.example/bergamotsill/internal/memory"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -23,6 +24,8 @@
 	// remaining is the number of bytes that may still be read; negative for no limit.
 	remaining int64
 
+	// sent and received count the bytes of the connections of a client.
+	sent, received *atomic.Int64
 	// memory is nil if heads are not charged.
 	memory *memory.Budget
 	// inHead is set while a head is read. headBytes and headLines are its size so far, which may include the beginning of
@@ -43,13 +46,17 @@
 
 // Read implements net.Conn.
 func (c *boundedConn) Read(p []byte) (int, error) {
-	if c.remaining < 0 {
-		return c.Conn.Read(p)
-	}
 	if c.remaining == 0 {
 		return 0, errResponseTooLong
 	}
-	n, err := c.Conn.Read(p[:min(int64(len(p)), c.remaining)])
+	if c.remaining > 0 {
+		p = p[:min(int64(len(p)), c.remaining)]
+	}
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	if c.remaining < 0 {
+		return n, err
+	}
 	c.remaining -= int64(n)
 	if c.inHead && !c.chargeHead(p[:n]) {
 		return 0, port.ErrResponseMemory
@@ -57,6 +64,13 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *boundedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
 // chargeHead reserves memory for bytes of a head before they are parsed, and reports whether it was available.
 func (c *boundedConn) chargeHead(p []byte) bool {
 	c.headBytes += int64(len(p))
--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
@@ -93,8 +94,19 @@
 	counts connCounts
 	// memory is the budget for response heads of many lines; nil if they are not limited.
 	memory *memory.Budget
+	// sent and received count the bytes of all connections.
+	sent, received atomic.Int64
 }
 
+// Bytes counts the bytes that a client has sent and received.
+type Bytes struct {
+	Sent     int64 `json:"sent_bytes"`
+	Received int64 `json:"received_bytes"`
+}
+
+// Bytes returns the bytes of all connections since the start, without those of the transport.
+func (c *Client) Bytes() Bytes { return Bytes{Sent: c.sent.Load(), Received: c.received.Load()} }
+
 // SetBudget lets response heads draw on the budget b. It must be called before the first request.
 func (c *Client) SetBudget(b *memory.Budget) { c.memory = b }
 
@@ -194,7 +206,7 @@
 		c.counts.remove(address)
 		return nil, err
 	}
-	bounded := &boundedConn{Conn: raw, remaining: -1, memory: c.memory}
+	bounded := &boundedConn{Conn: raw, remaining: -1, memory: c.memory, sent: &c.sent, received: &c.received}
 	return &conn{
 		boundedConn: bounded, address: address, reader: bufio.NewReaderSize(bounded, readBufferSize),
 		closed: func() { c.counts.remove(address) },
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -26,14 +26,18 @@
 // concurrent use.
 type Dialer struct {
 	network network.Network
+	traffic *Traffic
 
 	mu      sync.Mutex
 	clients map[string]*Client
 }
 
 // NewDialer returns a Dialer that opens connections through nw.
-func NewDialer(nw network.Network) *Dialer {
-	return &Dialer{network: nw, clients: map[string]*Client{}}
+func NewDialer(nw network.Network) *Dialer { return NewCountingDialer(nw, nil) }
+
+// NewCountingDialer returns a Dialer whose calls are counted in t, which may be nil.
+func NewCountingDialer(nw network.Network, t *Traffic) *Dialer {
+	return &Dialer{network: nw, traffic: t, clients: map[string]*Client{}}
 }
 
 // Dial returns the client of the daemon at address. It has the signature of
@@ -43,7 +47,7 @@
 	defer d.mu.Unlock()
 	c, ok := d.clients[address]
 	if !ok {
-		c = &Client{address: address, network: d.network, dialSlot: make(chan struct{}, 1)}
+		c = &Client{address: address, network: d.network, traffic: d.traffic, dialSlot: make(chan struct{}, 1)}
 		d.clients[address] = c
 	}
 	return c
@@ -62,6 +66,7 @@
 type Client struct {
 	address string
 	network network.Network
+	traffic *Traffic
 	// dialSlot holds a token while a connection is opened. It is a channel rather than
 	// a mutex, so that a call that waits for it returns when its context is done.
 	dialSlot chan struct{}
@@ -79,9 +84,11 @@
 	defer cancel()
 	conn, err := c.connect(ctx)
 	if err != nil {
+		c.traffic.countCall(err, false)
 		return trace.Wrap(err)
 	}
 	err = conn.Call(ctx, method, params, result)
+	c.traffic.countCall(err, true)
 	var rpcErr *jsonrpc2.Error
 	if err != nil && !errors.As(err, &rpcErr) {
 		c.reset(conn)
@@ -108,7 +115,8 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := newConn(raw, rejectCalls)
+	c.traffic.countOpened()
+	conn := newConn(raw, rejectCalls, c.traffic)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = conn
@@ -137,19 +145,26 @@
 	if c.conn == nil || (conn != nil && c.conn != conn) {
 		return
 	}
+	c.traffic.countGivenUp()
 	// The connection is no longer used, so its close error is irrelevant.
 	_ = c.conn.Close()
 	c.conn = nil
 }
 
 // newConn starts jsonrpc2 on a connection. Incoming calls are passed to handle, each in a
-// separate goroutine.
-func newConn(raw net.Conn, handle handlerFunc) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewPlainObjectStream(newBufferedConn(raw))
+// separate goroutine. The connection is counted in t, which may be nil.
+func newConn(raw net.Conn, handle handlerFunc, t *Traffic) *jsonrpc2.Conn {
+	var conn net.Conn = newBufferedConn(raw)
+	var options []jsonrpc2.ConnOpt
+	if t != nil {
+		counted := &countedConn{Conn: conn, traffic: t}
+		conn, options = counted, append(options, jsonrpc2.OnSend(counted.noteKind))
+	}
+	stream := jsonrpc2.NewPlainObjectStream(conn)
 	handler := jsonrpc2.HandlerWithError(handle).SuppressErrClosed()
 	// Without this the library logs responses that arrive after their call was cancelled.
-	noLog := jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
-	return jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(handler), noLog)
+	options = append(options, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
+	return jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.AsyncHandler(handler), options...)
 }
 
 // handlerFunc handles an incoming call.
@@ -167,14 +182,18 @@
 // Server serves calls from peers and operators.
 type Server struct {
 	handlers map[string]port.PeerHandler
+	traffic  *Traffic
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]struct{}
 }
 
 // NewServer returns a Server whose handlers are keyed by method name.
-func NewServer(handlers map[string]port.PeerHandler) *Server {
-	return &Server{handlers: handlers, conns: map[*jsonrpc2.Conn]struct{}{}}
+func NewServer(handlers map[string]port.PeerHandler) *Server { return NewCountingServer(handlers, nil) }
+
+// NewCountingServer returns a Server whose connections are counted in t, which may be nil.
+func NewCountingServer(handlers map[string]port.PeerHandler, t *Traffic) *Server {
+	return &Server{handlers: handlers, traffic: t, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
 // acceptRetryDelay is the delay before a server tries again to accept a connection after
@@ -194,7 +213,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		conn := newConn(raw, s.handle)
+		conn := newConn(raw, s.handle, s.traffic)
 		s.track(conn)
 	}
 }
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -37,6 +37,8 @@
 	relayFresh func() bool
 	// onInstalled is called after a version came into force; it may be nil.
 	onInstalled func()
+	// lag follows newer versions that this daemon was told of.
+	lag configLag
 	// table holds the version in force, nil before the first one.
 	table atomic.Pointer[routeTable]
 
@@ -94,9 +96,10 @@
 	c.apply(config)
 	table := newRouteTable(config)
 	c.table.Store(table)
+	behind, failed := c.lag.installed(config.Version)
 	c.log.Info("configuration in force", zap.Int64("config-version", config.Version),
 		zap.Int64("previous-version", previous), zap.String("source", source), zap.Int("routes", len(config.Routes)),
-		zap.Int("organisations", len(config.Organisations)))
+		zap.Int("organisations", len(config.Organisations)), zap.Duration("behind", behind), zap.Int("failed-reads", failed))
 	if len(table.findings) > 0 {
 		c.log.Error("organisations of the configuration are in conflict", zap.Int64("config-version", config.Version), zap.Strings("findings", table.findings))
 	}
@@ -123,6 +126,7 @@
 		}
 		read, err := f.next(ctx)
 		if err != nil {
+			c.lag.readFailed(err)
 			backoff.failed(ctx, err)
 			continue
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"gopkg.in/tomb.v2"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/clientconn"
+	"bergamotsill.example/bergamotsill/internal/adapter/exchange"
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 	"bergamotsill.example/bergamotsill/internal/crashes"
@@ -44,6 +45,10 @@
 	Requests port.RequestCodec
 	Runners  port.Runners
 	Peers    port.PeerDialer
+	// PeerTraffic counts what is exchanged with the daemons that Peers connects to; nil if nobody counts it.
+	PeerTraffic *peer.Traffic
+	// ClientTraffic holds the counts of bytes of the clients of the external systems, by system; nil if nobody counts them.
+	ClientTraffic map[string]func() exchange.Bytes
 	// Handovers is nil if requests are not handed to other daemons.
 	Handovers port.Handovers
 	// Duties is used only if the settings select duties.
@@ -142,7 +147,7 @@
 		refreshList:      g.discovery.refresh,
 		onDaemonsChanged: g.setDaemons, onRegistryRead: g.retries.share.RegistryRead,
 		links:        map[string]*peerLink{},
-		runRecovered: g.runRecovered,
+		runRecovered: g.runRecovered, traffic: deps.PeerTraffic,
 	}
 	r := &registryRelay{
 		peers: g.peers, discovery: g.discovery, config: g.config, callInFlight: map[string]bool{}, unsentChanges: map[string][]relayRecord{},
@@ -255,7 +260,7 @@
 	g.handoverConns.Attach(g.handoverServer)
 	g.probeServer = g.newServer(g.probeHandler())
 	g.metricsServer = g.newServer(g.metricsHandler())
-	g.peerServer = peer.NewServer(g.recoverHandlers(g.peers.handlers()))
+	g.peerServer = peer.NewCountingServer(g.recoverHandlers(g.peers.handlers()), g.deps.PeerTraffic)
 	if err := g.listen(); err != nil {
 		return err
 	}
@@ -349,6 +354,8 @@
 		vars.Set("memory", expvar.Func(func() any { return g.memory.Status() }))
 		vars.Set("client_connections", expvar.Func(func() any { return g.clientConns.Status() }))
 		vars.Set("config_version", expvar.Func(func() any { return g.config.version() }))
+		vars.Set("config_lag", expvar.Func(func() any { return g.config.lag.status() }))
+		vars.Set("traffic", expvar.Func(g.traffic))
 		vars.Set("runners", expvar.Func(func() any { return g.fleet.Size() }))
 		vars.Set("daemons", expvar.Func(func() any { return g.peers.daemonCount() }))
 		vars.Set("known_stream_origins", expvar.Func(func() any { return g.origins.size() }))
@@ -368,6 +375,18 @@
 	return mux
 }
 
+// traffic returns the bytes exchanged with other daemons and external systems, and the calls to other daemons.
+func (g *Gateway) traffic() any {
+	out := map[string]any{}
+	if g.deps.PeerTraffic != nil {
+		out["daemons"] = g.deps.PeerTraffic.Status()
+	}
+	for system, count := range g.deps.ClientTraffic {
+		out[system] = count()
+	}
+	return out
+}
+
 // Ready reports whether the daemon should receive new connections: it is not stopping and has a
 // configuration and at least one runner.
 func (g *Gateway) Ready() bool {
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -167,7 +167,7 @@
 		return true
 	}
 	if note.ConfigFrom != "" {
-		g.peers.fetchConfig(note.ConfigFrom)
+		g.peers.learnOfConfig(note.From, note.ConfigFrom, note.ConfigVersion)
 	}
 	return false
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/peer"
 	"bergamotsill.example/bergamotsill/internal/crashes"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -134,6 +135,10 @@
 	// readOrigins reads the stored origins of streams; see readRequests.await.
 	readOrigins func(ctx context.Context) error
 	storeEra    *storeEra
+	// traffic counts the calls to the peers; nil if nobody counts them. reported is what was logged of it, at reportedAt.
+	traffic    *peer.Traffic
+	reported   peer.TrafficStatus
+	reportedAt time.Time
 	// runRecovered runs a function whose panic must not end the process.
 	runRecovered func(task string, f func()) bool
 	// onDaemonsChanged is called with all daemons when the set of daemons changes.
@@ -163,6 +168,7 @@
 			return
 		case now := <-ticker.C:
 			p.sendChanges(ctx, now)
+			p.reportTraffic(now)
 		}
 	}
 }
@@ -339,9 +345,7 @@
 	p.applyLoads(time.Now(), &m)
 	p.crashes.applyReports(time.Now(), m.Crashes)
 	p.origins.apply(time.Now(), m.Origins)
-	if m.Config > p.config.version() {
-		p.fetchConfig(m.Address)
-	}
+	p.learnOfConfig(m.From, m.Address, m.Config)
 	return nil, nil
 }
 
@@ -370,6 +374,13 @@
 	p.onDaemonsChanged(daemons)
 }
 
+// learnOfConfig fetches the configuration of a peer if its version is newer than the one in force here.
+func (p *peers) learnOfConfig(from, address string, version int64) {
+	if p.config.lag.heard(p.log, from, version, p.config.version()) {
+		p.fetchConfig(address)
+	}
+}
+
 // fetchConfig fetches and installs the configuration of a peer in the background. It does nothing
 // if another fetch is running.
 func (p *peers) fetchConfig(address string) {
@@ -391,6 +402,7 @@
 		var value []byte
 		err := p.dial(address).Call(ctx, methodConfig, struct{}{}, &value)
 		if err != nil {
+			p.config.lag.readFailed(err)
 			p.log.Warn("fetching the configuration from a daemon failed", zap.String("peer-address", address), zap.Error(err))
 		} else if len(value) > 0 {
 			p.config.install(value, "peer")
--- a/internal/gateway/receivers.go
+++ b/internal/gateway/receivers.go
@@ -108,9 +108,7 @@
 		ctx, end := context.WithCancel(context.Background())
 		r.present[l.name] = presence{ctx: ctx, end: end}
 	}
-	if w.Config > r.peers.config.version() {
-		r.peers.fetchConfig(l.address)
-	}
+	r.peers.learnOfConfig(l.name, l.address, w.Config)
 }
 
 // presenceOf returns a context that is cancelled when a daemon does not answer any more.
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -197,9 +197,7 @@
 			}
 		}
 	}
-	if m.Config > r.config.version() {
-		r.peers.fetchConfig(m.Address)
-	}
+	r.peers.learnOfConfig(m.From, m.Address, m.Config)
 	sameList := r.discovery.digest() == m.Runners
 	if sameList && !m.ConfigOnly {
 		r.discovery.confirm(time.Now())
