Report a completion with a prompt part to all daemons once for a crash

Each daemon that heard of a lost request told all daemons of each of its parts with which a request had completed since. For a part that most requests have in common these were as many reports as losses times daemons times peers. A daemon now remembers the last completion that all daemons were told of, by it or by another one, and says nothing if that is later than the crash.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -53,6 +53,8 @@
 	evidence *crashes.Evidence
 	// unsentReports holds the reports that were not sent to peers yet.
 	unsentReports []crashes.Report
+	// told holds the last completion of each trait that all daemons were told of, by this one or by another.
+	told map[crashes.Trait]time.Time
 	// changed holds the traits whose block has changed or ended since takeChanged.
 	changed map[crashes.Trait]bool
 	// pendingLosses holds connections that were lost while a request was executing. They count
@@ -84,7 +86,7 @@
 }
 
 func newCrashGuard(log *zap.Logger) *crashGuard {
-	return &crashGuard{log: log, evidence: crashes.NewEvidence(), changed: map[crashes.Trait]bool{}}
+	return &crashGuard{log: log, evidence: crashes.NewEvidence(), changed: map[crashes.Trait]bool{}, told: map[crashes.Trait]time.Time{}}
 }
 
 // decide returns how a request is handled and, unless it is allowed, because of which trait.
@@ -207,6 +209,7 @@
 		g.changed[t] = true
 		g.log.Info("trait is no suspect: a runner answered a request with it", zap.String("trait", string(t)))
 		g.unsentReports = append(g.unsentReports, crashes.CompletionReport(t, now, now))
+		g.noteTold(t, now)
 	}
 }
 
@@ -234,6 +237,31 @@
 	return out
 }
 
+// maxTold bounds the traits whose last reported completion is remembered. Without it a completion may be reported once more.
+const maxTold = 4096
+
+// noteTold records that all daemons were told of the completion of a trait. g.mu must be held.
+func (g *crashGuard) noteTold(t crashes.Trait, at time.Time) {
+	if len(g.told) >= maxTold {
+		clear(g.told)
+	}
+	if at.After(g.told[t]) {
+		g.told[t] = at
+	}
+}
+
+// reportCompletion reports to all peers that a request with a trait completed, unless they were told of a completion after
+// the crash. Each daemon hears of each loss, so that without this the reports on a part that most requests have in common
+// would multiply. g.mu must be held.
+func (g *crashGuard) reportCompletion(t crashes.Trait, crashed, now time.Time) {
+	if g.told[t].After(crashed) {
+		return
+	}
+	last := g.evidence.LastCompletion(t)
+	g.unsentReports = append(g.unsentReports, crashes.CompletionReport(t, last, now))
+	g.noteTold(t, last)
+}
+
 // applyReports applies the reports of a peer. It reports to all peers that a request with a trait
 // completed, if this daemon has seen that since the crash.
 func (g *crashGuard) applyReports(now time.Time, reports []crashes.Report) {
@@ -248,14 +276,16 @@
 			for _, t := range g.evidence.Complete([]crashes.Trait{r.Trait}, r.At(now), now) {
 				g.changed[t], cleared = true, true
 			}
+			g.noteTold(r.Trait, r.At(now))
 			continue
 		case r.Crashes > 0:
 			g.merge(r.Block(now), now)
 			continue
 		}
-		loss, completed, ok := g.evidence.Accept(r.Loss(now))
+		reported := r.Loss(now)
+		loss, completed, ok := g.evidence.Accept(reported)
 		for _, t := range completed {
-			g.unsentReports = append(g.unsentReports, crashes.CompletionReport(t, g.evidence.LastCompletion(t), now))
+			g.reportCompletion(t, reported.At, now)
 		}
 		if ok {
 			losses = append(losses, loss)
@@ -275,7 +305,7 @@
 	case changed:
 		g.logBlock("requests are blocked because a peer or an earlier process observed crashes", b)
 	case sound:
-		g.unsentReports = append(g.unsentReports, crashes.CompletionReport(b.Trait, g.evidence.LastCompletion(b.Trait), now))
+		g.reportCompletion(b.Trait, b.LastCrash, now)
 	}
 }
 
