Keep the connection to a daemon when one response is late

A call that reached its time limit closed the connection on which its response and those of other calls were on the way; they counted as failures, too, and the next call needed a handshake. A short question about a stream (0.15 s) ended the exchange of loads in this way. The connection now stays open. It is replaced if a new one opens before anything is received on it: on a slow path the handshake ends after the response, on a permanently unresponsive connection it does not.

--- a/internal/adapter/peer/conn.go
+++ b/internal/adapter/peer/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +28,8 @@
 	net.Conn
 	// wakeWriter holds a token while the write loop has something to do.
 	wakeWriter chan struct{}
+	// receivedAt is when data was read last, in Unix nanoseconds; 0 before.
+	receivedAt atomic.Int64
 
 	mu sync.Mutex
 	// pending is the queued data. It is guarded by mu, like the fields below.
@@ -42,6 +45,18 @@
 	return c
 }
 
+// Read implements net.Conn.
+func (c *bufferedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.receivedAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// receivedSince reports whether data was read at or after t.
+func (c *bufferedConn) receivedSince(t time.Time) bool { return c.receivedAt.Load() >= t.UnixNano() }
+
 // Write queues p. It returns net.ErrClosed when the connection is closed, and errSlowPeer
 // when the queue would exceed maxPendingBytes.
 func (c *bufferedConn) Write(p []byte) (int, error) {
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -71,14 +71,22 @@
 	// a mutex, so that a call that waits for it returns when its context is done.
 	dialSlot chan struct{}
 
-	// mu guards conn, which is nil before the first call and after a failure.
-	mu   sync.Mutex
-	conn *jsonrpc2.Conn
+	// mu guards conn, which is nil before the first call and after a failure, and replacing, which is set while it is
+	// found out whether conn has to be replaced.
+	mu        sync.Mutex
+	conn      *clientConn
+	replacing bool
 }
 
-// Call implements port.Peer. After a failure other than an error response it closes the
-// connection, so that the next call opens a new one: the connection may be open but
-// permanently unresponsive.
+// clientConn is an open connection of a Client.
+type clientConn struct {
+	*jsonrpc2.Conn
+	raw *bufferedConn
+}
+
+// Call implements port.Peer. If the connection fails, the next call opens a new one. A call that gets no response in
+// time leaves the connection open, on which other responses may be on their way, unless it turns out to be
+// permanently unresponsive; see replaceIfSilent.
 func (c *Client) Call(ctx context.Context, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -87,10 +95,15 @@
 		c.traffic.countCall(err, false)
 		return trace.Wrap(err)
 	}
+	began := time.Now()
 	err = conn.Call(ctx, method, params, result)
 	c.traffic.countCall(err, true)
 	var rpcErr *jsonrpc2.Error
-	if err != nil && !errors.As(err, &rpcErr) {
+	switch {
+	case err == nil || errors.As(err, &rpcErr) || errors.Is(err, context.Canceled):
+	case errors.Is(err, context.DeadlineExceeded):
+		c.replaceIfSilent(conn, began)
+	default:
 		c.reset(conn)
 	}
 	return trace.Wrap(err)
@@ -98,7 +111,7 @@
 
 // connect returns the open connection, or opens one. Only one call opens a connection at
 // a time.
-func (c *Client) connect(ctx context.Context) (*jsonrpc2.Conn, error) {
+func (c *Client) connect(ctx context.Context) (*clientConn, error) {
 	if conn := c.current(); conn != nil {
 		return conn, nil
 	}
@@ -115,16 +128,55 @@
 	if err != nil {
 		return nil, err
 	}
-	c.traffic.countOpened()
-	conn := newConn(raw, rejectCalls, c.traffic)
+	conn := c.open(raw)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conn = conn
 	return conn, nil
 }
 
+func (c *Client) open(raw net.Conn) *clientConn {
+	c.traffic.countOpened()
+	buffered := newBufferedConn(raw)
+	return &clientConn{Conn: newConn(buffered, rejectCalls, c.traffic), raw: buffered}
+}
+
+// replaceTimeout bounds the opening of a connection that may replace an unresponsive one.
+const replaceTimeout = 2 * time.Second
+
+// replaceIfSilent replaces a connection on which nothing was received since a call began that got no response. The
+// connection may be permanently unresponsive, or the path to the peer slow. In the latter case a handshake that begins now
+// ends after the response has arrived, so that the connection is replaced only if a new one opens before anything is received on it.
+func (c *Client) replaceIfSilent(conn *clientConn, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != conn || c.replacing || conn.raw.receivedSince(since) {
+		return
+	}
+	c.replacing = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), replaceTimeout)
+		defer cancel()
+		raw, err := c.network.DialContext(ctx, "tcp", c.address)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.replacing = false
+		if err != nil {
+			return
+		}
+		if c.conn != conn || conn.raw.receivedSince(since) {
+			// The close error of an unused connection is irrelevant.
+			_ = raw.Close()
+			return
+		}
+		c.conn = c.open(raw)
+		c.traffic.countGivenUp()
+		_ = conn.Close()
+	}()
+}
+
 // current returns the connection if it is open, or nil.
-func (c *Client) current() *jsonrpc2.Conn {
+func (c *Client) current() *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn == nil {
@@ -139,7 +191,7 @@
 }
 
 // reset closes the current connection if it is conn or conn is nil.
-func (c *Client) reset(conn *jsonrpc2.Conn) {
+func (c *Client) reset(conn *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn == nil || (conn != nil && c.conn != conn) {
@@ -153,8 +205,8 @@
 
 // newConn starts jsonrpc2 on a connection. Incoming calls are passed to handle, each in a
 // separate goroutine. The connection is counted in t, which may be nil.
-func newConn(raw net.Conn, handle handlerFunc, t *Traffic) *jsonrpc2.Conn {
-	var conn net.Conn = newBufferedConn(raw)
+func newConn(raw *bufferedConn, handle handlerFunc, t *Traffic) *jsonrpc2.Conn {
+	var conn net.Conn = raw
 	var options []jsonrpc2.ConnOpt
 	if t != nil {
 		counted := &countedConn{Conn: conn, traffic: t}
@@ -213,7 +265,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		conn := newConn(raw, s.handle, s.traffic)
+		conn := newConn(newBufferedConn(raw), s.handle, s.traffic)
 		s.track(conn)
 	}
 }
