Send daemons that do not respond less, not the same again

Callers of a few daemons with links of 10 Mbit/s were served seconds late, by a configuration up to 28 s old, for as long as load lasted: their links were full of messages to other daemons, all of which reached their time limit and were sent again. Crash reports stayed queued for each peer, up to 25 kB a message; the pause after a late call ended with the next message from the peer; the forwarding of the registry kept no pause; and every call had 0.7 s, however slow the path. A daemon that does not respond now gets messages without news until it does, and a message holds at most 32 crash reports and 64 origins of streams. Messages of the peer do not end the pause, unless its process is new. All calls keep the pause. The limit of a call doubles, up to 4 s, and follows the time that responses take (package patience). Notices of leaving runners, request limits, the used retries of an earlier process and the ages of reports outlive a call without a response; they were lost, or told as if they were new. A daemon that reaches no other one does not take itself for the first of its data centre while it hears them.

--- a/internal/gateway/crash_parts_test.go
+++ b/internal/gateway/crash_parts_test.go
@@ -170,8 +170,10 @@
 		receiveLoad(t, g, loadMessage{From: "e", Address: "10.0.0.7:1", DataCentre: "north", Started: c.started})
 		link := g.peers.links["e"]
 		peer := newCrashGuard(zap.NewNop())
-		peer.applyReports(now, link.pendingCrashes)
-		link.pendingCrashes = nil
+		var m loadMessage
+		n := link.takeNews(now)
+		n.addTo(&m)
+		peer.applyReports(now, m.Crashes)
 		if got := peer.blocked(traitsWith(100, "deadly"), now); got != c.learns {
 			t.Errorf("process started at %d: it learns of the crashes: %t, want %t", c.started, got, c.learns)
 		}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -11,7 +11,7 @@
 	"go.uber.org/zap"
 
 	"bergamotsill.example/bergamotsill/internal/adapter/peer"
-	"bergamotsill.example/bergamotsill/internal/crashes"
+	"bergamotsill.example/bergamotsill/internal/patience"
 	"bergamotsill.example/bergamotsill/internal/placement"
 	"bergamotsill.example/bergamotsill/internal/port"
 	"bergamotsill.example/bergamotsill/internal/rendezvous"
@@ -37,10 +37,6 @@
 	// unresponsiveAfter is the time without contact to any daemon of a data centre after which
 	// the connection to it counts as lost: two heartbeats and a slow response.
 	unresponsiveAfter = 800 * time.Millisecond
-	// peerTimeout bounds a call to a peer.
-	peerTimeout = 700 * time.Millisecond
-	// maxPeerBackoff bounds the delay between calls to an unresponsive peer.
-	maxPeerBackoff = time.Second
 	// membershipInterval is how often the registry of daemons is read. A new daemon announces
 	// itself with its first message, so the read only covers lost messages.
 	membershipInterval = 30 * time.Second
@@ -68,18 +64,20 @@
 	previous *previousSlack
 	// pendingLoads holds the newest load of each runner that was not sent to the peer yet.
 	pendingLoads   map[string]runnerLoad
-	pendingCrashes []crashes.Report
-	pendingOrigins []originReport
+	pendingCrashes []queuedCrash
+	pendingOrigins []queuedOrigin
 	// usageDue is set if the peer is to be told what this daemon has counted of the usage.
 	usageDue bool
 	// toldUsage holds the counts that the peer's process was told.
 	toldUsage    usage.Told
 	callInFlight bool
-	backoff      time.Duration
+	// backoff is the pause after the last call to the peer, 0 if it got a response. limit is that of callLimit.
+	backoff time.Duration
+	limit   *patience.Limit
 	// nextSend is the earliest time of the next message to the peer.
 	nextSend time.Time
-	// lastContact is when the peer last responded or called.
-	lastContact time.Time
+	// lastContact is when the peer last responded or called, heardAt when it last called.
+	lastContact, heardAt time.Time
 	// unreached holds the services whose runners the peer does not reach, told what it was last told of
 	// this daemon.
 	unreached, told []string
@@ -242,6 +240,9 @@
 	defer p.mu.Unlock()
 	for _, l := range p.links {
 		switch {
+		case !l.responds():
+			// The loads and parts would be old when they arrive.
+			l.queueLoads(noticesOnly(changes))
 		case l.cellPeer:
 			l.queueLoads(changes)
 		case l.dataCentre == p.dataCentre:
@@ -250,72 +251,44 @@
 			// The peer forwards the parts within its data centre.
 			l.queueLoads(newParts)
 		}
-		l.queueCrashReports(crashes)
+		l.queueCrashReports(now, crashes)
 	}
-	p.queueOrigins(origins)
+	p.queueOrigins(now, origins)
 	return full
 }
 
-// send sends the pending loads and crash reports to a peer. p.mu must be held.
+// send sends queued news to a peer. p.mu must be held.
 func (p *peers) send(ctx context.Context, l *peerLink) {
-	m := loadMessage{From: p.name, Started: p.started, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Crashes: l.pendingCrashes, Origins: l.pendingOrigins, Unreached: p.reach.unreachedServices()}
-	m.UsedSlack, m.Previous = p.retries.usedSlack(time.Now()), l.previous
-	if l.usageDue {
+	now := time.Now()
+	m := loadMessage{From: p.name, Started: p.started, DataCentre: p.dataCentre, Address: p.address, Config: p.config.version(), Unreached: p.reach.unreachedServices()}
+	m.UsedSlack = p.retries.usedSlack(now)
+	n := l.takeNews(now)
+	n.addTo(&m)
+	if l.usageDue && l.responds() {
 		m.Usage, l.usageDue = l.toldUsage.News(p.usage.recent()), false
 	}
-	for _, load := range l.pendingLoads {
-		m.Runners = append(m.Runners, load)
-	}
-	l.pendingLoads = map[string]runnerLoad{}
-	l.pendingCrashes, l.pendingOrigins = nil, nil
-	l.previous = nil
 	l.callInFlight = true
 	if !l.cellPeer {
-		l.nextSend = time.Now().Add(partsInterval)
+		l.nextSend = now.Add(partsInterval)
 	}
 	// The peer's process, and with it toldUsage, may be another one when the call ends.
 	toldUsage := l.toldUsage
+	limit := l.callLimit().Current()
 	go p.runRecovered(methodLoad, func() {
-		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
 		err := l.client.Call(ctx, methodLoad, m, nil)
-		p.sendFinished(l, m, toldUsage, err)
-	})
-}
-
-// sendFinished records the result of a message. Loads are not requeued after a failure, because
-// the next full report follows soon; crash reports and origins of streams are.
-func (p *peers) sendFinished(l *peerLink, m loadMessage, toldUsage usage.Told, err error) {
-	p.recordCallResult(l, err)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	l.callInFlight = false
-	if err == nil {
+		p.recordCallResult(l, err, time.Since(now))
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		l.callInFlight = false
+		if err != nil {
+			l.requeue(&n, time.Now())
+			return
+		}
 		l.told = m.Unreached
 		toldUsage.Add(m.Usage)
-	} else {
-		l.pendingCrashes = append(m.Crashes, l.pendingCrashes...)
-		l.pendingOrigins = append(m.Origins, l.pendingOrigins...)
-	}
-}
-
-// recordCallResult records whether a peer responded to a call.
-func (p *peers) recordCallResult(l *peerLink, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if err == nil {
-		if l.backoff > 0 {
-			p.log.Info("daemon responds again", zap.String("peer", l.name))
-		}
-		l.backoff = 0
-		l.lastContact = time.Now()
-		return
-	}
-	if l.backoff == 0 {
-		p.log.Warn("daemon does not respond", zap.String("peer", l.name), zap.String("peer-address", l.address), zap.Error(err))
-	}
-	l.backoff = min(maxPeerBackoff, max(loadInterval, 2*l.backoff))
-	l.nextSend = time.Now().Add(l.backoff)
+	})
 }
 
 // handlers returns the methods that peers may call.
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -169,7 +169,8 @@
 // be held.
 func (p *peers) noteSender(l *peerLink, m *loadMessage, now time.Time) {
 	if l.started != m.Started {
-		l.queueCrashReports(p.crashes.allReports(now))
+		l.queueCrashReports(now, p.crashes.allReports(now))
+		l.endPause()
 		l.toldUsage = usage.Told{}
 		if l.started != 0 {
 			l.previous = &previousSlack{Used: l.usedSlack, AgeMS: now.Sub(l.usedSlackAt).Milliseconds()}
@@ -182,8 +183,14 @@
 
 // queueCrashReports queues crash reports and drops the oldest ones beyond maxPendingCrashReports.
 // peers.mu must be held.
-func (l *peerLink) queueCrashReports(crashes []crashes.Report) {
-	l.pendingCrashes = append(l.pendingCrashes, crashes...)
+func (l *peerLink) queueCrashReports(now time.Time, reports []crashes.Report) {
+	for _, r := range reports {
+		l.pendingCrashes = append(l.pendingCrashes, queuedCrash{Report: r, queuedAt: now})
+	}
+	l.trimCrashes()
+}
+
+func (l *peerLink) trimCrashes() {
 	if extra := len(l.pendingCrashes) - maxPendingCrashReports; extra > 0 {
 		l.pendingCrashes = l.pendingCrashes[extra:]
 	}
@@ -217,8 +224,10 @@
 		return
 	}
 	for _, l := range p.links {
-		if l.dataCentre == p.dataCentre {
+		if l.dataCentre == p.dataCentre && l.responds() {
 			l.queueLoads(messages)
+		} else if l.dataCentre == p.dataCentre {
+			l.queueLoads(noticesOnly(messages))
 		}
 	}
 }
--- a/internal/gateway/peers_members.go
+++ b/internal/gateway/peers_members.go
@@ -69,7 +69,7 @@
 
 // addPeers adds peers and updates changed addresses. Peers that start together are added in one
 // call, because each change reassigns cell peers and engines of all daemons. With contacted set,
-// the time of the last contact is set to now and the backoff of the peers is reset.
+// the time of the last contact is set to now.
 func (p *peers) addPeers(entries map[string]daemonEntry, contacted bool) {
 	var added []zap.Field
 	var daemons []placement.Daemon
@@ -80,7 +80,7 @@
 		}
 		if l := p.links[name]; contacted {
 			l.lastContact = time.Now()
-			l.backoff = 0
+			l.heardAt = l.lastContact
 		}
 	}
 	if len(added) > 0 {
--- a/internal/gateway/peers_reach.go
+++ b/internal/gateway/peers_reach.go
@@ -25,7 +25,7 @@
 	heard := 1.0
 	probes, responsive, unmonitored := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, l := range p.links {
-		responds := l.backoff == 0
+		responds := l.responds()
 		monitored := l.cellPeer || l.probe
 		if monitored {
 			responds = responds && now.Sub(l.lastContact) < unresponsiveAfter
--- a/internal/gateway/receivers.go
+++ b/internal/gateway/receivers.go
@@ -62,7 +62,7 @@
 	var daemons []handover.Daemon
 	r.peers.mu.Lock()
 	for _, l := range r.peers.links {
-		if l.backoff == 0 {
+		if l.responds() {
 			links[l.name] = l
 			daemons = append(daemons, handover.Daemon{Name: l.name, DataCentre: l.dataCentre})
 		}
@@ -90,8 +90,9 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var w handover.Status
+	began := time.Now()
 	err := l.client.Call(ctx, methodReach, reachQuestion{Services: services}, &w)
-	r.peers.recordCallResult(l, err)
+	r.peers.recordCallResult(l, err, time.Since(began))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.asked, l.name)
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -80,12 +80,12 @@
 	return r.stateMatches && time.Since(r.lastReceived) < r.maxAge
 }
 
-// position returns the position of this daemon, by name and from 0, among the responsive daemons
-// of its data centre. local holds the links to the others. peers.mu must be held.
+// position returns the position of this daemon, by name and from 0, among the running daemons
+// of its data centre. A daemon that reaches no other one is not the first for that. local holds the links to the others. peers.mu must be held.
 func (r *registryRelay) position(local []*peerLink) int {
-	position := 0
+	position, now := 0, time.Now()
 	for _, l := range local {
-		if l.name < r.peers.name && l.backoff == 0 {
+		if l.name < r.peers.name && l.runs(now) {
 			position++
 		}
 	}
@@ -152,7 +152,14 @@
 // send sends a message to one daemon. If a call to it is still in flight, the changes are kept
 // for the next message.
 func (r *registryRelay) send(l *peerLink, m registryMessage, records []relayRecord) {
+	limit, ok := r.peers.mayCall(l)
 	r.mu.Lock()
+	if !ok {
+		// A daemon that missed changes detects that its state differs and reads the store itself.
+		delete(r.unsentChanges, l.name)
+		r.mu.Unlock()
+		return
+	}
 	m.Changes = append(slices.Clone(r.unsentChanges[l.name]), records...)
 	delete(r.unsentChanges, l.name)
 	if r.callInFlight[l.name] {
@@ -163,16 +170,15 @@
 	r.callInFlight[l.name] = true
 	r.mu.Unlock()
 	go r.peers.runRecovered(methodRegistry, func() {
-		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
+		began := time.Now()
 		err := l.client.Call(ctx, methodRegistry, m, nil)
-		r.peers.recordCallResult(l, err)
+		r.peers.recordCallResult(l, err, time.Since(began))
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		delete(r.callInFlight, l.name)
 		if err != nil {
-			// A daemon that missed changes detects that its state differs and reads the store
-			// itself.
 			delete(r.unsentChanges, l.name)
 		}
 	})
@@ -184,6 +190,7 @@
 	if err := json.Unmarshal(params, &m); err != nil {
 		return nil, err
 	}
+	r.peers.heard(m.From)
 	r.peers.storeEra.observe(m.Era)
 	changes := make([]port.KeyedRecord, 0, len(m.Changes))
 	for _, c := range m.Changes {
--- a/internal/gateway/slow_link_test.go
+++ b/internal/gateway/slow_link_test.go
@@ -291,7 +291,7 @@
 	}
 	paused := func() bool { return g.peers.links["e"].backoff > 0 }
 	receive(1)
-	g.peers.recordCallResult(g.peers.links["e"], context.DeadlineExceeded)
+	g.peers.recordCallResult(g.peers.links["e"], context.DeadlineExceeded, peerTimeout)
 	if receive(1); !paused() {
 		t.Error("a message of the peer ends the pause")
 	}
--- a/internal/gateway/take_up.go
+++ b/internal/gateway/take_up.go
@@ -164,7 +164,7 @@
 func (p *peers) originReader() *peerLink {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	local, _ := p.peerNames(func(l *peerLink) bool { return l.backoff == 0 && l.name < p.name })
+	local, _ := p.peerNames(func(l *peerLink) bool { return l.responds() && l.name < p.name })
 	if len(local) == 0 {
 		return nil
 	}
@@ -233,7 +233,7 @@
 	defer p.mu.Unlock()
 	names := map[string][]string{}
 	for _, l := range p.links {
-		if (l.dataCentre == p.dataCentre) == local && l.backoff == 0 {
+		if (l.dataCentre == p.dataCentre) == local && l.responds() {
 			names[l.dataCentre] = append(names[l.dataCentre], l.name)
 		}
 	}
@@ -249,11 +249,11 @@
 // queueOrigins queues the origins of streams for the daemons that keep them: localKeepers of this data
 // centre, and as many of the others as make originKeepers. Daemons that do not respond are left out, unless
 // none does. p.mu must be held.
-func (p *peers) queueOrigins(reports []originReport) {
+func (p *peers) queueOrigins(now time.Time, reports []originReport) {
 	if len(reports) == 0 {
 		return
 	}
-	local, remote := p.peerNames(func(l *peerLink) bool { return l.backoff == 0 })
+	local, remote := p.peerNames(func(l *peerLink) bool { return l.responds() })
 	if len(local)+len(remote) == 0 {
 		local, remote = p.peerNames(func(*peerLink) bool { return true })
 	}
@@ -261,7 +261,7 @@
 		keepers := rendezvous.Top(r.ID, local, localKeepers)
 		keepers = append(keepers, rendezvous.Top(r.ID, remote, originKeepers-len(keepers))...)
 		for _, name := range keepers {
-			p.links[name].queueOrigins([]originReport{r})
+			p.links[name].queueOrigins([]queuedOrigin{{originReport: r, queuedAt: now}})
 		}
 	}
 }
@@ -292,7 +292,7 @@
 const maxPendingOrigins = 1 << 11
 
 // queueOrigins queues reports and drops the oldest ones beyond maxPendingOrigins. peers.mu must be held.
-func (l *peerLink) queueOrigins(reports []originReport) {
+func (l *peerLink) queueOrigins(reports []queuedOrigin) {
 	l.pendingOrigins = append(l.pendingOrigins, reports...)
 	if extra := len(l.pendingOrigins) - maxPendingOrigins; extra > 0 {
 		l.pendingOrigins = l.pendingOrigins[extra:]
--- a/internal/gateway/take_up_test.go
+++ b/internal/gateway/take_up_test.go
@@ -276,7 +276,7 @@
 	}
 	const streams = 20
 	for i := range streams {
-		p.queueOrigins([]originReport{{ID: fmt.Sprint(i)}})
+		p.queueOrigins(time.Now(), []originReport{{ID: fmt.Sprint(i)}})
 	}
 	for _, name := range []string{"x5", "y5"} {
 		if n := len(p.links[name].pendingOrigins); n != streams {
@@ -287,7 +287,7 @@
 		l.backoff = maxPeerBackoff
 	}
 	told := 0
-	p.queueOrigins([]originReport{{ID: "last"}})
+	p.queueOrigins(time.Now(), []originReport{{ID: "last"}})
 	for _, l := range p.links {
 		for _, r := range l.pendingOrigins {
 			if r.ID == "last" {
--- a/internal/gateway/trials.go
+++ b/internal/gateway/trials.go
@@ -114,7 +114,7 @@
 	defer p.mu.Unlock()
 	names := []string{p.name}
 	for _, l := range p.links {
-		if l.backoff == 0 {
+		if l.responds() {
 			names = append(names, l.name)
 		}
 	}
