Let the configuration arrive over slow paths

A daemon whose calls take longer than 0.7 s, or whose connections take longer than 0.25 s to open, never learned a new configuration although it was told of it all the time: each fetch was given up shortly before its response arrived and began again, and so did reads of the store. Callers got 404 for routes that had been added, and the services of older versions. A fetch may now take 4 s, since what arrives late is of use; after 0.7 s another daemon that has the version is asked, too. The record is sent compressed to daemons that ask for that. The limits of calls to the store and of the opening of its connections double up to 2 s and 0.75 s and return with the first response in time. TestConfigurationArrivesOverASlowLink failed before in each run: with 0.4 s in each direction the version was not in force after 3 s nor later.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -20,6 +20,7 @@
 
 	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/memory"
+	"bergamotsill.example/bergamotsill/internal/patience"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
@@ -85,6 +86,8 @@
 	// connectTimeout bounds the opening of a connection; with 0 only the network's own
 	// timeout applies.
 	connectTimeout time.Duration
+	// connectLimit bounds it in place of connectTimeout, unless it is nil.
+	connectLimit *patience.Limit
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the least recently used one first.
@@ -116,6 +119,12 @@
 	return &Client{network: nw, connectTimeout: connectTimeout, idle: map[string][]*conn{}, counts: connCounts{open: map[string]int{}}}
 }
 
+// AdaptConnectTimeout lets the opening of connections take longer, up to most, after some that took too long. It suits a client
+// of one system that nothing replaces, and must be called before the first request.
+func (c *Client) AdaptConnectTimeout(most time.Duration) {
+	c.connectLimit = patience.New(c.connectTimeout, most)
+}
+
 // conn is a connection with its read buffer.
 type conn struct {
 	*boundedConn
@@ -187,9 +196,9 @@
 
 // dial opens a connection.
 func (c *Client) dial(ctx context.Context, address string, dialed func(began time.Time, err error)) (*conn, error) {
-	if c.connectTimeout > 0 {
+	if limit := c.currentConnectTimeout(); limit > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, c.connectTimeout)
+		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
 	for !c.counts.add(address) {
@@ -199,6 +208,7 @@
 	}
 	began := time.Now()
 	raw, err := c.network.DialContext(ctx, "tcp", address)
+	c.recordConnect(time.Since(began), err)
 	if dialed != nil {
 		dialed(began, err)
 	}
@@ -213,6 +223,26 @@
 	}, nil
 }
 
+func (c *Client) currentConnectTimeout() time.Duration {
+	if c.connectLimit != nil {
+		return c.connectLimit.Current()
+	}
+	return c.connectTimeout
+}
+
+func (c *Client) recordConnect(took time.Duration, err error) {
+	if c.connectLimit == nil {
+		return
+	}
+	var timeout net.Error
+	switch {
+	case err == nil:
+		c.connectLimit.Answered(took)
+	case errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, context.DeadlineExceeded):
+		c.connectLimit.Exceeded(took)
+	}
+}
+
 // takeIdle removes and returns the most recently used idle connection, or nil if it has
 // been idle for maxIdle or longer. It closes connections whose keep-alive time has passed.
 func (c *Client) takeIdle(address string, maxIdle time.Duration) *conn {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -44,8 +44,9 @@
 
 	// mu serialises the installation of versions.
 	mu sync.Mutex
-	// rawRecord is the published record of the version in force, for peers. Guarded by mu.
-	rawRecord []byte
+	// rawRecord is the published record of the version in force, for peers, compressed the same once a peer has asked for
+	// it. Guarded by mu.
+	rawRecord, compressed []byte
 }
 
 // version returns the version in force, or 0 before the first one.
@@ -71,6 +72,16 @@
 	return c.rawRecord
 }
 
+// compressedRecord returns that record compressed.
+func (c *configFollower) compressedRecord() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.compressed == nil && c.rawRecord != nil {
+		c.compressed = compressConfig(c.rawRecord)
+	}
+	return c.compressed
+}
+
 // install puts a published version into force if it is newer than the current one.
 func (c *configFollower) install(value []byte, source string) {
 	config, err := c.codec.RouteConfig(value)
@@ -92,7 +103,7 @@
 		return false
 	}
 	previous := c.version()
-	c.rawRecord = value
+	c.rawRecord, c.compressed = value, nil
 	c.apply(config)
 	table := newRouteTable(config)
 	c.table.Store(table)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -146,7 +146,7 @@
 		listIsCurrent:    func() bool { return g.discovery.current(time.Now(), maxListAge) },
 		refreshList:      g.discovery.refresh,
 		onDaemonsChanged: g.setDaemons, onRegistryRead: g.retries.share.RegistryRead,
-		links:        map[string]*peerLink{},
+		links: map[string]*peerLink{}, configFetches: map[string]time.Time{},
 		runRecovered: g.runRecovered, traffic: deps.PeerTraffic,
 	}
 	r := &registryRelay{
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -152,8 +152,8 @@
 	departed map[string]peerProcess
 	// lastFullReport is when all loads were last reported.
 	lastFullReport time.Time
-	// fetchingConfig is set while the configuration is fetched from a peer.
-	fetchingConfig bool
+	// configFetches holds when the fetches of the configuration that are running have begun, by address.
+	configFetches map[string]time.Time
 }
 
 // run reports load changes to peers until ctx is done.
@@ -347,46 +347,6 @@
 	p.onDaemonsChanged(daemons)
 }
 
-// learnOfConfig fetches the configuration of a peer if its version is newer than the one in force here.
-func (p *peers) learnOfConfig(from, address string, version int64) {
-	if p.config.lag.heard(p.log, from, version, p.config.version()) {
-		p.fetchConfig(address)
-	}
-}
-
-// fetchConfig fetches and installs the configuration of a peer in the background. It does nothing
-// if another fetch is running.
-func (p *peers) fetchConfig(address string) {
-	p.mu.Lock()
-	alreadyFetching := p.fetchingConfig
-	p.fetchingConfig = true
-	p.mu.Unlock()
-	if alreadyFetching {
-		return
-	}
-	go p.runRecovered(methodConfig, func() {
-		defer func() {
-			p.mu.Lock()
-			p.fetchingConfig = false
-			p.mu.Unlock()
-		}()
-		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-		defer cancel()
-		var value []byte
-		err := p.dial(address).Call(ctx, methodConfig, struct{}{}, &value)
-		if err != nil {
-			p.config.lag.readFailed(err)
-			p.log.Warn("fetching the configuration from a daemon failed", zap.String("peer-address", address), zap.Error(err))
-		} else if len(value) > 0 {
-			p.config.install(value, "peer")
-		}
-	})
-}
-
-func (p *peers) handleConfig(context.Context, json.RawMessage) (any, error) {
-	return p.config.publishedRecord(), nil
-}
-
 // announceLeaving informs the peers that this daemon stops, and removes its entry from the
 // registry.
 func (p *peers) announceLeaving(ctx context.Context) {
