Refuse what an old configuration cannot answer

A daemon that knew of a newer configuration went on to answer by its own, for up to 28 s: 404 for routes that had been added, and runs at services that had been withdrawn. Nothing told how old its knowledge was. It now remembers since when it has lacked a version. While it lacks one, a missing route or key is answered 503 with Retry-After, and the connection closes, so that the next attempt can reach another daemon; after 1.5 s it refuses all requests and is not ready. TestDaemonThatIsBehindDoesNotAnswerByItsConfiguration fails without the change: 404 and forwarded requests in place of 503.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		c.log.Error("published configuration cannot be decoded; the previous version stays in force",
 			zap.Int64("config-version", c.version()), zap.String("source", source), zap.Error(err))
+		c.lag.cannotRead()
 		return
 	}
 	if c.installIfNewer(value, config, source) && c.onInstalled != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -388,9 +388,9 @@
 }
 
 // Ready reports whether the daemon should receive new connections: it is not stopping and has a
-// configuration and at least one runner.
+// configuration, which is not much older than that of another daemon, and at least one runner.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.config.table.Load() != nil && g.discovery.loaded.Load() && g.fleet.Size() > 0
+	return !g.stopping.Load() && g.config.table.Load() != nil && g.config.lag.since(time.Now()) < maxConfigLag && g.discovery.loaded.Load() && g.fleet.Size() > 0
 }
 
 // Dead returns a channel that is closed when the daemon has ended.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -83,6 +83,11 @@
 		g.reject(w, r, http.StatusServiceUnavailable, "no configuration received yet")
 		return nil, release
 	}
+	lag := g.config.lag.since(received)
+	if lag >= maxConfigLag {
+		g.rejectBehind(w, r, "configuration is older than that of other daemons")
+		return nil, release
+	}
 	request, err := g.deps.Requests.Decode(r)
 	if err != nil {
 		g.reject(w, r, http.StatusBadRequest, err.Error())
@@ -94,11 +99,19 @@
 		request.Remaining = time.Duration(note.RemainingMS) * time.Millisecond
 	}
 	route := table.find(request.Host, request.Target)
+	if route == nil && lag > 0 {
+		g.rejectBehind(w, r, "no route in a configuration that is older than that of other daemons")
+		return nil, release
+	}
 	if route == nil {
 		g.reject(w, r, http.StatusNotFound, "no route")
 		return nil, release
 	}
 	route, ok := table.identify(request, route, note)
+	if !ok && lag > 0 {
+		g.rejectBehind(w, r, "unknown key in a configuration that is older than that of other daemons")
+		return nil, release
+	}
 	if !ok {
 		g.metrics.unknownKeys.Add(1)
 		g.reject(w, r, http.StatusUnauthorized, "no organisation holds the key")
@@ -158,6 +171,14 @@
 	c.servePlain(ctx)
 }
 
+// rejectBehind rejects a request that this daemon cannot judge, because it knows of a newer configuration that it does not
+// have yet. The connection closes, so that the client's next attempt can reach another daemon.
+func (g *Gateway) rejectBehind(w http.ResponseWriter, r *http.Request, reason string) {
+	w.Header().Set("Retry-After", formatRetryAfter(noConfigRetryAfter))
+	w.Header().Set("Connection", "close")
+	g.reject(w, r, http.StatusServiceUnavailable, reason)
+}
+
 // reject responds to a request that is not forwarded.
 func (g *Gateway) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	g.log.Warn("request rejected", zap.String("host", r.Host), zap.String("target", r.RequestURI), zap.Int("status", status),
