Send nothing on for clients that have left

Requests that had waited 1 to 3 s at a daemon reached runners up to 0.7 s after their client had left. That a client leaves is learned by a goroutine that reads its connection; a request that was about to be written did not look, also not before the second step of a stream. Whether the request still has time and its client's connection is open is now checked on the socket immediately before the request is written. TestUnwantedRequestIsNotSent and TestLeftSeesAClosedConnectionBeforeItIsRead; without the check the server receives the unwanted requests.

--- a/internal/adapter/clientconn/conns_test.go
+++ b/internal/adapter/clientconn/conns_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -220,3 +221,44 @@
 	wantAnswer(t, r)
 	s.wantClosed(t, r)
 }
+
+// Guards against requests that are sent on although the client has closed its connection, because the goroutine that reads it
+// has not had its turn.
+func TestLeftSeesAClosedConnectionBeforeItIsRead(t *testing.T) {
+	ours, theirs := tcpPair(t)
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	r = r.WithContext(withConn(r.Context(), &clientConn{Conn: ours}))
+	if Left(r) {
+		t.Error("the client of an open connection has left")
+	}
+	if _, err := theirs.Write([]byte("G")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ours.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	_ = theirs.Close()
+	for deadline := time.Now().Add(10 * time.Second); !Left(r); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the client of a closed connection has not left")
+		}
+	}
+}
+
+// tcpPair returns both ends of a connection over loopback.
+func tcpPair(t *testing.T) (ours, theirs net.Conn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if theirs, err = net.Dial("tcp", l.Addr().String()); err != nil {
+		t.Fatal(err)
+	}
+	if ours, err = l.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = ours.Close(), theirs.Close() })
+	return ours, theirs
+}
--- a/internal/adapter/clientconn/handler.go
+++ b/internal/adapter/clientconn/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/network"
 	"bergamotsill.example/bergamotsill/internal/memory"
 )
 
@@ -23,6 +24,13 @@
 	return c
 }
 
+// Left reports whether the client has closed the connection of a request, also if the server has not found out yet. The result is
+// false if the connection is not tracked.
+func Left(r *http.Request) bool {
+	c := connOf(r)
+	return c != nil && network.Ended(c.Conn)
+}
+
 // chargeHeads returns a handler that reserves the memory of the head of each request before it calls next, which serves only
 // requests for which there is enough. Reads have charged most heads already, but not those that arrived with the request
 // before.
--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -43,6 +44,9 @@
 	readBufferSize = 4 << 10
 )
 
+// errUnwanted reports a request that was not sent because nobody waits for it any more.
+var errUnwanted = errors.New("request is not wanted any more")
+
 // ErrTooManyResponses reports a connection that carries only responses to other
 // requests.
 var ErrTooManyResponses = errors.New("connection carries responses to other requests")
@@ -58,6 +62,8 @@
 	// MaxIdle limits how long a reused connection may have been idle; 0 requires a new
 	// connection.
 	MaxIdle time.Duration
+	// Wanted reports whether the request is still to be sent. It is called immediately before it is written, unless it is nil.
+	Wanted func() bool
 	// Matches reports whether a response belongs to the request; nil accepts every
 	// response. Other responses are skipped. first is set for the first response on a
 	// connection, which cannot belong to an earlier request.
@@ -155,6 +161,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", port.ErrNotSent, err)
 	}
+	if ctx.Err() != nil || r.Wanted != nil && !r.Wanted() {
+		c.keep(cn)
+		return nil, fmt.Errorf("%w: %w", port.ErrNotSent, cmp.Or(ctx.Err(), errUnwanted))
+	}
 	x := &transfer{ctx: ctx, client: c, conn: cn, request: &r}
 	x.stopContextWatch = context.AfterFunc(ctx, func() { cn.Close() })
 	response, err := x.roundTrip()
@@ -174,11 +184,18 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", port.ErrNotSent, err)
 	}
-	cn.keepAlive = defaultKeepAlive
-	c.putIdle(cn)
+	c.keep(cn)
 	return nil
 }
 
+// keep adds a connection that was not used to the idle ones.
+func (c *Client) keep(cn *conn) {
+	if cn.keepAlive == 0 {
+		cn.keepAlive = defaultKeepAlive
+	}
+	c.putIdle(cn)
+}
+
 // connect returns an idle connection that is verified to be open, or a new one.
 func (c *Client) connect(ctx context.Context, address string, r *Request) (*conn, error) {
 	for r.MaxIdle > 0 {
--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -292,3 +292,32 @@
 	}
 	<-closed
 }
+
+// Guards against requests that reach a server after their client has left.
+func TestUnwantedRequestIsNotSent(t *testing.T) {
+	s := serve(t, func(c net.Conn, r *http.Request) bool { respond(c, r.Header.Get(idHeader), "ok"); return true })
+	client := newClient()
+	if _, err := do(t, client, s.address, request("first")); err != nil {
+		t.Fatal(err)
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	unwanted := request("unwanted")
+	unwanted.Wanted = func() bool { return false }
+	for range 50 {
+		for name, send := range map[string]func() error{
+			"context ended": func() error { _, err := client.Do(ended, s.address, request("late")); return err },
+			"not wanted":    func() error { _, err := client.Do(t.Context(), s.address, unwanted); return err },
+		} {
+			if err := send(); !errors.Is(err, port.ErrNotSent) {
+				t.Fatalf("%s: error %v, want %v", name, err, port.ErrNotSent)
+			}
+		}
+	}
+	if _, err := do(t, client, s.address, request("last")); err != nil {
+		t.Fatal(err)
+	}
+	if requests, connections := s.requests.Load(), s.connections.Load(); requests != 2 || connections != 1 {
+		t.Errorf("server received %d requests on %d connections, want the 2 wanted ones on 1", requests, connections)
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -63,6 +63,10 @@
 	version       string
 	configVersion int64
 	traits        crashes.Traits
+	// clientLeft reports whether the client has closed its connection, also if the server has not found out yet; cancel then
+	// ends the context of the call. Both are nil in tests without a client.
+	clientLeft func() bool
+	cancel     context.CancelFunc
 	// runner is the one to which the current attempt was sent.
 	runner port.Runner
 	// handedOver is what another daemon says of a request that it handed over, nil for others.
@@ -149,6 +153,15 @@
 	c.logStep("%v: %d retries of %.1f allowed for %d requests", errRetryLimit, u.Retries, u.Allowed, u.Requests)
 }
 
+// wanted reports whether the client still waits, and ends the call if it does not.
+func (c *call) wanted() bool {
+	if c.clientLeft == nil || !c.clientLeft() {
+		return true
+	}
+	c.cancel()
+	return false
+}
+
 // remaining returns the time left until the deadline.
 func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
 
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -80,6 +80,7 @@
 	response, err := c.gateway.runners.Run(attemptCtx, runner, c.request, port.RunOptions{
 		Remaining: c.remaining(),
 		MaxIdle:   c.maxConnectionIdle(),
+		Wanted:    c.wanted,
 	})
 	var body []byte
 	if err == nil && !c.chargeResponseHead(response) {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"bergamotsill.example/bergamotsill/internal/adapter/clientconn"
 	"bergamotsill.example/bergamotsill/internal/adapter/forwarding"
 	"bergamotsill.example/bergamotsill/internal/port"
 )
@@ -60,6 +61,7 @@
 	defer stopWatching()
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	c.cancel, c.clientLeft = cancel, func() bool { return clientconn.Left(r) }
 	defer c.releaseMemory()
 	c.serve(ctx)
 	if c.abortConnection {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -210,7 +210,7 @@
 	})
 	defer monitor.stop()
 	cache, err := c.gateway.runners.Prefill(attemptCtx, source, c.request, port.RunOptions{
-		Remaining: c.remaining(), Urgency: enginePriority(c.urgency), MaxIdle: maxIdleRepeatable,
+		Remaining: c.remaining(), Urgency: enginePriority(c.urgency), MaxIdle: maxIdleRepeatable, Wanted: c.wanted,
 		FetchFrom: plan.Prefill.FetchFrom(),
 	})
 	now := time.Now()
@@ -324,6 +324,7 @@
 		FetchFrom:   inFlight.FetchFrom(),
 		ResumeAfter: c.lastEventID,
 		MaxIdle:     c.maxConnectionIdle(),
+		Wanted:      c.wanted,
 	}
 }
 
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -233,6 +233,9 @@
 	// MaxIdle limits how long a reused connection may have been idle; 0 requires a new
 	// connection.
 	MaxIdle time.Duration
+	// Wanted reports whether the client still waits. It is called immediately before the request is written; nil if it is
+	// not known.
+	Wanted func() bool
 }
 
 // KVCacheHandle names a KV cache on a runner. It can be used once.
