Collect usage from daemons on slow paths

The daemon that reports the usage asked each other one for 0.7 s, again and again, so that one whose responses take longer was never heard and the report lacked its counts. The questions now have the limit of other calls to the peer, which grows with late ones.

--- a/internal/gateway/slow_link_test.go
+++ b/internal/gateway/slow_link_test.go
@@ -122,6 +122,13 @@
 	f.changed = make(chan struct{})
 }
 
+// removeRunner removes the first runner from the registry.
+func (f *linkedFleet) removeRunner() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runners = append(f.runners, port.KeyedRecord{Key: f.runners[0].Key})
+}
+
 // newLinkedFleet starts daemons whose links send bytesPerSecond, with the given number of busy runners.
 func newLinkedFleet(t *testing.T, daemons, runners int, bytesPerSecond func(daemon int) float64) *linkedFleet {
 	t.Helper()
@@ -232,17 +239,31 @@
 	})
 }
 
-// Guards against a daemon that never learns a new version because each response takes a little longer than the limit of its
-// calls.
+// Guards against a daemon that never learns a new version, of a runner that is gone, or of what others have counted, because
+// each response takes a little longer than the limit of its calls.
 func TestConfigurationArrivesOverASlowLink(t *testing.T) {
 	playLinked(t, func(f *linkedFleet, slow int) {
 		f.links[slow].SetDelay(400 * time.Millisecond)
 		time.Sleep(2 * time.Second)
+		f.removeRunner()
 		f.publish(2)
 		time.Sleep(configBound)
 		if got := f.versions(); slices.Contains(got, 1) {
 			f.t.Errorf("%s after the change the versions are %v", configBound, got)
 		}
+		for i, g := range f.daemons {
+			if got, want := g.fleet.Size(), len(f.runners)-2; got != want {
+				f.t.Errorf("%s after a runner has left daemon %d uses %d, want %d", configBound, i, got, want)
+			}
+		}
+		u := &usageCounts{peers: f.daemons[slow].peers, log: zap.NewNop(), answered: map[string]bool{}}
+		complete := false
+		for range 3 {
+			complete = complete || u.collect(f.t.Context(), 1)
+		}
+		if !complete {
+			f.t.Errorf("not all daemons have answered what they know of the usage")
+		}
 	})
 }
 
@@ -333,3 +354,39 @@
 		}
 	}
 }
+
+// Guards against notices that get lost, and against reports that are told as if they were new, when a call gets no response.
+func TestNewsOutliveACallWithoutAResponse(t *testing.T) {
+	now := epoch
+	l := &peerLink{pendingLoads: map[string]runnerLoad{}, previous: &previousSlack{Used: 3, AgeMS: 100}}
+	l.queueLoads([]runnerLoad{
+		{ID: "leaving", Leaving: true, Started: 1, Running: 2}, {ID: "limited", Limit: &limitReport{Rate: 2, Age: 1000}, Started: 1},
+		{ID: "busy", Running: 5},
+	})
+	l.queueCrashReports(now, []crashes.Report{{Trait: "t", Runner: "r", AgeMS: 100}})
+	n := l.takeNews(now)
+	l.queueLoads([]runnerLoad{{ID: "leaving", Running: 1}})
+	now = now.Add(2 * time.Second)
+	l.requeue(&n, now)
+	var m loadMessage
+	again := l.takeNews(now)
+	again.addTo(&m)
+	told := map[string]runnerLoad{}
+	for _, r := range m.Runners {
+		told[r.ID] = r
+	}
+	if r := told["leaving"]; len(told) != 2 || !r.Leaving || r.Running != 1 {
+		t.Errorf("told again are %+v, want the notice with the newer load, and the limit", told)
+	}
+	if r := told["limited"]; r.Limit == nil || r.Limit.Age != 2_001_000 {
+		t.Errorf("the limit is told as %+v, want it 2 s older", r.Limit)
+	}
+	if len(m.Crashes) != 1 || m.Crashes[0].AgeMS != 2100 || m.Previous == nil || m.Previous.AgeMS != 2100 {
+		t.Errorf("told again are the crashes %+v and the earlier process %+v, want both 2 s older", m.Crashes, m.Previous)
+	}
+	l.backoff = time.Second
+	l.queueLoads([]runnerLoad{{ID: "busy", Running: 6}})
+	if quiet := l.takeNews(now); len(quiet.loads) > 0 || len(l.pendingLoads) != 1 {
+		t.Errorf("a peer that does not respond is told %v", quiet.loads)
+	}
+}
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -135,21 +135,25 @@
 		u.readMembers(ctx)
 	}
 	var missing []*peerLink
+	var limits []time.Duration
 	u.peers.mu.Lock()
 	for name, l := range u.peers.links {
 		if !u.answered[name] {
-			missing = append(missing, l)
+			missing, limits = append(missing, l), append(limits, l.callLimit().Current())
 		}
 	}
 	u.peers.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
 	responded := make([]bool, len(missing))
 	var group sync.WaitGroup
 	for i, l := range missing {
 		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, limits[i])
+			defer cancel()
+			began := time.Now()
 			var reports []usage.Report
-			if err := l.client.Call(ctx, methodUsage, usageQuestion{Window: window}, &reports); err == nil {
+			err := l.client.Call(ctx, methodUsage, usageQuestion{Window: window}, &reports)
+			u.peers.recordCallResult(l, err, time.Since(began))
+			if err == nil {
 				u.merge(reports)
 				responded[i] = true
 			}
