Let calls after a late one wait for the new connection

A second attempt right after a call without a response, as reports of suspect requests make it, would have used the unresponsive connection again, because its replacement was still being opened. Calls now wait up to 0.1 s for it. TestLateResponseKeepsTheConnection calls at once after the first failure; without the wait that call gets no response.

--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -71,11 +71,11 @@
 	// a mutex, so that a call that waits for it returns when its context is done.
 	dialSlot chan struct{}
 
-	// mu guards conn, which is nil before the first call and after a failure, and replacing, which is set while it is
-	// found out whether conn has to be replaced.
+	// mu guards conn, which is nil before the first call and after a failure, and replacing, which is nil unless it is being
+	// found out whether conn has to be replaced, and is closed when that is known.
 	mu        sync.Mutex
 	conn      *clientConn
-	replacing bool
+	replacing chan struct{}
 }
 
 // clientConn is an open connection of a Client.
@@ -112,6 +112,7 @@
 // connect returns the open connection, or opens one. Only one call opens a connection at
 // a time.
 func (c *Client) connect(ctx context.Context) (*clientConn, error) {
+	c.awaitReplacement(ctx)
 	if conn := c.current(); conn != nil {
 		return conn, nil
 	}
@@ -141,8 +142,29 @@
 	return &clientConn{Conn: newConn(buffered, rejectCalls, c.traffic), raw: buffered}
 }
 
-// replaceTimeout bounds the opening of a connection that may replace an unresponsive one.
-const replaceTimeout = 2 * time.Second
+const (
+	// replaceTimeout bounds the opening of a connection that may replace an unresponsive one.
+	replaceTimeout = 2 * time.Second
+	// replaceWait is how long calls wait for it. On a slow path they go on over the present connection.
+	replaceWait = 100 * time.Millisecond
+)
+
+// awaitReplacement waits while it is being found out whether the connection has to be replaced, for replaceWait at most.
+func (c *Client) awaitReplacement(ctx context.Context) {
+	c.mu.Lock()
+	replacing := c.replacing
+	c.mu.Unlock()
+	if replacing == nil {
+		return
+	}
+	timer := time.NewTimer(replaceWait)
+	defer timer.Stop()
+	select {
+	case <-replacing:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
 
 // replaceIfSilent replaces a connection on which nothing was received since a call began that got no response. The
 // connection may be permanently unresponsive, or the path to the peer slow. In the latter case a handshake that begins now
@@ -150,17 +172,18 @@
 func (c *Client) replaceIfSilent(conn *clientConn, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != conn || c.replacing || conn.raw.receivedSince(since) {
+	if c.conn != conn || c.replacing != nil || conn.raw.receivedSince(since) {
 		return
 	}
-	c.replacing = true
+	c.replacing = make(chan struct{})
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), replaceTimeout)
 		defer cancel()
 		raw, err := c.network.DialContext(ctx, "tcp", c.address)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.replacing = false
+		close(c.replacing)
+		c.replacing = nil
 		if err != nil {
 			return
 		}
--- a/internal/adapter/peer/peer_test.go
+++ b/internal/adapter/peer/peer_test.go
@@ -130,7 +130,6 @@
 		if err := call(time.Second); err == nil {
 			t.Error("call over an unresponsive connection got a response")
 		}
-		time.Sleep(100 * time.Millisecond)
 		if err := call(time.Second); err != nil {
 			t.Errorf("call after an unresponsive connection: %v", err)
 		}
--- a/internal/daemon/quarantine_reports.go
+++ b/internal/daemon/quarantine_reports.go
@@ -127,8 +127,8 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var result quarantine.ReportResult
-	// The client closes its connection after a failure, so a second attempt opens a
-	// new one.
+	// After a failure the client replaces its connection if that is unresponsive, and a
+	// second attempt uses the new one.
 	err := s.daemon.deps.Peers(vm.PeerAddress).Call(ctx, quarantine.MethodReport, report, &result)
 	return result, err
 }
