Call daemons that do not respond until they do

Since a message of the peer does not end the pause any more, a daemon with which this one exchanges no loads stayed in the state of not responding after a single late call, and got no prompt parts any more. Peers that do not respond are now called at the end of each pause. Loads that were queued during a call without a response are dropped like those in it. TestPauseAfterALateCallOutlastsMessagesOfThePeer, extended by such a peer, waited in vain before.

--- a/internal/gateway/peer_pace.go
+++ b/internal/gateway/peer_pace.go
@@ -158,8 +158,8 @@
 	m.Previous = n.previous
 }
 
-// requeue queues news again that got no response. Loads are not, because the next full report follows soon; notices of
-// runners in them are. peers.mu must be held.
+// requeue queues news again that got no response. Of loads, also of those that were queued since, only the notices of runners are
+// kept: the rest would be old when it arrives, and the next full report follows soon. peers.mu must be held.
 func (l *peerLink) requeue(n *news, now time.Time) {
 	elapsed := now.Sub(n.takenAt)
 	newer := l.pendingLoads
@@ -170,7 +170,11 @@
 		}
 	}
 	for _, load := range newer {
-		l.queueLoads([]runnerLoad{load})
+		if l.responds() {
+			l.queueLoads([]runnerLoad{load})
+		} else {
+			l.queueLoads(noticesOnly([]runnerLoad{load}))
+		}
 	}
 	l.pendingCrashes = append(n.crashes, l.pendingCrashes...)
 	l.trimCrashes()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -217,7 +217,8 @@
 		// A peer of each other data centre is told, too, so that the counts outlive the loss of this one.
 		l.usageDue = l.usageDue || full && (l.cellPeer || l.relaysParts) && p.usage != nil
 		news := l.dataCentre == p.dataCentre && !slices.Equal(l.told, unreached)
-		due := !now.Before(l.nextSend) && (watched || news || l.previous != nil || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0 || len(l.pendingOrigins) > 0)
+		// A peer that does not respond is called until it does, also if there is nothing to tell it.
+		due := !now.Before(l.nextSend) && (watched || news || !l.responds() || l.previous != nil || len(l.pendingLoads) > 0 || len(l.pendingCrashes) > 0 || len(l.pendingOrigins) > 0)
 		if due && !l.callInFlight {
 			p.send(ctx, l)
 		}
@@ -243,7 +244,6 @@
 	for _, l := range p.links {
 		switch {
 		case !l.responds():
-			// The loads and parts would be old when they arrive.
 			l.queueLoads(noticesOnly(changes))
 		case l.cellPeer:
 			l.queueLoads(changes)
--- a/internal/gateway/relay_registry.go
+++ b/internal/gateway/relay_registry.go
@@ -81,7 +81,8 @@
 }
 
 // position returns the position of this daemon, by name and from 0, among the running daemons
-// of its data centre. A daemon that reaches no other one is not the first for that. local holds the links to the others. peers.mu must be held.
+// of its data centre. A daemon that reaches no other one is not the first for that. local holds the links to the others.
+// peers.mu must be held.
 func (r *registryRelay) position(local []*peerLink) int {
 	position, now := 0, time.Now()
 	for _, l := range local {
--- a/internal/gateway/slow_link_test.go
+++ b/internal/gateway/slow_link_test.go
@@ -319,6 +319,28 @@
 	if receive(2); paused() {
 		t.Error("the pause goes on for a process that has just started")
 	}
+	calls := make(chan loadMessage, 1)
+	l := g.peers.links["e"]
+	l.client, l.pendingCrashes, l.previous, l.cellPeer = loadCalls(calls), nil, nil, false
+	g.peers.recordCallResult(l, context.DeadlineExceeded, peerTimeout)
+	g.fleet.Place(time.Now(), placement.Query{Service: "s"})
+	g.peers.sendChanges(t.Context(), time.Now().Add(maxPeerBackoff))
+	select {
+	case m := <-calls:
+		if len(m.Runners) > 0 {
+			t.Errorf("a peer that does not respond is sent the loads %v", m.Runners)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("a peer that does not respond is not called again")
+	}
+}
+
+// loadCalls passes on the load messages that it receives.
+type loadCalls chan loadMessage
+
+func (c loadCalls) Call(_ context.Context, _ string, params, _ any) error {
+	c <- params.(loadMessage)
+	return nil
 }
 
 // Guards against reports whose number grows with the square of the number of daemons, when a runner crashes while requests
