Look at unread bytes of idle connections in one place

The check of idle connections before their reuse peeked at the socket by itself, beside the same in package network. Both use network.peek now.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -203,7 +203,8 @@
 		if cn == nil {
 			break
 		}
-		if idleAndOpen(cn.Conn) {
+		// A connection on which the server has sent data or closed its side cannot be reused.
+		if network.Quiet(cn.Conn) {
 			return cn, nil
 		}
 		cn.Close()
--- a/internal/adapter/exchange/unframed.go
+++ b/internal/adapter/exchange/unframed.go
@@ -50,7 +50,7 @@
 			return nil
 		}
 		clock.Sleep(ctx, confirmTime)
-		if idleAndOpen(cn.Conn) {
+		if network.Quiet(cn.Conn) {
 			c.returnIdle(cn)
 			return nil
 		}
--- a/internal/adapter/network/unread.go
+++ b/internal/adapter/network/unread.go
@@ -28,7 +28,10 @@
 		var buf [1]byte
 		received, _, peekErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return received, errors.Join(err, peekErr)
+	if err == nil {
+		err = peekErr
+	}
+	return received, err
 }
 
 // HasUnread reports whether a connection has bytes that were received and not read, also after its
@@ -38,6 +41,13 @@
 	return err == nil && received > 0
 }
 
+// Quiet reports whether a connection is open and has no unread bytes. The result is true for connections without a socket,
+// which are not checked.
+func Quiet(c net.Conn) bool {
+	_, err := peek(c)
+	return errors.Is(err, unix.EAGAIN) || errors.Is(err, errNoSocket)
+}
+
 // Ended reports whether the other side has closed a connection whose received bytes were all read, also if no reader has found
 // out yet. The result is false for connections without a socket, which are not checked.
 func Ended(c net.Conn) bool {
