Keep one limit for opening connections

A client had a fixed time limit and, for the store, one that follows the path beside it, with checks for which of them applies. A limit whose least and most are equal is the fixed one.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -89,10 +89,8 @@
 // use.
 type Client struct {
 	network network.Network
-	// connectTimeout bounds the opening of a connection; with 0 only the network's own
+	// connectLimit bounds the opening of a connection; with 0 only the network's own
 	// timeout applies.
-	connectTimeout time.Duration
-	// connectLimit bounds it in place of connectTimeout, unless it is nil.
 	connectLimit *patience.Limit
 
 	mu sync.Mutex
@@ -122,13 +120,13 @@
 // NewClient returns a client that opens connections through nw. If connectTimeout is
 // above 0, it bounds the opening of each connection.
 func NewClient(nw network.Network, connectTimeout time.Duration) *Client {
-	return &Client{network: nw, connectTimeout: connectTimeout, idle: map[string][]*conn{}, counts: connCounts{open: map[string]int{}}}
+	return &Client{network: nw, connectLimit: patience.New(connectTimeout, connectTimeout), idle: map[string][]*conn{}, counts: connCounts{open: map[string]int{}}}
 }
 
 // AdaptConnectTimeout lets the opening of connections take longer, up to most, after some that took too long. It suits a client
 // of one system that nothing replaces, and must be called before the first request.
 func (c *Client) AdaptConnectTimeout(most time.Duration) {
-	c.connectLimit = patience.New(c.connectTimeout, most)
+	c.connectLimit = patience.New(c.connectLimit.Current(), most)
 }
 
 // conn is a connection with its read buffer.
@@ -214,7 +212,7 @@
 
 // dial opens a connection.
 func (c *Client) dial(ctx context.Context, address string, dialed func(began time.Time, err error)) (*conn, error) {
-	if limit := c.currentConnectTimeout(); limit > 0 {
+	if limit := c.connectLimit.Current(); limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
@@ -241,22 +239,12 @@
 	}, nil
 }
 
-func (c *Client) currentConnectTimeout() time.Duration {
-	if c.connectLimit != nil {
-		return c.connectLimit.Current()
-	}
-	return c.connectTimeout
-}
-
 func (c *Client) recordConnect(took time.Duration, err error) {
-	if c.connectLimit == nil {
-		return
-	}
 	var timeout net.Error
 	switch {
 	case err == nil:
 		c.connectLimit.Answered(took)
-	case errors.As(err, &timeout) && timeout.Timeout() || errors.Is(err, context.DeadlineExceeded):
+	case errors.As(err, &timeout) && timeout.Timeout():
 		c.connectLimit.Exceeded(took)
 	}
 }
--- a/internal/gateway/config_fetch.go
+++ b/internal/gateway/config_fetch.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"bergamotsill.example/bergamotsill/internal/adapter/clock"
 )
 
 const (
@@ -78,7 +76,7 @@
 		if err != nil {
 			p.config.lag.readFailed(err)
 			p.log.Warn("fetching the configuration from a daemon failed", zap.String("peer-address", address), zap.Error(err))
-			clock.Sleep(context.Background(), configFetchPause)
+			time.Sleep(configFetchPause)
 		} else if len(value) > 0 {
 			p.config.install(value, "peer")
 		}
