Reduce news for unresponsive daemons where it is queued

Three callers of queueLoads chose between all loads and the notices in them by whether the peer responds; queueLoads does now. One thing changes: notices go to the peers that would get them if they responded, where queueChanges had also queued them for remote daemons that forward nothing. TestNewsOutliveACallWithoutAResponse queues its last load before the pause begins, because queueLoads would not keep it afterwards; its assertions are the same.

--- a/internal/gateway/peer_pace.go
+++ b/internal/gateway/peer_pace.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -169,13 +171,7 @@
 			l.pendingLoads[id] = notice
 		}
 	}
-	for _, load := range newer {
-		if l.responds() {
-			l.queueLoads([]runnerLoad{load})
-		} else {
-			l.queueLoads(noticesOnly([]runnerLoad{load}))
-		}
-	}
+	l.queueLoads(slices.Collect(maps.Values(newer)))
 	l.pendingCrashes = append(n.crashes, l.pendingCrashes...)
 	l.trimCrashes()
 	l.pendingOrigins = append(n.origins, l.pendingOrigins...)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -243,8 +243,6 @@
 	defer p.mu.Unlock()
 	for _, l := range p.links {
 		switch {
-		case !l.responds():
-			l.queueLoads(noticesOnly(changes))
 		case l.cellPeer:
 			l.queueLoads(changes)
 		case l.dataCentre == p.dataCentre:
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -128,8 +128,12 @@
 }
 
 // queueLoads queues changes. A newer load of a runner replaces the queued one; a change without a
-// load does not. The prompt parts of both are kept. peers.mu must be held.
+// load does not. The prompt parts of both are kept. For a peer that does not respond only the notices of runners are queued: the
+// rest would be old when it arrives. peers.mu must be held.
 func (l *peerLink) queueLoads(changes []runnerLoad) {
+	if !l.responds() {
+		changes = noticesOnly(changes)
+	}
 	for _, c := range changes {
 		if old, ok := l.pendingLoads[c.ID]; ok {
 			parts := mergeParts(old.Parts, c.Parts)
@@ -226,10 +230,8 @@
 		return
 	}
 	for _, l := range p.links {
-		if l.dataCentre == p.dataCentre && l.responds() {
+		if l.dataCentre == p.dataCentre {
 			l.queueLoads(messages)
-		} else if l.dataCentre == p.dataCentre {
-			l.queueLoads(noticesOnly(messages))
 		}
 	}
 }
--- a/internal/gateway/slow_link_test.go
+++ b/internal/gateway/slow_link_test.go
@@ -406,8 +406,8 @@
 	if len(m.Crashes) != 1 || m.Crashes[0].AgeMS != 2100 || m.Previous == nil || m.Previous.AgeMS != 2100 {
 		t.Errorf("told again are the crashes %+v and the earlier process %+v, want both 2 s older", m.Crashes, m.Previous)
 	}
-	l.backoff = time.Second
 	l.queueLoads([]runnerLoad{{ID: "busy", Running: 6}})
+	l.backoff = time.Second
 	if quiet := l.takeNews(now); len(quiet.loads) > 0 || len(l.pendingLoads) != 1 {
 		t.Errorf("a peer that does not respond is told %v", quiet.loads)
 	}
