--- a/review/drill3/versions.go
+++ b/review/drill3/versions.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -12,7 +13,7 @@
 	"time"
 )
 
-func init() { cases["versions"] = runVersions }
+func init() { cases["versions"], cases["upgraded"] = runVersions, runUpgraded }
 
 // streamResult is what a client has seen of one stream.
 type streamResult struct {
@@ -23,8 +24,8 @@
 	fault    string
 }
 
-// readStream sends a request of a stream and reads its answer. pieces is the number of its events.
-func readStream(client *http.Client, q *http.Request, pieces int) streamResult {
+// readStream sends a request of a stream and reads its answer.
+func readStream(client *http.Client, q *http.Request) streamResult {
 	var out streamResult
 	response, err := client.Do(q)
 	if err != nil {
@@ -58,16 +59,17 @@
 	return out
 }
 
-// runVersions: engines are restarted one after another under their ids with another version of their software while the
-// store is away. No stream may hold events of two versions.
-func runVersions(folder string) int {
-	b, err := newBed(folder)
-	if err != nil {
-		fmt.Println("cannot run:", err)
-		return 2
-	}
-	defer b.end()
-	const host, prefix, pieces = "ficu95.example", "/lohu930/", 40
+// pieces is the number of events of a stream.
+const pieces = 40
+
+// streamFlags are those of an engine, apart from its version.
+var streamFlags = []string{"-service", "llm", "-stage", "decode", "-slots", "64", "-queue", "192", "-work", "100ms", "-pieces", strconv.Itoa(pieces), "-zone", "a"}
+
+// startStreams starts engines, three daemons and clients of resumable streams of 40 events. The engines below old are of version
+// v1, the others of v2. The clients run until stop is called, which returns how many streams hold events of two versions and
+// how many were whole.
+func startStreams(b *bed, engines, old, clients int) (runners []*proc, restart func(i int, down time.Duration, flags ...string) error, stop func() (joined, whole int), err error) {
+	const host, prefix = "ficu95.example", "/lohu930/"
 	b.store.put("keyed.op", "config", map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
@@ -80,13 +82,14 @@
 		}}},
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	})
-	flags := []string{"-service", "llm", "-stage", "decode", "-slots", "64", "-queue", "192", "-work", "100ms", "-pieces", strconv.Itoa(pieces), "-zone", "a"}
-	const engines = 4
-	var runners []*proc
 	for i := range engines {
-		r, err := b.startRunner(fmt.Sprintf("i-llm%d", i), 40+i, append(flags, "-version", []string{"v1", "v1", "v2", "v2"}[i])...)
+		version := "v2"
+		if i < old {
+			version = "v1"
+		}
+		r, err := b.startRunner(fmt.Sprintf("i-llm%d", i), 40+i, append(streamFlags, "-version", version)...)
 		if err != nil {
-			return b.cannot(err)
+			return nil, nil, nil, err
 		}
 		runners = append(runners, r)
 	}
@@ -94,23 +97,23 @@
 	for i := range 3 {
 		d, err := b.startDaemon(fmt.Sprintf("front-%d", i), "a", 10+i, true, "")
 		if err != nil {
-			return b.cannot(err)
+			return nil, nil, nil, err
 		}
 		daemons = append(daemons, d)
 	}
 	if !b.awaitReady(daemons, 20*time.Second) {
-		return b.cannot("daemons are not ready")
+		return nil, nil, nil, errors.New("daemons are not ready")
 	}
 	time.Sleep(2 * time.Second)
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	counts := map[string]int{}
 	joined := 0
-	client := newHTTP(64)
-	for n := range 45 {
+	client := newHTTP(clients)
+	for n := range clients {
 		group.Go(func() {
-			sleep(ctx, time.Duration(n)*100*time.Millisecond)
+			sleep(ctx, time.Duration(n)*4*time.Second/time.Duration(clients))
 			for ctx.Err() == nil {
 				id := b.attemptID()
 				d := daemons[n%len(daemons)]
@@ -119,7 +122,7 @@
 				q.Header.Set("X-Token-Count", "120,80")
 				q.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:80,%s:40", id))
 				b.note("sent %s to %s", id, d.name)
-				r := readStream(client, q, pieces)
+				r := readStream(client, q)
 				b.note("answered %s: status %d, %d events, whole %t, versions %v %s", id, r.status, r.events, r.whole, r.versions, r.fault)
 				mu.Lock()
 				counts[fmt.Sprintf("status %d whole %t", r.status, r.whole)]++
@@ -133,18 +136,52 @@
 			}
 		})
 	}
-	// restart ends an engine and starts it again a second later under its id, with the next version.
-	restart := func(i int) error {
+	restart = func(i int, down time.Duration, more ...string) error {
 		if !trouble() {
-			time.Sleep(time.Second)
+			time.Sleep(down)
 			return nil
 		}
 		b.kill(runners[i])
-		time.Sleep(time.Second)
-		r, err := b.startRunner(fmt.Sprintf("i-llm%d", i), 40+i, append(flags, "-version", "v2")...)
+		time.Sleep(down)
+		r, err := b.startRunner(fmt.Sprintf("i-llm%d", i), 40+i, append(append(streamFlags, "-version", "v2"), more...)...)
 		runners[i] = r
 		return err
 	}
+	stop = func() (int, int) {
+		cancel()
+		group.Wait()
+		summary := fmt.Sprintf("%d streams with events of two software versions; outcomes %v", joined, counts)
+		b.note("%s", summary)
+		fmt.Println(summary)
+		return joined, counts["status 200 whole true"]
+	}
+	return runners, restart, stop, nil
+}
+
+// verdictOfVersions returns the exit status of a case in which no stream but two may hold events of two versions.
+func verdictOfVersions(joined, whole int) int {
+	switch {
+	case whole == 0:
+		return 2
+	case joined > 2:
+		return 1
+	}
+	return 0
+}
+
+// runVersions: the last two engines of an old version crash one after another while the store is away, and start again under
+// their ids with the new version. No stream may hold events of two versions.
+func runVersions(folder string) int {
+	b, err := newBed(folder)
+	if err != nil {
+		fmt.Println("cannot run:", err)
+		return 2
+	}
+	defer b.end()
+	_, restart, stop, err := startStreams(b, 9, 2, 108)
+	if err != nil {
+		return b.cannot(err)
+	}
 	time.Sleep(8 * time.Second)
 	how := os.Getenv("STORE")
 	if how == "" {
@@ -156,7 +193,7 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	for i := range 2 {
-		if err := restart(i); err != nil {
+		if err := restart(i, time.Second); err != nil {
 			stop()
 			return b.cannot(err)
 		}
@@ -166,16 +203,41 @@
 	b.store.setDown("")
 	b.note("store is back")
 	time.Sleep(6 * time.Second)
-	stop()
-	group.Wait()
-	summary := fmt.Sprintf("%d streams with events of two software versions; outcomes %v", joined, counts)
-	b.note("%s", summary)
-	fmt.Println(summary)
-	if counts["status 200 whole true"] == 0 {
+	return verdictOfVersions(stop())
+}
+
+// runUpgraded: an engine runs nine streams when engines of a newer version join. It crashes, and starts again under its id with
+// the newer version. Its entry shows that as late as the site says. No stream may hold events of two versions.
+func runUpgraded(folder string) int {
+	b, err := newBed(folder)
+	if err != nil {
+		fmt.Println("cannot run:", err)
 		return 2
 	}
-	if joined > 2 {
-		return 1
+	defer b.end()
+	_, restart, stop, err := startStreams(b, 1, 1, 9)
+	if err != nil {
+		return b.cannot(err)
 	}
-	return 0
+	down, lag := time.Second, 800*time.Millisecond
+	if v, err := time.ParseDuration(os.Getenv("DOWN")); err == nil {
+		down = v
+	}
+	if v, err := time.ParseDuration(os.Getenv("LAG")); err == nil {
+		lag = v
+	}
+	time.Sleep(4500 * time.Millisecond)
+	for i := 1; i < 4; i++ {
+		if _, err := b.startRunner(fmt.Sprintf("i-llm%d", i), 40+i, append(streamFlags, "-version", "v2")...); err != nil {
+			stop()
+			return b.cannot(err)
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if err := restart(0, down, "-register-after", lag.String()); err != nil {
+		stop()
+		return b.cannot(err)
+	}
+	time.Sleep(6 * time.Second)
+	return verdictOfVersions(stop())
 }
