Count streams that clients take up in vain by reason

Cause: the log and the metrics did not tell why a take-up was refused once its origin was known, or whose load filled the engines of its version. Change: the metric take_up_failures counts them by reason, and a refusal logs the occupied slots of these engines, with the daemons that reported them and the age of the reports.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -295,6 +295,7 @@
 	if c.handOverUnreached(ctx, err) {
 		return
 	}
+	c.recordTakeUpFailure(ctx, err)
 	// A partial response must not look complete, even to a client that is disconnecting; without any
 	// response, the server would send an empty success.
 	c.abortConnection = c.headerWritten || clientDisconnected(ctx)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,8 @@
 	// takeUps counts the streams that clients take up, by how their origin was found, or as
 	// "version-gone" if no runner of their software version could continue them.
 	takeUps *expvar.Map
+	// takeUpFailures counts the streams that were taken up and did not go on, by takeUpFailure.
+	takeUpFailures *expvar.Map
 	// handovers counts requests handed to other daemons: answered there, declined or failed; and those
 	// received from other daemons.
 	handovers *expvar.Map
@@ -51,7 +53,7 @@
 
 func newMetrics() *metrics {
 	return &metrics{
-		requests: new(expvar.Map).Init(), takeUps: new(expvar.Map).Init(), handovers: new(expvar.Map).Init(), incomplete: new(expvar.Map).Init(), unframed: new(expvar.Map).Init(),
+		requests: new(expvar.Map).Init(), takeUps: new(expvar.Map).Init(), takeUpFailures: new(expvar.Map).Init(), handovers: new(expvar.Map).Init(), incomplete: new(expvar.Map).Init(), unframed: new(expvar.Map).Init(),
 		inFlight: new(expvar.Int), bodyBytes: new(expvar.Int), panics: new(expvar.Int),
 		leavingRunners: new(expvar.Int), quietNotices: new(expvar.Int), limitNotices: new(expvar.Int), unknownKeys: new(expvar.Int),
 		firstEventLatency: map[int]*hdrhistogram.Histogram{}, totalLatency: map[int]*hdrhistogram.Histogram{},
@@ -101,6 +103,7 @@
 	v := new(expvar.Map).Init()
 	v.Set("requests", m.requests)
 	v.Set("take_ups", m.takeUps)
+	v.Set("take_up_failures", m.takeUpFailures)
 	v.Set("handovers", m.handovers)
 	v.Set("incomplete_responses", m.incomplete)
 	v.Set("unframed_responses", m.unframed)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,6 +48,9 @@
 		}
 	}
 	if err := c.classify(); err != nil {
+		if c.version != "" {
+			c.logRoom()
+		}
 		c.fail(ctx, err)
 		return
 	}
