Drop the loads of a daemon whose process has ended

What callers saw: after a daemon was killed, restarted or stopped, engines looked as full as with its requests for up to 2 s more, so that streams were refused with all engines full although slots were free. Cause: the load that a daemon reported last expired by age only. Fix: the loads end if a connection to the daemon is refused, if it reports a new process, or if it announces that it leaves, which it does once its requests have ended. A daemon that only does not respond, because it is cut off or suspended, may still have requests, so that its report stays valid for 2 s as before.

--- a/internal/gateway/peer_pace.go
+++ b/internal/gateway/peer_pace.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"slices"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -96,6 +97,10 @@
 		}
 		limit.Exceeded(took)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		// A process listens until its requests have ended.
+		p.fleet.DropPeerLoads(l.name)
+	}
 	if l.backoff == 0 {
 		p.log.Warn("daemon does not respond", zap.String("peer", l.name), zap.String("peer-address", l.address), zap.Error(err))
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -343,6 +343,7 @@
 	delete(p.links, name)
 	daemons := p.assignCellPeersAndProbes()
 	p.mu.Unlock()
+	p.fleet.DropPeerLoads(name)
 	p.log.Info("daemon left", zap.String("peer", name), zap.Int("daemons", len(daemons)))
 	p.onDaemonsChanged(daemons)
 }
--- a/internal/gateway/peers_load.go
+++ b/internal/gateway/peers_load.go
@@ -169,8 +169,8 @@
 }
 
 // noteSender records the state that a peer reports. For a peer that has just started it queues what
-// its previous process knew: the crashes of runners and the retries that it had used. peers.mu must
-// be held.
+// its previous process knew: the crashes of runners and the retries that it had used. The loads of that
+// process end. peers.mu must be held.
 func (p *peers) noteSender(l *peerLink, m *loadMessage, now time.Time) {
 	if l.started != m.Started {
 		l.queueCrashReports(now, p.crashes.allReports(now))
@@ -179,6 +179,7 @@
 		if l.started != 0 {
 			// The call went to the previous process.
 			l.endCall()
+			p.fleet.DropPeerLoads(l.name)
 			l.previous = &previousSlack{Used: l.usedSlack, AgeMS: now.Sub(l.usedSlackAt).Milliseconds()}
 		}
 		l.started = m.Started
--- a/internal/placement/share.go
+++ b/internal/placement/share.go
@@ -120,3 +120,16 @@
 	}
 	return toForward
 }
+
+// DropPeerLoads forgets the loads that a peer has reported, because its process has ended: so have its requests. A peer that
+// only does not respond may still have them.
+func (f *Fleet) DropPeerLoads(peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		delete(m.peers, peer)
+	}
+	for _, m := range f.lapsed {
+		delete(m.peers, peer)
+	}
+}
