Let streams that have begun wait for room at their software version

What callers saw: after a daemon was killed, each stream that its clients took up at another one was answered 503 at once, and lost, if the engines of its software version looked full; new streams began at another version. Cause: admission refuses a stream if all engines that could run it are full. For a new stream these are all engines, for one that has begun those of one version, and it can neither run elsewhere nor come later. Fix: such a stream waits until the engines of its version have room, in the order of arrival and before new streams, as long as its client waits. At most as many wait as this daemon's share of the slots; the next one is refused at once.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -75,6 +75,8 @@
 	receiversTried bool
 	// admitted is set if the request arrived before the end of the service.
 	admitted bool
+	// roomTicket is the place of a stream that waits for room at the engines of its version, nil for others.
+	roomTicket *placement.RoomTicket
 	// trial is the blocked trait of which the request is a trial, or empty.
 	trial crashes.Trait
 	// deadline is the end of the client's or of the route's time limit, whichever is earlier.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,13 +47,11 @@
 			return
 		}
 	}
-	if err := c.classify(); err != nil {
-		if c.version != "" {
-			c.logRoom()
-		}
+	if err := c.admit(ctx); err != nil {
 		c.fail(ctx, err)
 		return
 	}
+	defer c.leaveRoomQueue(false)
 	// unused is a KV cache that no decode engine has taken yet, next an attempt that was already sent.
 	var unused port.KVCacheHandle
 	var next *replacement
@@ -70,6 +68,7 @@
 			c.fail(ctx, err)
 			return
 		}
+		c.leaveRoomQueue(true)
 		next, err = c.runStream(ctx, inFlight, cache, next)
 		if err == nil {
 			c.recordCompletion(c.status)
@@ -123,6 +122,22 @@
 	return inFlight, cache, nil
 }
 
+// admit sets the urgency of the stream and decides whether it is sent. One that has begun waits for room if the engines of its
+// version are full.
+func (c *call) admit(ctx context.Context) error {
+	err := c.classify()
+	if c.version == "" || err == nil {
+		return err
+	}
+	if errors.Is(err, errSaturated) {
+		err = c.awaitRoom(ctx)
+	}
+	if err != nil {
+		c.logRoom()
+	}
+	return err
+}
+
 // classify predicts the first event and sets the urgency. It returns errSaturated if all engines are
 // full, and errPredictedLate if the first event is predicted after the client disconnects.
 func (c *call) classify() error {
--- a/internal/placement/cell.go
+++ b/internal/placement/cell.go
@@ -79,6 +79,7 @@
 	defer f.mu.Unlock()
 	self := Daemon{Name: f.daemon, DataCentre: f.dataCentre}
 	updated := cellsOf(self, daemons)
+	f.daemons = max(1, len(daemons))
 	if f.cellPeers = 0; f.spreads && updated.count > 0 {
 		f.cellPeers = len(CellPeers(self, daemons))
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -180,7 +180,7 @@
 	} else {
 		o.cost += time.Duration(l.Running)*streamPenalty + m.gapPenalty(&l, o.prefill, q)
 	}
-	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
+	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) || f.awaited(m, &q) {
 		o.cost += fullPenalty
 	}
 	if m.silent(now) {
@@ -300,7 +300,7 @@
 	// prefill in progress.
 	o := option{member: m, firstEvent: transfer + l.CurrentPrefill + firstEventDelay}
 	o.cost = penalty + m.requestGapPenalty(l.backlog(), q) + time.Duration(l.Running)*streamPenalty
-	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
+	if m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) || f.awaited(m, &q) {
 		o.cost += fullPenalty
 	}
 	if m.silent(now) {
--- a/internal/placement/classify.go
+++ b/internal/placement/classify.go
@@ -26,7 +26,7 @@
 	// lateTimeoutShare of it for UrgencyLate, or if Saturated is set. It is true if no runner is
 	// usable.
 	Accepted bool
-	// Saturated is set if all engines that could run the stream are full.
+	// Saturated is set if all engines that could run the stream are full, or have no room beside the streams that wait for it.
 	Saturated bool
 }
 
@@ -35,7 +35,7 @@
 // objective run after all others, and requests whose client would time out before the first
 // event are refused. If all engines are full, as when others limit their requests, each further
 // stream would only preempt those that run. A stream that has begun keeps its urgency: its client has waited
-// already, and only the engines of one version can serve it. RemainingTarget and ClientTimeout of the query must be set.
+// already, and only the engines of one version can serve it. If they are full, it may wait; see QueueForRoom. RemainingTarget and ClientTimeout of the query must be set.
 func (f *Fleet) Classify(now time.Time, q Query, rank int) Class {
 	q.Urgency = min(rank, UrgencyLate-1)
 	latest := q.ClientTimeout
@@ -57,13 +57,16 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if _, ok := f.roomQueues[versionKey{q.Service, q.Version}]; ok && q.Version != "" {
+		return true
+	}
 	full := false
 	for _, m := range f.services[q.Service] {
 		if m.runner.Role == port.RolePrefill || q.excludes(m) || !f.usable(now, m) {
 			continue
 		}
 		l := f.estimatedLoad(m, now)
-		if l.Running == 0 || !m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens) {
+		if (l.Running == 0 || !m.full(&l, q.Prompt.InputTokens+q.Prompt.OutputTokens)) && !f.awaited(m, &q) {
 			return false
 		}
 		full = true
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -33,7 +33,11 @@
 	// is not divided or spreads is not set. arrivals holds the work that this daemon sends, by service and kind of send.
 	cellPeers int
 	spreads   bool
-	arrivals  map[string]*arrivals
+	// daemons is the number of daemons, this one included.
+	daemons int
+	// roomQueues holds the streams that wait for room; a version for which none waits has no entry.
+	roomQueues map[versionKey]*roomQueue
+	arrivals   map[string]*arrivals
 	// options and spreadBuffer are buffers of spread.
 	options      []option
 	spreadBuffer []spread.Candidate
@@ -55,7 +59,7 @@
 
 // NewFleet returns an empty fleet for the given daemon and its data centre.
 func NewFleet(dataCentre, daemon string) *Fleet {
-	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, models: map[string]models{}, leaving: map[string]int64{}, limitShare: 1, paths: map[string]*pathState{}, arrivals: map[string]*arrivals{}, random: rand.Float64}
+	return &Fleet{dataCentre: dataCentre, daemon: daemon, members: map[string]*member{}, services: map[string][]*member{}, models: map[string]models{}, leaving: map[string]int64{}, limitShare: 1, paths: map[string]*pathState{}, arrivals: map[string]*arrivals{}, random: rand.Float64, daemons: 1, roomQueues: map[versionKey]*roomQueue{}}
 }
 
 // SetServices replaces the engine limits of all services.
