Break off responses without a length whose end is not confirmed

What callers saw: when a runner was killed while a daemon had all the connections in use that it may have to it, clients got a part of an answer with neither a length nor chunks as a complete, sealed 200. Cause: at the end of such an answer another connection shows whether the server runs. The connection that had ended still held its place among those allowed, so that none was tried, and each error but a refusal or a reset counted as running: a limit, a full table of descriptors, no answer, the end of the request. Fix: the connection takes the place and the descriptor of the one that has ended, the end of the request does not end the confirmation, and an end that is not confirmed is none.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -196,32 +196,43 @@
 
 // connect returns an idle connection that is verified to be open, or a new one.
 func (c *Client) connect(ctx context.Context, address string, r *Request) (*conn, error) {
-	for r.MaxIdle > 0 {
-		cn := c.takeIdle(address, r.MaxIdle)
-		if cn == nil {
-			break
-		}
+	if cn := c.takeQuiet(address, r.MaxIdle); cn != nil {
+		return cn, nil
+	}
+	return c.dial(ctx, address, r.Dialed)
+}
+
+// takeQuiet returns an idle connection that is verified to be open, or nil if there is none that has been idle for less than
+// maxIdle.
+func (c *Client) takeQuiet(address string, maxIdle time.Duration) *conn {
+	for maxIdle > 0 {
+		cn := c.takeIdle(address, maxIdle)
 		// A connection on which the server has sent data or closed its side cannot be reused.
-		if network.Quiet(cn.Conn) {
-			return cn, nil
+		if cn == nil || network.Quiet(cn.Conn) {
+			return cn
 		}
 		cn.Close()
 	}
-	return c.dial(ctx, address, r.Dialed)
+	return nil
 }
 
-// dial opens a connection.
+// dial opens a connection if the limit allows another one, or in place of an idle one.
 func (c *Client) dial(ctx context.Context, address string, dialed func(began time.Time, err error)) (*conn, error) {
-	if limit := c.connectLimit.Current(); limit > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
-		defer cancel()
-	}
 	for !c.counts.add(address) {
 		if !c.closeIdle(address) {
 			return nil, port.ErrConnectionLimit
 		}
 	}
+	return c.openCounted(ctx, address, dialed)
+}
+
+// openCounted opens a connection that is counted already. It is no longer counted after an error.
+func (c *Client) openCounted(ctx context.Context, address string, dialed func(began time.Time, err error)) (*conn, error) {
+	if limit := c.connectLimit.Current(); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
 	began := time.Now()
 	raw, err := c.network.DialContext(ctx, "tcp", address)
 	c.recordConnect(time.Since(began), err)
@@ -339,15 +350,6 @@
 	return &Response{Status: response.StatusCode, Header: response.Header, Body: b, Framed: Framed(response)}, nil
 }
 
-// confirmEnd returns an error if the end of the connection does not show that its server has sent the
-// whole response.
-func (x *transfer) confirmEnd() error {
-	if x.writeFailed() {
-		return errResetWhileSending
-	}
-	return x.client.confirmRunning(x.ctx, x.conn.address, x.request.Dialed)
-}
-
 // write writes the request. A request with a long body is written in the background,
 // because the server may respond before it has read all of it.
 func (x *transfer) write() {
--- a/internal/adapter/exchange/limit.go
+++ b/internal/adapter/exchange/limit.go
@@ -22,6 +22,13 @@
 	return true
 }
 
+// reserve counts a connection that takes the place of one that has ended, whatever the limit.
+func (n *connCounts) reserve(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.open[address]++
+}
+
 // remove counts a connection that was closed, or could not be opened.
 func (n *connCounts) remove(address string) {
 	n.mu.Lock()
