Trust the version of a runner only while its process may run

What callers saw: streams whose events after a break came from another software version, after runners had crashed and were back under their ids with that version. Cause: the version of a runner was read from its registry entry and trusted as long as that stood, although the daemon had seen connections to the process that wrote it end and new ones refused. A list that was read a second after a failure counted as proof that the process is the same, and streams that began at the new process were recorded with the old version. Fix: a sign of the end of a process puts it in doubt until there is evidence from a later time that it runs (an event on an older connection, a connection that opens at once, a later entry of the same start) or an entry of another start. Streams that have begun do not use a process in doubt; streams that begin at one have no version that another runner has.

--- a/internal/gateway/attempt_outcome.go
+++ b/internal/gateway/attempt_outcome.go
@@ -46,6 +46,7 @@
 		return
 	}
 	inFlight.End(time.Now(), placement.NoContact)
+	g.processes.verify(inFlight.Runner())
 	g.confirmFailure(inFlight)
 }
 
--- a/internal/gateway/await_version.go
+++ b/internal/gateway/await_version.go
@@ -36,6 +36,7 @@
 	began := time.Now()
 	for ; ctx.Err() == nil && time.Now().Before(end); clock.Sleep(ctx, versionPollInterval) {
 		c.readmitRunners()
+		c.gateway.processes.want()
 		q := c.placementQuery()
 		if fleet.DecodeUsable(time.Now(), q) {
 			c.logStep("waited %s for version %s", time.Since(began).Round(time.Millisecond), c.version)
@@ -59,12 +60,11 @@
 }
 
 // readmitRunners ends the exclusion of runners that have started anew, and of those that still run the
-// same process by a list that was read well after they failed the request: the process that is back
-// under the id of one that broke the stream off may be of another version.
+// same process by a list that was read well after they failed the request.
 func (c *call) readmitRunners() {
 	for id, f := range c.failed {
 		start, known := c.gateway.fleet.StartOf(id)
-		if known && (start != f.startedMS || c.gateway.discovery.confirmedSince(f.at.Add(registryLag))) {
+		if known && (start != f.startedMS || c.gateway.discovery.confirmedSince(f.at.Add(registryLag)) && !c.gateway.fleet.InDoubt(id)) {
 			delete(c.excluded, id)
 			delete(c.failed, id)
 		}
--- a/internal/gateway/discovery.go
+++ b/internal/gateway/discovery.go
@@ -143,6 +143,17 @@
 	return at != nil && !at.Before(t)
 }
 
+// sequence returns the number of the newest known entry of a start of a runner, or 0 if that is not its newest start.
+func (d *discovery) sequence(id string, startedMS int64) int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.runners[id]
+	if !ok || r.runner.StartedMS != startedMS {
+		return 0
+	}
+	return r.runner.Sequence
+}
+
 // digest returns a hash of the list of runners, by which daemons check that their lists are
 // equal.
 func (d *discovery) digest() uint64 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,6 +79,7 @@
 	storeEra      *storeEra
 	planner       *rolePlanner
 	reach         *runnerReach
+	processes     *processes
 	receivers     *receivers
 	// connectionLimits holds the number of connections that may be open to a runner, by address.
 	connectionLimits atomic.Pointer[map[string]int]
@@ -170,6 +171,7 @@
 		limiter.LimitConnections(g.connectionLimit)
 	}
 	g.reach = newRunnerReach(g.log, deps.Runners)
+	g.processes = newProcesses(g.log, g.fleet, g.discovery, deps.Runners, g.background)
 	g.receivers = newReceivers(g.peers, g.reach, g.receiverStatus)
 	g.reach.ask, g.reach.onReturn = g.receivers.ask, g.fleet.EndAvoidance
 	g.peers.receivers, g.peers.reach = g.receivers, g.reach
@@ -268,7 +270,7 @@
 		"configuration": g.config.run, "discovery": g.discovery.run, "load sharing": g.peers.run, "membership": g.peers.runMembership,
 		"role planning": g.planner.run, "crash records": g.records.run, "origin records": g.originRecords.run,
 		"origin reads":     g.originRecords.runReads,
-		"reach of runners": g.reach.run,
+		"reach of runners": g.reach.run, "processes of runners": g.processes.run,
 	} {
 		g.background(task, func(ctx context.Context) { g.supervise(ctx, task, run) })
 	}
@@ -367,6 +369,7 @@
 		if g.usage != nil {
 			vars.Set("usage", expvar.Func(g.usage.vars))
 		}
+		vars.Set("doubted_processes", expvar.Func(func() any { return len(g.fleet.DoubtedProcesses()) }))
 		vars.Set("blocked_traits", expvar.Func(func() any { return g.crashes.blocks() }))
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		// A failed write means that the client disconnected.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -317,6 +317,7 @@
 	}
 	p.applyLoads(time.Now(), &m)
 	p.crashes.applyReports(time.Now(), m.Crashes)
+	p.doubtProcesses(time.Now(), m.Crashes)
 	p.origins.apply(time.Now(), m.Origins)
 	p.learnOfConfig(m.From, m.Address, m.Config)
 	return nil, nil
--- /dev/null
+++ b/internal/gateway/processes.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotsill.example/bergamotsill/internal/adapter/clock"
+	"bergamotsill.example/bergamotsill/internal/crashes"
+	"bergamotsill.example/bergamotsill/internal/placement"
+	"bergamotsill.example/bergamotsill/internal/port"
+)
+
+const (
+	// verifyDelay is the time in which a process that ends closes its listener after its connections.
+	verifyDelay = 30 * time.Millisecond
+	// entryCheckInterval is how often entries of runners in doubt are read while streams wait for them.
+	entryCheckInterval = 300 * time.Millisecond
+	// wantedTime is how long after a stream last waited for such a runner its entry is read.
+	wantedTime = 2 * entryCheckInterval
+)
+
+// processes finds out whether runners still run the process of their registry entry, after signs that it has ended; see
+// placement.Process. It is safe for concurrent use.
+type processes struct {
+	log       *zap.Logger
+	fleet     *placement.Fleet
+	discovery *discovery
+	// probe opens a connection to a runner; nil if nothing can be probed.
+	probe func(ctx context.Context, to port.Runner) error
+	// background runs a function; its context is done when the gateway ends.
+	background func(task string, f func(context.Context))
+	// wake holds a token once streams wait for a runner.
+	wake chan struct{}
+
+	mu       sync.Mutex
+	wantedAt time.Time
+	// verifying holds the runners to which a connection is being opened, by id.
+	verifying map[string]bool
+}
+
+func newProcesses(log *zap.Logger, f *placement.Fleet, d *discovery, runners port.Runners, background func(string, func(context.Context))) *processes {
+	p := &processes{log: log, fleet: f, discovery: d, background: background, wake: make(chan struct{}, 1), verifying: map[string]bool{}}
+	if _, ok := runners.(port.ContactSource); ok {
+		p.probe = runners.Probe
+	}
+	return p
+}
+
+// verify opens a connection to a runner after a sign that its process has ended. A process that ran shortly before and takes the
+// connection is the same one: none starts again that fast.
+func (p *processes) verify(to port.Runner) {
+	if _, ok := p.fleet.RanUntilDoubt(to.ID); !ok || p.probe == nil || !p.beginVerify(to.ID) {
+		return
+	}
+	p.background("verify process of a runner", func(ctx context.Context) {
+		defer p.endVerify(to.ID)
+		for {
+			clock.Sleep(ctx, verifyDelay)
+			doubted, ok := p.fleet.RanUntilDoubt(to.ID)
+			began := time.Now()
+			left := placement.MaxConfirmTime - began.Sub(doubted.Since)
+			if !ok || left <= 0 || ctx.Err() != nil {
+				return
+			}
+			if began.Sub(doubted.Since) < verifyDelay {
+				// Another connection ended meanwhile.
+				continue
+			}
+			probeCtx, cancel := context.WithTimeout(ctx, left)
+			err := p.probe(probeCtx, to)
+			cancel()
+			if err != nil {
+				return
+			}
+			doubted.Since = began
+			p.confirm(doubted, "connection")
+		}
+	})
+}
+
+func (p *processes) beginVerify(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.verifying[id] {
+		return false
+	}
+	p.verifying[id] = true
+	return true
+}
+
+func (p *processes) endVerify(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.verifying, id)
+}
+
+// confirm records evidence that a process runs.
+func (p *processes) confirm(process placement.Process, by string) {
+	if p.fleet.ConfirmProcess(process) {
+		p.log.Info("process of a runner still runs", zap.String("runner", process.ID), zap.Int64("started-ms", process.StartedMS), zap.String("evidence", by))
+	}
+}
+
+// want asks for evidence that runners in doubt still run, because a stream waits for one.
+func (p *processes) want() {
+	p.mu.Lock()
+	p.wantedAt = time.Now()
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *processes) wanted(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.wantedAt) < wantedTime
+}
+
+// entrySequence is the number of the newest entry of a process by a read that began at readAt.
+type entrySequence struct {
+	sequence int64
+	readAt   time.Time
+}
+
+// run reads the entries of runners in doubt until ctx is done, while streams wait for them. An entry that follows the one of an
+// earlier read was written after that read, so that its process ran then.
+func (p *processes) run(ctx context.Context) {
+	seen := map[placement.Process]entrySequence{}
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		}
+		for ; ctx.Err() == nil && p.wanted(time.Now()); clock.Sleep(ctx, entryCheckInterval) {
+			doubted := p.fleet.DoubtedProcesses()
+			if len(doubted) == 0 {
+				break
+			}
+			began := time.Now()
+			readCtx, cancel := context.WithTimeout(ctx, entryCheckInterval)
+			read := p.discovery.refresh(readCtx)
+			cancel()
+			if read {
+				p.compare(seen, doubted, began)
+			}
+		}
+		clear(seen)
+	}
+}
+
+// compare confirms the processes whose entry is newer than at an earlier read that began after the last sign of their end, and
+// notes the entries of the others.
+func (p *processes) compare(seen map[placement.Process]entrySequence, doubted []placement.Process, began time.Time) {
+	for _, process := range doubted {
+		key := placement.Process{ID: process.ID, StartedMS: process.StartedMS}
+		sequence := p.discovery.sequence(process.ID, process.StartedMS)
+		last, ok := seen[key]
+		if ok && !last.readAt.Before(process.Since) && sequence > last.sequence {
+			process.Since = last.readAt
+			p.confirm(process, "entry")
+		}
+		if !ok || last.readAt.Before(process.Since) {
+			seen[key] = entrySequence{sequence: sequence, readAt: began}
+		}
+	}
+}
+
+// doubtProcesses records the ends of processes that a peer has observed.
+func (p *peers) doubtProcesses(now time.Time, reports []crashes.Report) {
+	for _, r := range reports {
+		if r.Runner != "" {
+			p.fleet.DoubtProcess(now, r.Runner, r.Start)
+		}
+	}
+}
+
+// originRunner returns the runner that generates the events of a request. Its version is unknownVersion if it is not certain
+// which of its processes does: at no other one the stream may continue.
+func originRunner(inFlight *placement.InFlightRequest) port.Runner {
+	runner := inFlight.Runner()
+	version, ok := inFlight.Version()
+	if !ok {
+		version = unknownVersion + runner.ID
+	}
+	runner.Version = version
+	return runner
+}
+
+// unknownVersion is the begin of the version of streams that began at a process of unknown version. No runner has it.
+const unknownVersion = "unknown version of "
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -67,8 +67,8 @@
 				}
 				c.recordEvents(inFlight)
 			}
-			if events {
-				c.noteOrigin(inFlight.Runner())
+			if events && c.version == "" {
+				c.noteOrigin(originRunner(inFlight))
 			}
 			if events || c.headerWritten {
 				if sendErr := c.writeEvents(response, buffer[:whole]); sendErr != nil {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -33,10 +33,10 @@
 	Version string
 }
 
-// excludes reports whether a runner must not take the request, whatever its state. A prefill engine
-// writes no events, so that its version does not matter.
+// excludes reports whether a runner must not take the request, whatever its state. A stream that has begun continues only at a
+// process that is certainly of its version. A prefill engine writes no events, so that its version does not matter.
 func (q *Query) excludes(m *member) bool {
-	foreign := q.Version != "" && m.runner.Version != q.Version && m.runner.Role != port.RolePrefill
+	foreign := q.Version != "" && m.runner.Role != port.RolePrefill && (m.runner.Version != q.Version || m.inDoubt())
 	return foreign || q.Excluded[m.runner.ID]
 }
 
--- a/internal/placement/engine.go
+++ b/internal/placement/engine.go
@@ -147,6 +147,8 @@
 	failures     int
 	successes    int
 	suspectUntil time.Time
+	// doubtSince is the time of the last sign that the process of the entry has ended, zero while it certainly runs.
+	doubtSince time.Time
 	// leaving is set if the runner announced that it leaves, or refused a request because it is a
 	// different instance. leavingUnreported is set until the announcement is reported to peers.
 	leaving           bool
@@ -231,7 +233,7 @@
 		m.cache.clear()
 		m.failures, m.successes = 0, 0
 		m.failureRate = failureRate{}
-		m.suspectUntil = time.Time{}
+		m.suspectUntil, m.doubtSince = time.Time{}, time.Time{}
 		m.leaving, m.leavingUnreported = false, false
 		m.quietUntil = time.Time{}
 		m.limit = requestlimit.Limit{}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -142,6 +142,8 @@
 	// queueWasEmpty is set if no prompt was queued or in prefill at the runner when the
 	// request began.
 	queueWasEmpty bool
+	// placedInDoubt is set if the process of the runner was in doubt when the request began.
+	placedInDoubt bool
 	prefilled     bool
 	ended         bool
 	// onTime is set while a stream at a decode engine has met its deadline for the first
@@ -149,8 +151,8 @@
 	onTime             bool
 	firstEventDeadline time.Time
 	allowedGap         time.Duration
-	// lastEvent is the time of the last event.
-	lastEvent time.Time
+	// firstEvent and lastEvent are the times of the first and of the last event.
+	firstEvent, lastEvent time.Time
 	// silent is set if silence of the request's stream was recorded as a failure of the runner.
 	silent bool
 	// failureCounted is set if a failure of the request counts against the runner.
@@ -160,7 +162,7 @@
 // begin registers a request at a member. The caller holds f.mu.
 func (f *Fleet) begin(m *member, now time.Time, q Query, uncached int) *InFlightRequest {
 	f.lastSequence++
-	r := &InFlightRequest{fleet: f, member: m, runner: m.runner, urgency: q.Urgency, beganAt: now, sequence: f.lastSequence, prefilled: true}
+	r := &InFlightRequest{fleet: f, member: m, runner: m.runner, urgency: q.Urgency, beganAt: now, sequence: f.lastSequence, prefilled: true, placedInDoubt: m.inDoubt()}
 	if p := q.Prompt; p != nil {
 		r.onTime = m.runner.Role != port.RolePrefill && q.Urgency != UrgencyLate && q.AllowedGap > 0
 		r.firstEventDeadline, r.allowedGap = now.Add(q.RemainingTarget), q.AllowedGap
@@ -257,10 +259,11 @@
 	defer f.mu.Unlock()
 	r.markPrefilledLocked(now)
 	m := r.member
+	m.confirmByEvent(now, r)
 	m.lastEvent = now
 	if r.lastEvent.IsZero() {
 		r.onTime = r.onTime && !now.After(r.firstEventDeadline)
-		r.lastEvent = now
+		r.firstEvent, r.lastEvent = now, now
 		return
 	}
 	gap := now.Sub(r.lastEvent)
--- a/internal/placement/silence.go
+++ b/internal/placement/silence.go
@@ -36,12 +36,14 @@
 	}
 }
 
-// avoidLocked lets this daemon avoid the runner, unless RecordSilence did. The caller holds f.mu.
+// avoidLocked lets this daemon avoid the runner, unless RecordSilence did, and doubt its process. The caller holds f.mu.
 func (r *InFlightRequest) avoidLocked(now time.Time) {
 	if r.silent {
+		r.doubtProcess(now)
 		return
 	}
 	r.member.avoid(now)
+	r.doubtProcess(now)
 	r.member.dirty = true
 	r.fleet.pathFailed(r.member.runner.DataCentre, now)
 }
