Confirm the crash of a runner by a connection right after a failure

What callers saw: after five runners had crashed because of one part of a prompt, 4 or 5 further requests with it were sent where three are allowed, and 11 to 15 runners ended instead of a few. Cause: a lost connection counts as a crash once the end of the runner is certain. A runner that has just failed is avoided, so that no connection is refused, and the registry showed the end 0.7 s later. Until then the next requests crashed the next runners, and what was known was too little when all daemons were killed. Fix: after an attempt without a valid response, one connection is opened to its runner; if it is refused, lost connections there count at once. TestCrashesAreConfirmedAtOnce failed before in 3 of 3 runs.

--- a/internal/gateway/attempt_outcome.go
+++ b/internal/gateway/attempt_outcome.go
@@ -55,6 +55,12 @@
 	g.reach.confirm(inFlight.Runner().Service, func() { inFlight.CountFailure(time.Now()) })
 }
 
+// recordRefused confirms the losses of connections to a runner that refuses new ones, once it is certain that it is not this daemon
+// that reaches no runner.
+func (g *Gateway) recordRefused(r port.Runner) {
+	g.reach.confirm(r.Service, func() { g.crashes.confirmRefused(r.ID, time.Now()) })
+}
+
 // recordSilence records that a stream has received no events since a time.
 func (g *Gateway) recordSilence(inFlight *placement.InFlightRequest, now, since time.Time) {
 	inFlight.RecordSilence(now)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -250,7 +250,7 @@
 func (c *call) recordConnectionLoss(err error, r port.Runner, events int) {
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		c.gateway.reach.confirm(r.Service, func() { c.gateway.crashes.confirmRefused(r.ID, time.Now()) })
+		c.gateway.recordRefused(r)
 	case mayBeConnectionLoss(err):
 		c.gateway.crashes.recordLoss(connectionLoss{
 			traits: c.traits, requestID: c.request.ID, promptParts: partIDs(c.request.Prompt), firstEvent: events > 0,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -172,6 +172,7 @@
 	}
 	g.reach = newRunnerReach(g.log, deps.Runners)
 	g.processes = newProcesses(g.log, g.fleet, g.discovery, deps.Runners, g.background)
+	g.processes.refused = g.recordRefused
 	g.receivers = newReceivers(g.peers, g.reach, g.receiverStatus)
 	g.reach.ask, g.reach.onReturn = g.receivers.ask, g.fleet.EndAvoidance
 	g.peers.receivers, g.peers.reach = g.receivers, g.reach
--- a/internal/gateway/processes.go
+++ b/internal/gateway/processes.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,6 +32,8 @@
 	discovery *discovery
 	// probe opens a connection to a runner; nil if nothing can be probed.
 	probe func(ctx context.Context, to port.Runner) error
+	// refused is called with a runner that refuses connections after a sign of the end of its process.
+	refused func(port.Runner)
 	// background runs a function; its context is done when the gateway ends.
 	background func(task string, f func(context.Context))
 	// wake holds a token once streams wait for a runner.
@@ -50,37 +54,43 @@
 }
 
 // verify opens a connection to a runner after a sign that its process has ended. A process that ran shortly before and takes the
-// connection is the same one: none starts again that fast.
+// connection is the same one, because none starts again that fast; one that refuses it has ended.
 func (p *processes) verify(to port.Runner) {
-	if _, ok := p.fleet.RanUntilDoubt(to.ID); !ok || p.probe == nil || !p.beginVerify(to.ID) {
+	if p.probe == nil || !p.beginVerify(to.ID) {
 		return
 	}
 	p.background("verify process of a runner", func(ctx context.Context) {
 		defer p.endVerify(to.ID)
-		for {
+		clock.Sleep(ctx, verifyDelay)
+		for ctx.Err() == nil && p.verifyOnce(ctx, to) {
+			// Further connections have ended meanwhile.
 			clock.Sleep(ctx, verifyDelay)
-			doubted, ok := p.fleet.RanUntilDoubt(to.ID)
-			began := time.Now()
-			left := placement.MaxConfirmTime - began.Sub(doubted.Since)
-			if !ok || left <= 0 || ctx.Err() != nil {
-				return
-			}
-			if began.Sub(doubted.Since) < verifyDelay {
-				// Another connection ended meanwhile.
-				continue
-			}
-			probeCtx, cancel := context.WithTimeout(ctx, left)
-			err := p.probe(probeCtx, to)
-			cancel()
-			if err != nil {
-				return
-			}
-			doubted.Since = began
-			p.confirm(doubted, "connection")
 		}
 	})
 }
 
+// verifyOnce opens a connection to a runner. It reports whether there was a later sign of the end of its process, so that another
+// connection has to show that it runs.
+func (p *processes) verifyOnce(ctx context.Context, to port.Runner) (again bool) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, placement.MaxConfirmTime)
+	defer cancel()
+	err := p.probe(ctx, to)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		p.refused(to)
+	}
+	doubted, ok := p.fleet.RanUntilDoubt(to.ID)
+	if err != nil || !ok || time.Since(doubted.Since) > placement.MaxConfirmTime {
+		return false
+	}
+	if began.Sub(doubted.Since) < verifyDelay {
+		return true
+	}
+	doubted.Since = began
+	p.confirm(doubted, "connection")
+	return false
+}
+
 func (p *processes) beginVerify(id string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
