Read the entry of a runner before a stream goes on over a first connection

What callers would see: events of two software versions in a stream that goes on at a runner which has started again while this daemon had no connection to it, or only idle ones, so that it saw nothing of the end. Cause: the entry was trusted until the next read of the registry, up to 0.7 s later. Fix: if no other connection to the runner is open, a stream that has begun is written only after a read of the registry that began after the connection was opened; runners write their entry when they start. Concurrent reads are shared. While the store is away the stream goes on.

--- a/internal/adapter/exchange/client.go
+++ b/internal/adapter/exchange/client.go
@@ -64,6 +64,9 @@
 	MaxIdle time.Duration
 	// Wanted reports whether the request is still to be sent. It is called immediately before it is written, unless it is nil.
 	Wanted func() bool
+	// Opened is called before the request is written on a new connection, if no other one to the address is open. An error prevents
+	// that. It may be nil.
+	Opened func(ctx context.Context) error
 	// Matches reports whether a response belongs to the request; nil accepts every
 	// response. Other responses are skipped. first is set for the first response on a
 	// connection, which cannot belong to an earlier request.
@@ -163,6 +166,12 @@
 		c.keep(cn)
 		return nil, fmt.Errorf("%w: %w", port.ErrNotSent, cmp.Or(ctx.Err(), errUnwanted))
 	}
+	if r.Opened != nil && !cn.reused && c.counts.only(address) {
+		if err := r.Opened(ctx); err != nil {
+			c.keep(cn)
+			return nil, fmt.Errorf("%w: %w", port.ErrNotSent, err)
+		}
+	}
 	x := &transfer{ctx: ctx, client: c, conn: cn, request: &r}
 	x.stopContextWatch = context.AfterFunc(ctx, func() { cn.Close() })
 	response, err := x.roundTrip()
--- a/internal/adapter/exchange/limit.go
+++ b/internal/adapter/exchange/limit.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// only reports whether no other connection to an address is open beside one.
+func (n *connCounts) only(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.open[address] == 1
+}
+
 // exceeded reports whether more connections are open than may be, as after the limit was lowered.
 func (n *connCounts) exceeded(address string) bool {
 	n.mu.Lock()
--- a/internal/gateway/attempt_outcome.go
+++ b/internal/gateway/attempt_outcome.go
@@ -22,7 +22,7 @@
 	switch {
 	case err == nil:
 		return placement.Completed
-	case errors.Is(err, port.ErrConnectionLimit):
+	case errors.Is(err, port.ErrConnectionLimit), errors.Is(err, errProcessReplaced):
 		return placement.Unsent
 	case errors.Is(err, port.ErrWrongInstance):
 		return placement.Misdirected
--- a/internal/gateway/processes.go
+++ b/internal/gateway/processes.go
@@ -20,6 +20,8 @@
 	verifyDelay = 30 * time.Millisecond
 	// entryCheckInterval is how often entries of runners in doubt are read while streams wait for them.
 	entryCheckInterval = 300 * time.Millisecond
+	// entryCheckTimeout bounds the read of an entry before a stream continues at its runner.
+	entryCheckTimeout = 150 * time.Millisecond
 	// wantedTime is how long after a stream last waited for such a runner its entry is read.
 	wantedTime = 2 * entryCheckInterval
 )
@@ -114,6 +116,22 @@
 	}
 }
 
+// errProcessReplaced reports that the process of a runner is a later one than that of the entry by which it was chosen.
+var errProcessReplaced = errors.New("runner has started again")
+
+// checkEntry returns errProcessReplaced if a read of the registry that begins now shows that a runner has started again. Runners write
+// their entry when they start, so that the process of a connection that is open already has written its own. While the registry
+// cannot be read, nothing speaks against the known entry.
+func (p *processes) checkEntry(ctx context.Context, to port.Runner) error {
+	ctx, cancel := context.WithTimeout(ctx, entryCheckTimeout)
+	defer cancel()
+	p.discovery.refresh(ctx)
+	if start, ok := p.fleet.StartOf(to.ID); !ok || start != to.StartedMS {
+		return errProcessReplaced
+	}
+	return nil
+}
+
 // want asks for evidence that runners in doubt still run, because a stream waits for one.
 func (p *processes) want() {
 	p.mu.Lock()
--- a/internal/gateway/processes_test.go
+++ b/internal/gateway/processes_test.go
@@ -176,3 +176,65 @@
 		})
 	}
 }
+
+// openingEngines is a port.Runners each of whose runs opens the first connection to its engine.
+type openingEngines struct {
+	answeringEngines
+	opened func()
+}
+
+func (e *openingEngines) Run(ctx context.Context, to port.Runner, r *port.ForwardRequest, o port.RunOptions) (*port.ForwardResponse, error) {
+	e.opened()
+	if o.Opened != nil {
+		if err := o.Opened(ctx); err != nil {
+			return nil, fmt.Errorf("%w: %w", port.ErrNotSent, err)
+		}
+	}
+	return e.answeringEngines.Run(ctx, to, r, o)
+}
+
+// Guards against a stream that goes on at a runner that has started again with another version, of which this daemon has seen nothing
+// because it had no connection to it; and against refusals while the registry cannot be read.
+func TestEntryIsReadBeforeAStreamGoesOnOverTheFirstConnection(t *testing.T) {
+	for _, storeAway := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			engines := &openingEngines{answeringEngines: answeringEngines{runs: map[string]int{}}}
+			g := newEngineGateway(engines, RetryLimits{Slack: 100}, 0)
+			runner := port.Runner{ID: "e", Service: "s", Address: "e:80", DataCentre: "north", Slots: 64, Role: port.RoleDecode, Version: "v1", StartedMS: 1, Sequence: 1}
+			records := []port.KeyedRecord{runnerRecord(t, runner)}
+			g.discovery.applyRecords(time.Now(), records, true, false)
+			engines.opened = func() {
+				runner.Version, runner.StartedMS = "v2", 2
+				if storeAway {
+					runner.Version, runner.StartedMS = "v1", 1
+				}
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			go func() {
+				for {
+					select {
+					case <-ctx.Done():
+						return
+					case <-g.discovery.refreshes.wanted:
+					}
+					if !storeAway {
+						began := time.Now()
+						g.discovery.applyRecords(began, []port.KeyedRecord{runnerRecord(t, runner)}, true, false)
+						g.discovery.refreshes.finish(began, nil)
+					}
+				}
+			}()
+			call := newLongPromptCall(g)
+			call.route.Resumable = true
+			call.version, call.lastEventID, call.deadline = "v1", "1", time.Now().Add(8*time.Second)
+			call.writer = httptest.NewRecorder()
+			call.serveStream(ctx)
+			if ran := engines.runs["v1"] > 0; ran != storeAway {
+				t.Errorf("store away %t: runs %v, steps %q", storeAway, engines.runs, call.stepLog)
+			}
+			cancel()
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -335,7 +335,7 @@
 
 // runOptions returns the options for a run that continues after the last event.
 func (c *call) runOptions(inFlight *placement.InFlightRequest, cache port.KVCacheHandle) port.RunOptions {
-	return port.RunOptions{
+	options := port.RunOptions{
 		Remaining:   c.remaining(),
 		Urgency:     enginePriority(c.urgency),
 		KVCache:     cache,
@@ -344,6 +344,11 @@
 		MaxIdle:     c.maxConnectionIdle(),
 		Wanted:      c.wanted,
 	}
+	if c.version != "" {
+		runner := inFlight.Runner()
+		options.Opened = func(ctx context.Context) error { return c.gateway.processes.checkEntry(ctx, runner) }
+	}
+	return options
 }
 
 // deliverResponse forwards a response: the events of a stream, or the whole body if it is none. It
--- a/internal/port/forward.go
+++ b/internal/port/forward.go
@@ -236,6 +236,9 @@
 	// Wanted reports whether the client still waits. It is called immediately before the request is written; nil if it is
 	// not known.
 	Wanted func() bool
+	// Opened is called before the request is written on a connection that was opened for it, if no other one to the runner is
+	// open. An error prevents that. It may be nil.
+	Opened func(ctx context.Context) error
 }
 
 // KVCacheHandle names a KV cache on a runner. It can be used once.
