--- a/internal/adapter/exchange/exchange_test.go
+++ b/internal/adapter/exchange/exchange_test.go
@@ -24,6 +24,7 @@
 // testServer counts the connections and requests that it receives and responds to them by
 // a function of the test.
 type testServer struct {
+	listener    net.Listener
 	address     string
 	connections atomic.Int64
 	requests    atomic.Int64
@@ -38,7 +39,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &testServer{address: l.Addr().String()}
+	s := &testServer{address: l.Addr().String(), listener: l}
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/internal/adapter/exchange/unframed_test.go
+++ b/internal/adapter/exchange/unframed_test.go
@@ -1,11 +1,11 @@
 package exchange_test
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"syscall"
 	"testing"
@@ -54,26 +54,14 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			const limit = 3
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			began := make(chan net.Conn, limit)
-			go func() {
-				for {
-					conn, err := l.Accept()
-					if err != nil {
-						return
-					}
-					go func() {
-						if _, err := bufio.NewReader(conn).ReadString('\n'); err == nil {
-							_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbegin")
-							began <- conn
-						}
-					}()
-				}
-			}()
+			began, release := make(chan *net.TCPConn, limit), make(chan struct{})
+			defer close(release)
+			server := serve(t, func(conn net.Conn, _ *http.Request) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbegin")
+				began <- conn.(*net.TCPConn)
+				<-release
+				return false
+			})
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			dial := &dialFunc{dial: dialTCP}
@@ -81,11 +69,11 @@
 			client.LimitConnections(func(string) int { return limit })
 			// All connections that are allowed are in use when the first response ends.
 			var responses []*exchange.Response
-			var conns []net.Conn
+			var conns []*net.TCPConn
 			for range limit {
 				r := request("r")
 				r.Matches = nil
-				response, err := client.Do(ctx, l.Addr().String(), r)
+				response, err := client.Do(ctx, server.address, r)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -96,9 +84,9 @@
 				dial.dial = func(ctx context.Context, address string) (net.Conn, error) { return c.confirm(ctx, cancel, address) }
 			}
 			if c.ended {
-				_ = l.Close()
+				_ = server.listener.Close()
 			}
-			_ = conns[0].(*net.TCPConn).CloseWrite()
+			_ = conns[0].CloseWrite()
 			body, err := io.ReadAll(responses[0].Body)
 			if (err == nil) != c.complete || err != nil && !errors.Is(err, io.ErrUnexpectedEOF) || string(body) != "begin" {
 				t.Errorf("the body is %q, error %v, want complete %t", body, err, c.complete)
@@ -107,7 +95,7 @@
 				return
 			}
 			dial.dial = dialTCP
-			if err := client.Open(t.Context(), l.Addr().String(), nil); err != nil {
+			if err := client.Open(t.Context(), server.address, nil); err != nil {
 				t.Errorf("the place of the connection that ended is not free: %v", err)
 			}
 		})
--- a/internal/gateway/await_room_test.go
+++ b/internal/gateway/await_room_test.go
@@ -16,20 +16,6 @@
 	"bergamotsill.example/bergamotsill/internal/port"
 )
 
-// answeringEngines is a port.Runners whose engines answer at once and name their version.
-type answeringEngines struct {
-	port.Runners
-	runs map[string]int
-}
-
-func (*answeringEngines) Retain(func(string) bool) {}
-
-func (e *answeringEngines) Run(_ context.Context, to port.Runner, _ *port.ForwardRequest, _ port.RunOptions) (*port.ForwardResponse, error) {
-	e.runs[to.Version]++
-	body := strings.NewReader("id: 2\ndata: " + to.Version + "\n\n")
-	return &port.ForwardResponse{Status: http.StatusOK, Framed: true, Body: io.NopCloser(body), Header: http.Header{"Content-Type": {eventStreamType}}}, nil
-}
-
 // Guards against streams that clients take up and that are refused because the engines of their software version look full, by the
 // load of a daemon that is gone or of streams that end soon, while new streams begin at another version; and against waits that are in vain
 // for longer than the client waits.
@@ -55,8 +41,12 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				engines := &answeringEngines{runs: map[string]int{}}
-				g := newEngineGateway(engines, RetryLimits{Slack: 100}, 0)
+				runs := map[string]int{}
+				g := newEngineGateway(&runFunc{run: func(_ context.Context, to port.Runner) (*port.ForwardResponse, error) {
+					runs[to.Version]++
+					body := io.NopCloser(strings.NewReader("id: 2\ndata: " + to.Version + "\n\n"))
+					return &port.ForwardResponse{Status: http.StatusOK, Framed: true, Body: body, Header: http.Header{"Content-Type": {eventStreamType}}}, nil
+				}}, RetryLimits{Slack: 100}, 0)
 				g.peers.dial = func(string) port.Peer { return unresponsivePeer{} }
 				g.fleet.SetRunners([]port.Runner{
 					{ID: "old", Service: "s", Address: "old:80", DataCentre: "north", Slots: 2, Role: port.RoleDecode, Version: "v1"},
@@ -76,8 +66,8 @@
 				}()
 				began := time.Now()
 				call.serveStream(context.Background())
-				if whole := recorder.Body.String() == "id: 2\ndata: v1\n\n"; whole != c.whole || engines.runs["v2"] > 0 {
-					t.Errorf("status %d, body %q, runs %v, steps %q", recorder.Code, recorder.Body.String(), engines.runs, call.stepLog)
+				if whole := recorder.Body.String() == "id: 2\ndata: v1\n\n"; whole != c.whole || runs["v2"] > 0 {
+					t.Errorf("status %d, body %q, runs %v, steps %q", recorder.Code, recorder.Body.String(), runs, call.stepLog)
 				}
 				if took := time.Since(began); took > c.longest {
 					t.Errorf("it took %s, want at most %s", took, c.longest)
