Remove streams from the queue for room when they wait in vain

What callers would see: after a take-up had waited for room in vain, the daemon took the engines of its version for awaited until its end, so that later streams there waited or were refused although there was room. Cause: a stream that was refused after its wait did not leave the queue; only one that was placed did. Evidence: found while rereading; TestTakeUpWaitsForRoomAtItsVersion now classifies the stream again after its end, and failed before in the case in which the engines stay full. Fix: the place is given up at the end of the call, whatever its result.

--- a/internal/gateway/await_room.go
+++ b/internal/gateway/await_room.go
@@ -10,8 +10,8 @@
 // roomPollInterval is how often a stream that waits for room at the engines of its software version looks for it.
 const roomPollInterval = 50 * time.Millisecond
 
-// awaitRoom waits until the engines of the version that began the stream have room, by what this daemon knows of their load. Other
-// than a new stream, it cannot run elsewhere, and its slot may be free although the daemon that held it has not been found to be
+// awaitRoom waits until the engines of the version that began the stream have room, by what this daemon knows of their load. Unlike
+// a new stream, it cannot run elsewhere, and its slot may be free although the daemon that held it has not been found to be
 // gone yet. awaitRoom returns errSaturated if too many streams wait, or once the client would leave before the first event.
 func (c *call) awaitRoom(ctx context.Context) error {
 	fleet := c.gateway.fleet
--- a/internal/gateway/await_room_test.go
+++ b/internal/gateway/await_room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,8 +18,8 @@
 )
 
 // Guards against streams that clients take up and that are refused because the engines of their software version look full, by the
-// load of a daemon that is gone or of streams that end soon, while new streams begin at another version; and against waits that are in vain
-// for longer than the client waits.
+// load of a daemon that is gone or of streams that end soon, while new streams begin at another version; against waits that are in vain
+// for longer than the client waits, and against streams that stay in the queue after they have ended.
 func TestTakeUpWaitsForRoomAtItsVersion(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -76,8 +77,10 @@
 				if counted := strings.Contains(failures, `"engines-full": 1`); counted == c.whole {
 					t.Errorf("failed take-ups by reason: %s", failures)
 				}
-				synctest.Wait()
 				time.Sleep(4 * time.Second)
+				if err := call.classify(); errors.Is(err, errSaturated) {
+					t.Error("the stream still waits for room after it has ended")
+				}
 			})
 		})
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -33,7 +33,8 @@
 	// asked for no requests.
 	leavingRunners, quietNotices *expvar.Int
 	// takeUps counts the streams that clients take up, by how their origin was found; as "room-awaited"
-	// those that waited for room at the engines of their version, and as "version-gone" if no runner of their software version could continue them.
+	// those that waited for room at the engines of their version, and as "version-gone" if no runner of
+	// their software version could continue them.
 	takeUps *expvar.Map
 	// takeUpFailures counts the streams that were taken up and did not go on, by takeUpFailure.
 	takeUpFailures *expvar.Map
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,11 +47,11 @@
 			return
 		}
 	}
+	defer c.leaveRoomQueue(false)
 	if err := c.admit(ctx); err != nil {
 		c.fail(ctx, err)
 		return
 	}
-	defer c.leaveRoomQueue(false)
 	// unused is a KV cache that no decode engine has taken yet, next an attempt that was already sent.
 	var unused port.KVCacheHandle
 	var next *replacement
--- a/internal/placement/classify.go
+++ b/internal/placement/classify.go
@@ -35,7 +35,8 @@
 // objective run after all others, and requests whose client would time out before the first
 // event are refused. If all engines are full, as when others limit their requests, each further
 // stream would only preempt those that run. A stream that has begun keeps its urgency: its client has waited
-// already, and only the engines of one version can serve it. If they are full, it may wait; see QueueForRoom. RemainingTarget and ClientTimeout of the query must be set.
+// already, and only the engines of one version can serve it. If they are full, it may wait; see
+// QueueForRoom. RemainingTarget and ClientTimeout of the query must be set.
 func (f *Fleet) Classify(now time.Time, q Query, rank int) Class {
 	q.Urgency = min(rank, UrgencyLate-1)
 	latest := q.ClientTimeout
