Read entries of runners in doubt also while no stream waits for them

What callers would see: streams that begin at a runner in doubt have an unknown version and do not go on after a break. A runner that was out of reach for a moment stayed in doubt until a stream that had begun needed it. Cause: the entries of runners in doubt were read only while streams waited for them. Evidence: found while rereading; TestDoubtEndsWithoutStreamsThatWait fails without the reads. Fix: they are read every 2 s, and every 0.3 s while streams wait. Prefill engines, whose version does not matter, are left out.

--- a/internal/gateway/processes.go
+++ b/internal/gateway/processes.go
@@ -18,8 +18,10 @@
 const (
 	// verifyDelay is the time in which a process that ends closes its listener after its connections.
 	verifyDelay = 30 * time.Millisecond
-	// entryCheckInterval is how often entries of runners in doubt are read while streams wait for them.
+	// entryCheckInterval is how often entries of runners in doubt are read while streams wait for them, idleCheckInterval how often
+	// while none does.
 	entryCheckInterval = 300 * time.Millisecond
+	idleCheckInterval  = 2 * time.Second
 	// entryCheckTimeout bounds the read of an entry before a stream continues at its runner.
 	entryCheckTimeout = 150 * time.Millisecond
 	// wantedTime is how long after a stream last waited for such a runner its entry is read.
@@ -38,17 +40,16 @@
 	refused func(port.Runner)
 	// background runs a function; its context is done when the gateway ends.
 	background func(task string, f func(context.Context))
-	// wake holds a token once streams wait for a runner.
-	wake chan struct{}
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// wantedAt is when a stream last waited for a runner.
 	wantedAt time.Time
 	// verifying holds the runners to which a connection is being opened, by id.
 	verifying map[string]bool
 }
 
 func newProcesses(log *zap.Logger, f *placement.Fleet, d *discovery, runners port.Runners, background func(string, func(context.Context))) *processes {
-	p := &processes{log: log, fleet: f, discovery: d, background: background, wake: make(chan struct{}, 1), verifying: map[string]bool{}}
+	p := &processes{log: log, fleet: f, discovery: d, background: background, verifying: map[string]bool{}}
 	if _, ok := runners.(port.ContactSource); ok {
 		p.probe = runners.Probe
 	}
@@ -135,12 +136,8 @@
 // want asks for evidence that runners in doubt still run, because a stream waits for one.
 func (p *processes) want() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.wantedAt = time.Now()
-	p.mu.Unlock()
-	select {
-	case p.wake <- struct{}{}:
-	default:
-	}
 }
 
 func (p *processes) wanted(now time.Time) bool {
@@ -155,30 +152,28 @@
 	readAt   time.Time
 }
 
-// run reads the entries of runners in doubt until ctx is done, while streams wait for them. An entry that follows the one of an
-// earlier read was written after that read, so that its process ran then.
+// run reads the entries of runners in doubt until ctx is done. An entry that follows the one of an earlier read was written after
+// that read, so that its process ran then.
 func (p *processes) run(ctx context.Context) {
 	seen := map[placement.Process]entrySequence{}
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return
-		case <-p.wake:
+	var readAt time.Time
+	for ; ctx.Err() == nil; clock.Sleep(ctx, entryCheckInterval) {
+		doubted := p.fleet.DoubtedProcesses()
+		if len(doubted) == 0 {
+			clear(seen)
+			continue
+		}
+		began := time.Now()
+		if !p.wanted(began) && began.Sub(readAt) < idleCheckInterval {
+			continue
 		}
-		for ; ctx.Err() == nil && p.wanted(time.Now()); clock.Sleep(ctx, entryCheckInterval) {
-			doubted := p.fleet.DoubtedProcesses()
-			if len(doubted) == 0 {
-				break
-			}
-			began := time.Now()
-			readCtx, cancel := context.WithTimeout(ctx, entryCheckInterval)
-			read := p.discovery.refresh(readCtx)
-			cancel()
-			if read {
-				p.compare(seen, doubted, began)
-			}
+		readAt = began
+		readCtx, cancel := context.WithTimeout(ctx, entryCheckInterval)
+		read := p.discovery.refresh(readCtx)
+		cancel()
+		if read {
+			p.compare(seen, doubted, began)
 		}
-		clear(seen)
 	}
 }
 
--- a/internal/gateway/processes_test.go
+++ b/internal/gateway/processes_test.go
@@ -85,6 +85,19 @@
 	return lost.Run.Runner()
 }
 
+// readEntries reads the entries of both engines for g until ctx is done. With writes set, the other engine writes one each second.
+func readEntries(ctx context.Context, t *testing.T, g *Gateway, e *restartedEngines, broken port.Runner, writes bool) {
+	for start := time.Now(); ctx.Err() == nil; clock.Sleep(ctx, 50*time.Millisecond) {
+		began := time.Now()
+		if writes {
+			e.other.Sequence = 1 + int64(began.Sub(start)/time.Second)
+		}
+		g.discovery.applyRecords(began, []port.KeyedRecord{runnerRecord(t, broken), runnerRecord(t, e.other)}, true, false)
+		g.discovery.confirm(began)
+		g.discovery.refreshes.finish(began, nil)
+	}
+}
+
 // Guards against streams that go on at a runner that is back under its id with another software version, although its entry is an old one
 // and this daemon has seen connections to it end, or has none; and against streams that end although the runner still runs.
 func TestStreamGoesOnOnlyAtACertainProcess(t *testing.T) {
@@ -118,17 +131,9 @@
 				defer cancel()
 				start := time.Now()
 				go g.processes.run(ctx)
-				go func() {
-					for ; ctx.Err() == nil && !c.storeAway; clock.Sleep(ctx, 50*time.Millisecond) {
-						began := time.Now()
-						if c.entries {
-							engines.other.Sequence = 1 + int64(began.Sub(start)/time.Second)
-						}
-						g.discovery.applyRecords(began, []port.KeyedRecord{runnerRecord(t, broken), runnerRecord(t, engines.other)}, true, false)
-						g.discovery.confirm(began)
-						g.discovery.refreshes.finish(began, nil)
-					}
-				}()
+				if !c.storeAway {
+					go readEntries(ctx, t, g, engines, broken, c.entries)
+				}
 				if !c.unseen {
 					loseConnection(t, g, "broken")
 				} else {
@@ -149,6 +154,25 @@
 	}
 }
 
+// Guards against runners that stay in doubt until a stream needs them, so that new ones there begin with an unknown version.
+func TestDoubtEndsWithoutStreamsThatWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := &restartedEngines{}
+		g, broken, _, _ := newRestartedGateway(t, engines)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go g.processes.run(ctx)
+		go readEntries(ctx, t, g, engines, broken, true)
+		loseConnection(t, g, "broken")
+		time.Sleep(2 * idleCheckInterval)
+		if time.Sleep(time.Second); g.fleet.InDoubt("other") {
+			t.Error("a runner that writes further entries is still in doubt")
+		}
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
+
 // Guards against a stream that begins at a runner of unknown version and goes on at one of the version that the runner had.
 func TestStreamOfAnUnknownVersionDoesNotGoOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/placement/process.go
+++ b/internal/placement/process.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"bergamotsill.example/bergamotsill/internal/port"
 )
 
 // The entry of a runner describes one process: its start names it, and its software version is known from nowhere else. The process that
@@ -83,13 +85,13 @@
 	return ok && m.inDoubt()
 }
 
-// DoubtedProcesses returns the processes of the registered runners that are in doubt, by id.
+// DoubtedProcesses returns the processes in doubt of the registered runners that run requests, the ones in doubt for longest first.
 func (f *Fleet) DoubtedProcesses() []Process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []Process
 	for id, m := range f.members {
-		if m.inDoubt() {
+		if m.inDoubt() && m.runner.Role != port.RolePrefill {
 			out = append(out, Process{ID: id, StartedMS: m.runner.StartedMS, Since: m.doubtSince})
 		}
 	}
