--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -33,11 +33,11 @@
 	// is not divided or spreads is not set. arrivals holds the work that this daemon sends, by service and kind of send.
 	cellPeers int
 	spreads   bool
+	arrivals  map[string]*arrivals
 	// daemons is the number of daemons, this one included.
 	daemons int
 	// roomQueues holds the streams that wait for room; a version for which none waits has no entry.
 	roomQueues map[versionKey]*roomQueue
-	arrivals   map[string]*arrivals
 	// options and spreadBuffer are buffers of spread.
 	options      []option
 	spreadBuffer []spread.Candidate
