Read entries of runners in doubt only while streams need them

Change: entries are read while a stream waits for a runner in doubt, and for 2.5 s after one has begun at such a runner, every 0.5 s.

--- a/internal/gateway/processes.go
+++ b/internal/gateway/processes.go
@@ -18,14 +18,13 @@
 const (
 	// verifyDelay is the time in which a process that ends closes its listener after its connections.
 	verifyDelay = 30 * time.Millisecond
-	// entryCheckInterval is how often entries of runners in doubt are read while streams wait for them, idleCheckInterval how often
-	// while none does.
-	entryCheckInterval = 300 * time.Millisecond
-	idleCheckInterval  = 2 * time.Second
+	// entryCheckInterval is how often entries of runners in doubt are read while streams need them.
+	entryCheckInterval = 500 * time.Millisecond
 	// entryCheckTimeout bounds the read of an entry before a stream continues at its runner.
 	entryCheckTimeout = 150 * time.Millisecond
-	// wantedTime is how long after a stream last waited for such a runner its entry is read.
-	wantedTime = 2 * entryCheckInterval
+	// wantedTime is how long after a stream last needed such a runner its entry is read: until one more entry was written, and a read
+	// or two later.
+	wantedTime = 5 * entryCheckInterval
 )
 
 // processes finds out whether runners still run the process of their registry entry, after signs that it has ended; see
@@ -42,7 +41,7 @@
 	background func(task string, f func(context.Context))
 
 	mu sync.Mutex
-	// wantedAt is when a stream last waited for a runner.
+	// wantedAt is when a stream last needed a runner in doubt.
 	wantedAt time.Time
 	// verifying holds the runners to which a connection is being opened, by id.
 	verifying map[string]bool
@@ -133,7 +132,7 @@
 	return nil
 }
 
-// want asks for evidence that runners in doubt still run, because a stream waits for one.
+// want asks for evidence that runners in doubt still run, because a stream waits for one or begins at one.
 func (p *processes) want() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -152,22 +151,20 @@
 	readAt   time.Time
 }
 
-// run reads the entries of runners in doubt until ctx is done. An entry that follows the one of an earlier read was written after
+// run reads the entries of runners in doubt until ctx is done, while streams need them. An entry that follows the one of an earlier read was written after
 // that read, so that its process ran then.
 func (p *processes) run(ctx context.Context) {
 	seen := map[placement.Process]entrySequence{}
-	var readAt time.Time
 	for ; ctx.Err() == nil; clock.Sleep(ctx, entryCheckInterval) {
+		began := time.Now()
+		if !p.wanted(began) {
+			continue
+		}
 		doubted := p.fleet.DoubtedProcesses()
 		if len(doubted) == 0 {
 			clear(seen)
 			continue
 		}
-		began := time.Now()
-		if !p.wanted(began) && began.Sub(readAt) < idleCheckInterval {
-			continue
-		}
-		readAt = began
 		readCtx, cancel := context.WithTimeout(ctx, entryCheckInterval)
 		read := p.discovery.refresh(readCtx)
 		cancel()
@@ -205,10 +202,11 @@
 
 // originRunner returns the runner that generates the events of a request. Its version is unknownVersion if it is not certain
 // which of its processes does: at no other one the stream may continue.
-func originRunner(inFlight *placement.InFlightRequest) port.Runner {
+func (p *processes) originRunner(inFlight *placement.InFlightRequest) port.Runner {
 	runner := inFlight.Runner()
 	version, ok := inFlight.Version()
 	if !ok {
+		p.want()
 		version = unknownVersion + runner.ID
 	}
 	runner.Version = version
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -68,7 +68,7 @@
 				c.recordEvents(inFlight)
 			}
 			if events && c.version == "" {
-				c.noteOrigin(originRunner(inFlight))
+				c.noteOrigin(c.gateway.processes.originRunner(inFlight))
 			}
 			if events || c.headerWritten {
 				if sendErr := c.writeEvents(response, buffer[:whole]); sendErr != nil {
