Do not count the ends of leaving runners as crashes

Cause: the connection that is opened after a failure is refused by a runner that was taken back, too; its lost connections then counted as crashes, were reported to all daemons, and could block requests that were in flight there. The end of a runner that drains was expected before. Fix: no connection is opened to a runner that drains, has announced that it leaves or is no longer listed, and its refusal confirms nothing. TestCrashesAreConfirmedAtOnce has the case, which failed before.

--- a/internal/gateway/processes.go
+++ b/internal/gateway/processes.go
@@ -56,9 +56,10 @@
 }
 
 // verify opens a connection to a runner after a sign that its process has ended. A process that ran shortly before and takes the
-// connection is the same one, because none starts again that fast; one that refuses it has ended.
+// connection is the same one, because none starts again that fast; one that refuses it has ended. The end of a runner that leaves is
+// expected and needs no evidence.
 func (p *processes) verify(to port.Runner) {
-	if p.probe == nil || !p.beginVerify(to.ID) {
+	if p.probe == nil || p.fleet.Leaves(to.ID) || !p.beginVerify(to.ID) {
 		return
 	}
 	p.background("verify process of a runner", func(ctx context.Context) {
@@ -78,7 +79,7 @@
 	ctx, cancel := context.WithTimeout(ctx, placement.MaxConfirmTime)
 	defer cancel()
 	err := p.probe(ctx, to)
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if errors.Is(err, syscall.ECONNREFUSED) && !p.fleet.Leaves(to.ID) {
 		p.refused(to)
 	}
 	doubted, ok := p.fleet.RanUntilDoubt(to.ID)
--- a/internal/gateway/processes_test.go
+++ b/internal/gateway/processes_test.go
@@ -191,18 +191,23 @@
 	})
 }
 
-// Guards against requests that crash further runners while the end of the first ones shows in the registry only.
+// Guards against requests that crash further runners while the end of the first ones shows in the registry only, and against ends of
+// runners that leave and count as crashes.
 func TestCrashesAreConfirmedAtOnce(t *testing.T) {
-	for _, ended := range []bool{true, false} {
+	for _, c := range []struct{ ended, leaves bool }{{true, false}, {false, false}, {true, true}} {
 		synctest.Test(t, func(t *testing.T) {
-			g, _, _, _ := newRestartedGateway(t, &restartedEngines{reachable: !ended})
+			g, _, _, _ := newRestartedGateway(t, &restartedEngines{reachable: !c.ended})
 			for _, excluded := range []string{"broken", "other"} {
 				lostAt := loseConnection(t, g, excluded)
 				g.crashes.recordLoss(connectionLoss{traits: testTraits, runner: lostAt, at: time.Now()})
 			}
+			if c.leaves {
+				g.fleet.MarkLeaving("broken", 1)
+				g.fleet.MarkLeaving("other", 1)
+			}
 			time.Sleep(100 * time.Millisecond)
-			if blocks := g.crashes.blocks(); (len(blocks) > 0) != ended {
-				t.Errorf("runners have ended %t: blocked traits %v", ended, blocks)
+			if blocks := g.crashes.blocks(); (len(blocks) > 0) != (c.ended && !c.leaves) {
+				t.Errorf("%+v: blocked traits %v", c, blocks)
 			}
 		})
 	}
--- a/internal/placement/notices.go
+++ b/internal/placement/notices.go
@@ -45,6 +45,14 @@
 	return ok && start == startedMS
 }
 
+// Leaves reports whether a runner drains, has announced that it leaves, or is no longer registered.
+func (f *Fleet) Leaves(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[id]
+	return !ok || m.runner.Draining || m.leaving
+}
+
 // MarkQuiet records that a runner asked for no requests of this daemon for a period. Daemons with the
 // same period resume at different times, up to maxQuietSpread after it. A period that ends before the
 // recorded one has no effect. The period also holds for a runner whose registry entry has lapsed.
