Leave the ends of many runners at once to the registry

What callers saw: requests that were late for 4 s after many runners had been taken back at once. Cause: with the end of each runner confirmed 30 ms after its failure, all daemons reported all their losses to all others in one moment. Fix: if more than three runners are looked at, their refusals confirm nothing; the registry does, as before. TestCrashesAreConfirmedAtOnce has the case and fails without the bound.

--- a/internal/gateway/processes.go
+++ b/internal/gateway/processes.go
@@ -18,6 +18,9 @@
 const (
 	// verifyDelay is the time in which a process that ends closes its listener after its connections.
 	verifyDelay = 30 * time.Millisecond
+	// maxCrashesAtOnce is the number of runners up to which their ends count as crashes at once. If more end together, the cause is
+	// hardly a request, and the registry confirms them in its time: otherwise all daemons would report all their losses in one moment.
+	maxCrashesAtOnce = 3
 	// entryCheckInterval is how often entries of runners in doubt are read while streams need them.
 	entryCheckInterval = 500 * time.Millisecond
 	// entryCheckTimeout bounds the read of an entry before a stream continues at its runner.
@@ -79,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, placement.MaxConfirmTime)
 	defer cancel()
 	err := p.probe(ctx, to)
-	if errors.Is(err, syscall.ECONNREFUSED) && !p.fleet.Leaves(to.ID) {
+	if errors.Is(err, syscall.ECONNREFUSED) && !p.fleet.Leaves(to.ID) && p.verifyingCount() <= maxCrashesAtOnce {
 		p.refused(to)
 	}
 	doubted, ok := p.fleet.RanUntilDoubt(to.ID)
@@ -104,6 +107,12 @@
 	return true
 }
 
+func (p *processes) verifyingCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.verifying)
+}
+
 func (p *processes) endVerify(id string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/processes_test.go
+++ b/internal/gateway/processes_test.go
@@ -192,21 +192,24 @@
 }
 
 // Guards against requests that crash further runners while the end of the first ones shows in the registry only, and against ends of
-// runners that leave and count as crashes.
+// runners that leave, or of many at a time, and count as crashes.
 func TestCrashesAreConfirmedAtOnce(t *testing.T) {
-	for _, c := range []struct{ ended, leaves bool }{{true, false}, {false, false}, {true, true}} {
+	for _, c := range []struct{ ended, leaves, many bool }{{true, false, false}, {false, false, false}, {true, true, false}, {true, false, true}} {
 		synctest.Test(t, func(t *testing.T) {
 			g, _, _, _ := newRestartedGateway(t, &restartedEngines{reachable: !c.ended})
 			for _, excluded := range []string{"broken", "other"} {
 				lostAt := loseConnection(t, g, excluded)
 				g.crashes.recordLoss(connectionLoss{traits: testTraits, runner: lostAt, at: time.Now()})
 			}
+			for i := 0; c.many && i < maxCrashesAtOnce; i++ {
+				g.processes.beginVerify(fmt.Sprint(i))
+			}
 			if c.leaves {
 				g.fleet.MarkLeaving("broken", 1)
 				g.fleet.MarkLeaving("other", 1)
 			}
 			time.Sleep(100 * time.Millisecond)
-			if blocks := g.crashes.blocks(); (len(blocks) > 0) != (c.ended && !c.leaves) {
+			if blocks := g.crashes.blocks(); (len(blocks) > 0) != (c.ended && !c.leaves && !c.many) {
 				t.Errorf("%+v: blocked traits %v", c, blocks)
 			}
 		})
