--- a/internal/placement/process.go
+++ b/internal/placement/process.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"bergamotsill.example/bergamotsill/internal/port"
@@ -85,7 +84,7 @@
 	return ok && m.inDoubt()
 }
 
-// DoubtedProcesses returns the processes in doubt of the registered runners that run requests, the ones in doubt for longest first.
+// DoubtedProcesses returns the processes in doubt of the registered runners that run requests, in no order.
 func (f *Fleet) DoubtedProcesses() []Process {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,7 +94,6 @@
 			out = append(out, Process{ID: id, StartedMS: m.runner.StartedMS, Since: m.doubtSince})
 		}
 	}
-	slices.SortFunc(out, func(a, b Process) int { return a.Since.Compare(b.Since) })
 	return out
 }
 
